--- /dev/null
+++ b/packages/config/src/generate.c
@@ -0,0 +1,86 @@
+#include "masticvane/config.h"
+
+#include <string.h>
+
+static const mv_service_t *
+previous_service(const mv_deployment_t *previous, const char *name)
+{
+    for (uint16_t i = 0; previous && i < previous->service_count; i++) {
+        if (!strcmp(previous->services[i].name, name)) {
+            return &previous->services[i];
+        }
+    }
+    return NULL;
+}
+
+static uint16_t
+previous_endpoint(const mv_service_t *previous, const char *name)
+{
+    for (uint16_t i = 0; previous && i < previous->endpoint_count; i++) {
+        if (!strcmp(previous->endpoints[i].name, name)) {
+            return previous->endpoints[i].id;
+        }
+    }
+    return 0;
+}
+
+static int
+compare_ids(const void *a, const void *b)
+{
+    const mv_endpoint_t *one = a;
+    const mv_endpoint_t *other = b;
+    return (one->id > other->id) - (one->id < other->id);
+}
+
+static void
+number_endpoints(mv_service_t *service, const mv_service_t *previous)
+{
+    service->last_endpoint_id = previous ? previous->last_endpoint_id : 0;
+    for (uint16_t i = 0; i < service->endpoint_count; i++) {
+        mv_endpoint_t *endpoint = &service->endpoints[i];
+        endpoint->id = previous_endpoint(previous, endpoint->name);
+        if (endpoint->id == 0) {
+            endpoint->id = ++service->last_endpoint_id;
+        }
+    }
+    qsort(service->endpoints, service->endpoint_count,
+          sizeof(service->endpoints[0]), compare_ids);
+}
+
+static void
+assign_buckets(mv_service_t *service, const mv_service_t *previous,
+               int64_t now)
+{
+    /* The number of buckets stays: changing it would move every flow. */
+    service->bucket_count =
+        previous ? previous->bucket_count
+                 : MvService_BucketCount(service->endpoint_count);
+    service->before = g_new(uint16_t, service->bucket_count);
+    service->target = g_new(uint16_t, service->bucket_count);
+    for (uint32_t b = 0; b < service->bucket_count; b++) {
+        service->before[b] = previous ? previous->target[b] : MV_NO_ENDPOINT;
+    }
+    MvService_Rebalance(service, now);
+    if (!previous) {
+        memcpy(service->before, service->target,
+               service->bucket_count * sizeof(uint16_t));
+    }
+}
+
+void
+MvDeployment_Generate(mv_deployment_t *answers,
+                      const mv_deployment_t *previous, int64_t now,
+                      const char *change_id)
+{
+    answers->version = previous ? previous->version + 1 : 1;
+    answers->accepted_at = now;
+    answers->last_service_id = previous ? previous->last_service_id : 0;
+    g_strlcpy(answers->change_id, change_id, sizeof(answers->change_id));
+    for (uint16_t i = 0; i < answers->service_count; i++) {
+        mv_service_t *service = &answers->services[i];
+        const mv_service_t *old = previous_service(previous, service->name);
+        service->id = old ? old->id : ++answers->last_service_id;
+        number_endpoints(service, old);
+        assign_buckets(service, old, now);
+    }
+}
--- /dev/null
+++ b/packages/config/test/config_test.cc
@@ -0,0 +1,185 @@
+#include "masticvane/config.h"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace {
+
+const int64_t kNow = 1800000000;
+
+std::string
+read_file(const std::string &path)
+{
+    std::ifstream in(path);
+    std::stringstream out;
+    out << in.rdbuf();
+    return out.str();
+}
+
+mv_deployment_t *
+parse(const std::string &text, std::vector<std::string> *found = nullptr)
+{
+    mv_findings_t *findings = MvFindings_Create();
+    mv_deployment_t *deployment =
+        MvAnswers_Parse("answers", text.c_str(), kNow, findings);
+    for (size_t i = 0; found && i < MvFindings_Count(findings); i++) {
+        found->push_back(MvFindings_Get(findings, i));
+    }
+    MvFindings_Destroy(findings);
+    return deployment;
+}
+
+std::vector<uint32_t>
+held(const mv_service_t *service)
+{
+    std::vector<uint32_t> count(service->last_endpoint_id + 1);
+    for (uint32_t b = 0; b < service->bucket_count; b++) {
+        count[service->target[b]]++;
+    }
+    return count;
+}
+
+std::string
+replace(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+const char *const kExamples[] = {MV_EXAMPLES "/atlas-jet.ini",
+                                 MV_EXAMPLES "/zatkovy-svaz.ini"};
+
+} // namespace
+
+TEST(Answers, TemplateAndExamplesHaveNoFindings)
+{
+    char *text = MvAnswers_Template();
+    std::vector<std::string> texts = {text};
+    g_free(text);
+    for (const char *path : kExamples) {
+        texts.push_back(read_file(path));
+    }
+    for (const auto &t : texts) {
+        std::vector<std::string> found;
+        mv_deployment_t *deployment = parse(t, &found);
+        EXPECT_TRUE(found.empty()) << found[0];
+        MvDeployment_Unref(deployment);
+    }
+}
+
+struct finding_case {
+    const char *from;
+    const char *to;
+    const char *finding;
+};
+
+TEST(Answers, EveryFindingHasItsPlace)
+{
+    const finding_case cases[] = {
+        {"slots = 2", "slots = none",
+         "answers:10: service booking.slots: \"none\" is not allowed"},
+        {"urgency = 0", "urgent = 0",
+         "work booking reservation.urgent: unknown key"},
+        {"data_centre = casa", "data_centre = paris",
+         "not among deployment.data_centres"},
+        {"address = 10.20.0.1", "address = somewhere", "not an IPv4 address"},
+        {"match = POST /reservations", "match = POST",
+         "write METHOD /path-prefix"},
+        {"share = 50", "share = 90", "add up to more than 100"},
+        {"address = 10.20.0.2", "address = 10.20.0.1",
+         "another service has this address"},
+    };
+    std::string good = read_file(kExamples[0]);
+    for (const auto &c : cases) {
+        std::vector<std::string> found;
+        EXPECT_EQ(parse(replace(good, c.from, c.to), &found), nullptr);
+        std::string all;
+        for (const auto &f : found) {
+            all += f + "\n";
+        }
+        EXPECT_NE(all.find(c.finding), std::string::npos) << c.to << all;
+    }
+}
+
+TEST(Generate, BucketsAreLevelAndMoveAsLittleAsPossible)
+{
+    std::string good = read_file(kExamples[0]);
+    mv_deployment_t *first = parse(good);
+    MvDeployment_Generate(first, nullptr, kNow, "one");
+    auto before = held(&first->services[0]);
+    auto range = std::minmax_element(before.begin() + 1, before.end());
+    EXPECT_LE(*range.second - *range.first, 1u);
+
+    std::string leaving = replace(good, "address = 127.20.1.3\n",
+                                  "address = 127.20.1.3\nleaves = now\n");
+    mv_deployment_t *second = parse(leaving);
+    MvDeployment_Generate(second, first, kNow + 1, "two");
+    const mv_service_t *service = &second->services[0];
+    auto after = held(service);
+    EXPECT_EQ(after[3], 0u);
+    uint32_t moved = 0;
+    for (uint32_t b = 0; b < service->bucket_count; b++) {
+        moved += service->before[b] != service->target[b];
+    }
+    EXPECT_EQ(moved, before[3]);
+    EXPECT_EQ(second->version, 2u);
+    MvDeployment_Unref(first);
+    MvDeployment_Unref(second);
+}
+
+TEST(Codec, BundleSurvivesTheRoundTripAndNothingElseIsAccepted)
+{
+    for (const char *path : kExamples) {
+        mv_deployment_t *deployment = parse(read_file(path));
+        MvDeployment_Generate(deployment, nullptr, kNow, "one");
+        char *bundle = MvDeployment_Encode(deployment);
+        mv_deployment_t *copy =
+            MvDeployment_Decode(bundle, strlen(bundle), nullptr);
+        ASSERT_NE(copy, nullptr);
+        char *again = MvDeployment_Encode(copy);
+        EXPECT_STREQ(bundle, again);
+        /* One digit of a service changed: the digest no longer matches. */
+        std::string forged = replace(bundle, "\"slots\":", "\"slots\":1");
+        EXPECT_EQ(MvDeployment_Decode(forged.c_str(), forged.size(), nullptr),
+                  nullptr);
+        for (size_t cut = 0; cut < strlen(bundle); cut += 997) {
+            EXPECT_EQ(MvDeployment_Decode(bundle, cut, nullptr), nullptr);
+        }
+        free(bundle);
+        free(again);
+        MvDeployment_Unref(copy);
+        MvDeployment_Unref(deployment);
+    }
+}
+
+struct danger_case {
+    const char *from;
+    const char *to;
+    unsigned danger;
+};
+
+TEST(Explain, DangersAreNamed)
+{
+    const danger_case cases[] = {
+        {"share = 50", "share = 40", MV_DANGER_NONE},
+        {"address = 127.20.1.3\n",
+         "address = 127.20.1.3\nleaves = 2020-01-01T00:00:00Z\n",
+         MV_DANGER_PAST_RETIREMENT},
+        {"[endpoint booking booking-3]", "[endpoint booking other]",
+         MV_DANGER_ENDPOINT_REMOVED},
+    };
+    std::string good = read_file(kExamples[0]);
+    mv_deployment_t *first = parse(good);
+    MvDeployment_Generate(first, nullptr, kNow, "one");
+    for (const auto &c : cases) {
+        mv_deployment_t *next = parse(replace(good, c.from, c.to));
+        MvDeployment_Generate(next, first, kNow, "two");
+        unsigned dangers = 0;
+        char *text = MvPlan_Explain(first, next, kNow, &dangers);
+        EXPECT_EQ(dangers, c.danger) << text;
+        g_free(text);
+        MvDeployment_Unref(next);
+    }
+    MvDeployment_Unref(first);
+}
--- /dev/null
+++ b/packages/core/include/masticvane/core.h
@@ -0,0 +1,505 @@
+/**
+ * DOC: masticvane decision core
+ *
+ * What one entry VM decides, without any socket, clock, thread or file.  The
+ * caller owns a &mv_node_t, hands it typed inputs together with the time, and
+ * receives typed actions through the vtable it passed to MvNode_Create().
+ * The daemon is one such caller; tests drive the same code in virtual time.
+ *
+ * Threads: MvNode_Packet() may be called from any number of traffic threads.
+ * Every other function belongs to the one control thread.  Traffic threads
+ * read an immutable &mv_view_t that the control thread publishes atomically.
+ *
+ * Errors: allocation failure inside GLib containers ends the process, as GLib
+ * documents; every other failure is returned or counted.
+ */
+#ifndef MASTICVANE_CORE_H
+#define MASTICVANE_CORE_H
+
+#include "masticvane/base.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Deployment: the configuration in force --------------------------------- */
+
+#define MV_NAME_MAX 48
+#define MV_NO_ENDPOINT UINT16_MAX
+#define MV_NO_NODE UINT16_MAX
+#define MV_MAX_BUCKETS 4096
+
+/** typedef mv_node_id_t - Number of an entry VM, unique in a deployment. */
+typedef uint16_t mv_node_id_t;
+
+/**
+ * struct mv_endpoint - One backend server of a service.
+ * @id: number within the service; never reused for another server
+ * @name: name used in reports
+ * @data_centre: data centre it runs in
+ * @address: IPv4 address, host byte order
+ * @packet_port: UDP port that takes IP-in-UDP
+ * @request_port: TCP port that speaks HTTP/2
+ * @slots: requests it runs at once
+ * @connection_limit: flows it may hold
+ * @leaves_at: Unix second from which it gets no new work, 0 for never
+ * @ends_at: Unix second at which remaining flows may be cut, 0 for never
+ */
+typedef struct mv_endpoint {
+    uint16_t id;
+    char name[MV_NAME_MAX];
+    char data_centre[MV_NAME_MAX];
+    uint32_t address;
+    uint16_t packet_port;
+    uint16_t request_port;
+    uint16_t slots;
+    uint32_t connection_limit;
+    int64_t leaves_at;
+    int64_t ends_at;
+} mv_endpoint_t;
+
+/**
+ * struct mv_work - One class of requests of a service.
+ * @name: name used in reports
+ * @method: HTTP method it matches, empty for all
+ * @path: path prefix it matches
+ * @urgency: 0 is the most urgent
+ * @share: guaranteed percentage of the service's slots
+ * @non_idempotent: true when a second run does harm
+ */
+typedef struct mv_work {
+    char name[MV_NAME_MAX];
+    char method[16];
+    char path[64];
+    uint8_t urgency;
+    uint8_t share;
+    bool non_idempotent;
+} mv_work_t;
+
+/**
+ * struct mv_service - One service behind an address.
+ * @id: number within the deployment; never reused for another service
+ * @name: name used in reports and as the request authority
+ * @address: IPv4 address, host byte order
+ * @port: TCP port
+ * @ends_at: Unix second after which callers are refused, 0 for never
+ * @last_endpoint_id: highest endpoint id ever given
+ * @endpoint_count: entries in @endpoints
+ * @endpoints: owned array, ordered by id
+ * @work_count: entries in @work
+ * @work: owned array in matching order
+ * @bucket_count: power of two, entries in @before and @target
+ * @before: endpoint index of each bucket before this change
+ * @target: endpoint index each bucket moves to
+ */
+typedef struct mv_service {
+    uint16_t id;
+    char name[MV_NAME_MAX];
+    uint32_t address;
+    uint16_t port;
+    int64_t ends_at;
+    uint16_t last_endpoint_id;
+    uint16_t endpoint_count;
+    mv_endpoint_t *endpoints;
+    uint16_t work_count;
+    mv_work_t *work;
+    uint16_t bucket_count;
+    uint16_t *before;
+    uint16_t *target;
+} mv_service_t;
+
+/**
+ * struct mv_member_weight - Fair share of one member (caller).
+ * @name: member name as callers state it
+ * @weight: relative share within a class of work
+ */
+typedef struct mv_member_weight {
+    char name[MV_NAME_MAX];
+    uint16_t weight;
+} mv_member_weight_t;
+
+/**
+ * struct mv_deployment - An accepted configuration; immutable once built.
+ * @references: reference count, see MvDeployment_Ref()
+ * @name: deployment name
+ * @version: rises by one with each accepted change
+ * @change_id: identifier of the change that made it
+ * @accepted_at: Unix second at which it was accepted
+ * @flow_idle_seconds: a flow silent for longer may be forgotten
+ * @last_service_id: highest service id ever given
+ * @service_count: entries in @services
+ * @services: owned array
+ * @member_count: entries in @members
+ * @members: owned array
+ * @source: the bytes it was decoded from, for peers that ask
+ * @source_length: bytes in @source
+ */
+typedef struct mv_deployment {
+    int references;
+    char name[MV_NAME_MAX];
+    uint64_t version;
+    char change_id[40];
+    int64_t accepted_at;
+    uint32_t flow_idle_seconds;
+    uint16_t last_service_id;
+    uint16_t service_count;
+    mv_service_t *services;
+    uint16_t member_count;
+    mv_member_weight_t *members;
+    char *source;
+    size_t source_length;
+} mv_deployment_t;
+
+/** MvDeployment_Ref() - Take a reference; safe from any thread. */
+mv_deployment_t *MvDeployment_Ref(mv_deployment_t *deployment);
+
+/** MvDeployment_Unref() - Drop a reference; NULL is accepted. */
+void MvDeployment_Unref(mv_deployment_t *deployment);
+
+/** MvDeployment_Find() - Service by id, or NULL. */
+const mv_service_t *MvDeployment_Find(const mv_deployment_t *deployment,
+                                      uint16_t service);
+
+/** MvService_Endpoint() - Endpoint by id, or NULL. */
+const mv_endpoint_t *MvService_Endpoint(const mv_service_t *service,
+                                        uint16_t endpoint);
+
+/**
+ * MvService_Rebalance() - Fill @target with as few moves as possible.
+ * @service: endpoints and @before are set; @target is written
+ * @now: Unix second that decides which endpoints are leaving
+ *
+ * Buckets of leaving endpoints move, and the most loaded endpoints give up
+ * just enough to leave every staying endpoint within one bucket of the mean.
+ */
+void MvService_Rebalance(mv_service_t *service, int64_t now);
+
+/** MvService_BucketCount() - Buckets for a number of endpoints. */
+uint16_t MvService_BucketCount(uint16_t endpoints);
+
+/* Messages between entry VMs --------------------------------------------- */
+
+/** enum mv_member_state - What the members believe of one entry VM. */
+typedef enum mv_member_state {
+    MV_MEMBER_UNKNOWN,
+    MV_MEMBER_ALIVE,
+    MV_MEMBER_SUSPECT,
+    MV_MEMBER_LEFT,
+    MV_MEMBER_DEAD,
+} mv_member_state_t;
+
+/**
+ * struct mv_member_update - One belief, spread with heartbeats.
+ * @node: whom it is about
+ * @incarnation: raised only by @node itself
+ * @state: &enum mv_member_state
+ * @ready: it may be the home of buckets
+ * @config_version: configuration it has in force
+ */
+typedef struct mv_member_update {
+    uint32_t node;
+    uint32_t incarnation;
+    uint32_t state;
+    uint32_t ready;
+    uint64_t config_version;
+} mv_member_update_t;
+
+/** enum mv_bucket_phase - How far the move of a bucket has come. */
+typedef enum mv_bucket_phase {
+    MV_BUCKET_STABLE,
+    MV_BUCKET_ANNOUNCED,
+    MV_BUCKET_MIXED,
+    MV_BUCKET_NAMED,
+} mv_bucket_phase_t;
+
+/**
+ * struct mv_bucket_update - State of a bucket as its home announces it.
+ * @version: hybrid logical time; a higher one replaces a lower one
+ * @bucket: bucket number
+ * @endpoint: endpoint id for packets of flows not known by name
+ * @next: endpoint id for new flows
+ * @phase: &enum mv_bucket_phase
+ */
+typedef struct mv_bucket_update {
+    uint64_t version;
+    uint32_t bucket;
+    uint32_t endpoint;
+    uint32_t next;
+    uint32_t phase;
+} mv_bucket_update_t;
+
+/**
+ * struct mv_flow_record - A flow known by name.
+ * @address: caller's IPv4 address, host byte order
+ * @port: caller's TCP port
+ * @service: service id
+ * @endpoint: endpoint id
+ * @idle_ms: time since its last packet, in milliseconds
+ */
+typedef struct mv_flow_record {
+    uint32_t address;
+    uint32_t port;
+    uint32_t service;
+    uint32_t endpoint;
+    uint32_t idle_ms;
+} mv_flow_record_t;
+
+/**
+ * struct mv_load_record - Open flows of an endpoint as one node counts them.
+ * @service: service id
+ * @endpoint: endpoint id
+ * @open: SYN minus FIN and RST seen by the sender
+ */
+typedef struct mv_load_record {
+    uint32_t service;
+    uint32_t endpoint;
+    int32_t open;
+} mv_load_record_t;
+
+/** enum mv_message_kind - What a message between entry VMs says. */
+typedef enum mv_message_kind {
+    MV_MESSAGE_PING = 1,
+    MV_MESSAGE_ACK,
+    MV_MESSAGE_PING_REQUEST,
+    MV_MESSAGE_CONFIG_PULL,
+    MV_MESSAGE_CONFIG,
+    MV_MESSAGE_BUCKETS,
+    MV_MESSAGE_BUCKETS_ACK,
+    MV_MESSAGE_FLOWS,
+    MV_MESSAGE_LOAD,
+    MV_MESSAGE_SYNC_REQUEST,
+    MV_MESSAGE_SYNC_DONE,
+    MV_MESSAGE_HANDOVER_DONE,
+    MV_MESSAGE_HANDOVER_ACK,
+    MV_MESSAGE_KIND_COUNT,
+} mv_message_kind_t;
+
+/**
+ * struct mv_message - A message; which fields count depends on @kind.
+ * @kind: &enum mv_message_kind
+ * @from: sender
+ * @sequence: number an answer refers to
+ * @target: node a ping request is about
+ * @service: service of bucket updates
+ * @version: version acknowledged, or the sender's configuration version
+ * @member_count: entries in @members
+ * @members: beliefs; owned by whoever built the message
+ * @bucket_count: entries in @buckets
+ * @buckets: bucket states
+ * @flow_count: entries in @flows
+ * @flows: flows by name
+ * @load_count: entries in @loads
+ * @loads: load counts
+ * @blob: configuration bytes
+ * @blob_length: bytes in @blob
+ */
+typedef struct mv_message {
+    uint32_t kind;
+    uint32_t from;
+    uint32_t sequence;
+    uint32_t target;
+    uint32_t service;
+    uint64_t version;
+    size_t member_count;
+    mv_member_update_t *members;
+    size_t bucket_count;
+    mv_bucket_update_t *buckets;
+    size_t flow_count;
+    mv_flow_record_t *flows;
+    size_t load_count;
+    mv_load_record_t *loads;
+    char *blob;
+    size_t blob_length;
+} mv_message_t;
+
+/** MvMessage_IsDatagram() - True for kinds that go by UDP and may be lost. */
+bool MvMessage_IsDatagram(const mv_message_t *message);
+
+/* Actions ---------------------------------------------------------------- */
+
+/** typedef mv_effects_t - What the node may ask of its caller. */
+typedef struct mv_effects mv_effects_t;
+
+/**
+ * struct mv_effects_ops - Actions of a node.
+ * @send: send @message to @to; the message is only valid during the call
+ * @decode: decode configuration bytes from a peer; one reference or NULL
+ * @event: a numbered event for the log, about @node
+ */
+typedef struct mv_effects_ops {
+    void (*send)(mv_effects_t *effects, mv_node_id_t to,
+                 const mv_message_t *message);
+    mv_deployment_t *(*decode)(mv_effects_t *effects, const char *bytes,
+                               size_t length);
+    void (*event)(mv_effects_t *effects, mv_log_event_t event,
+                  mv_node_id_t node, uint64_t detail);
+} mv_effects_ops_t;
+
+/**
+ * struct mv_effects - Base of the caller's own structure.
+ * @ops: its functions
+ */
+struct mv_effects {
+    const mv_effects_ops_t *ops;
+};
+
+/* Node -------------------------------------------------------------------- */
+
+/** enum mv_verdict_kind - What to do with a packet. */
+typedef enum mv_verdict_kind {
+    MV_VERDICT_DROP,
+    MV_VERDICT_FORWARD,
+    MV_VERDICT_RELAY,
+} mv_verdict_kind_t;
+
+/**
+ * struct mv_verdict - Decision about one packet.
+ * @kind: &enum mv_verdict_kind
+ * @reason: counter of the reason when dropped
+ * @service: service id when the packet belongs to one
+ * @endpoint: endpoint id to forward to
+ * @address: backend server's address, host byte order, when forwarded
+ * @port: backend server's packet port when forwarded
+ * @node: entry VM to relay to
+ * @hops: hop count to write into the relayed packet
+ */
+typedef struct mv_verdict {
+    mv_verdict_kind_t kind;
+    mv_counter_id_t reason;
+    uint16_t service;
+    uint16_t endpoint;
+    uint32_t address;
+    uint16_t port;
+    mv_node_id_t node;
+    uint8_t hops;
+} mv_verdict_t;
+
+/** Relays a packet may take before it must be decided where it is. */
+#define MV_MAX_HOPS 2
+
+/**
+ * struct mv_node_settings - What a node knows before it hears anything.
+ * @id: its own number
+ * @peers: numbers of the other entry VMs it may contact
+ * @peer_count: entries in @peers
+ * @probe_interval: time between heartbeats
+ * @probe_timeout: wait for an answer before asking others to probe
+ * @suspect_timeout: time a suspected member has to refute
+ * @announce_dwell: time an announced move waits after its last answer
+ * @copy_interval: time between batches of flow entries to the second home
+ * @load_interval: time between load messages
+ * @flow_capacity: flow entries the node may hold
+ * @balance_limit_percent: imbalance above which buckets are moved
+ */
+typedef struct mv_node_settings {
+    mv_node_id_t id;
+    const mv_node_id_t *peers;
+    size_t peer_count;
+    mv_time_t probe_interval;
+    mv_time_t probe_timeout;
+    mv_time_t suspect_timeout;
+    mv_time_t announce_dwell;
+    mv_time_t copy_interval;
+    mv_time_t load_interval;
+    uint32_t flow_capacity;
+    uint32_t balance_limit_percent;
+} mv_node_settings_t;
+
+/** MvNodeSettings_Default() - Settings for node @id without peers. */
+mv_node_settings_t MvNodeSettings_Default(mv_node_id_t id);
+
+/** typedef mv_node_t - The decisions of one entry VM. */
+typedef struct mv_node mv_node_t;
+
+/** typedef mv_reader_t - A traffic thread's place among the view's readers. */
+typedef struct mv_reader mv_reader_t;
+
+/**
+ * MvNode_Create() - New node that knows no configuration and no members.
+ * @settings: copied
+ * @effects: receives actions; must outlive the node
+ * @counters: where it counts; must outlive the node
+ * @random: source of randomness, used by the control thread; not owned
+ * @wall: Unix time in microseconds at @now
+ * @now: monotonic time
+ *
+ * Return: the node, to be freed with MvNode_Destroy(); NULL without memory.
+ */
+mv_node_t *MvNode_Create(const mv_node_settings_t *settings,
+                         mv_effects_t *effects, mv_counters_t *counters,
+                         GRand *random, mv_time_t wall, mv_time_t now);
+
+/** MvNode_Destroy() - Free; NULL and half-built nodes are accepted. */
+void MvNode_Destroy(mv_node_t *node);
+
+/**
+ * MvNode_AddReader() - Register a traffic thread; control thread only.
+ *
+ * Return: the reader, freed with the node; NULL without memory.
+ */
+mv_reader_t *MvNode_AddReader(mv_node_t *node);
+
+/**
+ * MvNode_Packet() - Decide about one IP packet; any traffic thread.
+ * @node: the node
+ * @reader: the reader of the calling thread
+ * @now: monotonic time
+ * @packet: the inner IP packet, never modified
+ * @length: its bytes
+ * @hops: relays it has taken, 0 when it comes from the fabric
+ */
+mv_verdict_t MvNode_Packet(mv_node_t *node, mv_reader_t *reader,
+                           mv_time_t now, const uint8_t *packet,
+                           size_t length, uint8_t hops);
+
+/** MvNode_Message() - Take in a message that passed the frame checks. */
+void MvNode_Message(mv_node_t *node, mv_time_t now,
+                    const mv_message_t *message);
+
+/**
+ * MvNode_Config() - Take in a decoded configuration from store or peer.
+ *
+ * Return: true when it is newer than the one in force and now in force.
+ */
+bool MvNode_Config(mv_node_t *node, mv_time_t now,
+                   mv_deployment_t *deployment);
+
+/**
+ * MvNode_Timer() - Do what has become due.  Call at least every 50 ms.
+ *
+ * Return: the time of the next call that is needed.
+ */
+mv_time_t MvNode_Timer(mv_node_t *node, mv_time_t now);
+
+/** MvNode_Stop() - Begin a planned stop: hand over, then leave. */
+void MvNode_Stop(mv_node_t *node, mv_time_t now);
+
+/** MvNode_Stopped() - True once everything is handed over. */
+bool MvNode_Stopped(const mv_node_t *node);
+
+/** MvNode_Deployment() - Configuration in force, or NULL; not a reference. */
+mv_deployment_t *MvNode_Deployment(const mv_node_t *node);
+
+/** MvNode_FlowCount() - Flow entries held. */
+size_t MvNode_FlowCount(const mv_node_t *node);
+
+/** MvNode_MovingBuckets() - Buckets that are not stable. */
+size_t MvNode_MovingBuckets(const mv_node_t *node);
+
+/** MvNode_IsAlive() - True when @id is believed alive. */
+bool MvNode_IsAlive(const mv_node_t *node, mv_node_id_t id);
+
+/** MvNode_LiveMembers() - Members believed alive, this node included. */
+size_t MvNode_LiveMembers(const mv_node_t *node);
+
+/** MvNode_EndpointOf() - Endpoint id new flows of a bucket get. */
+uint16_t MvNode_EndpointOf(const mv_node_t *node, uint16_t service,
+                           uint32_t bucket);
+
+/** MvNode_Dump() - New reference to the whole state as JSON. */
+json_t *MvNode_Dump(const mv_node_t *node, mv_time_t now);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/packages/core/src/buckets.c
@@ -0,0 +1,509 @@
+/* Which endpoint a bucket's new and old flows go to, and its moves. */
+#include "node_private.h"
+
+#define VERSION_NODE_BITS 12
+/* A configuration older than this has been carried out by its homes. */
+#define SETTLED_AFTER (10 * MV_SECOND)
+#define RESEND_INTERVAL (500 * MV_MILLISECOND)
+
+uint64_t
+MvNode_NextVersion(mv_node_t *node, mv_time_t now)
+{
+    uint64_t wall = (uint64_t)((now + node->wall_offset) / MV_MILLISECOND);
+    uint64_t id = node->settings.id & ((1u << VERSION_NODE_BITS) - 1);
+    uint64_t version = (wall << VERSION_NODE_BITS) | id;
+    if (version <= node->last_version) {
+        version = ((node->last_version >> VERSION_NODE_BITS) + 1)
+                      << VERSION_NODE_BITS |
+                  id;
+    }
+    node->last_version = version;
+    return version;
+}
+
+mv_node_service_t *
+MvBuckets_Service(const mv_node_t *node, uint16_t id)
+{
+    for (guint i = 0; i < node->services->len; i++) {
+        mv_node_service_t *service = g_ptr_array_index(node->services, i);
+        if (service->service->id == id) {
+            return service;
+        }
+    }
+    return NULL;
+}
+
+bool
+MvBuckets_IsHome(const mv_node_t *node, const mv_node_service_t *service,
+                 uint32_t bucket)
+{
+    uint32_t group = MvGroup_Of(service->service->id, bucket);
+    return node->homes.home[group] == node->settings.id;
+}
+
+bool
+MvBuckets_IsUsable(const mv_node_t *node, const mv_node_service_t *service,
+                   uint16_t endpoint, mv_time_t now)
+{
+    const mv_endpoint_t *known = MvService_Endpoint(service->service, endpoint);
+    mv_time_t wall = now + node->wall_offset;
+    return known &&
+           (known->leaves_at == 0 || known->leaves_at * MV_SECOND > wall);
+}
+
+static void
+mark_changed(mv_node_t *node, mv_node_service_t *service)
+{
+    MvViewService_Unref(service->view);
+    service->view = NULL;
+    node->view_dirty = true;
+}
+
+static void
+set_phase(mv_node_service_t *service, mv_bucket_t *bucket, uint8_t phase)
+{
+    service->moving += (phase != MV_BUCKET_STABLE);
+    service->moving -= (bucket->phase != MV_BUCKET_STABLE);
+    bucket->phase = phase;
+}
+
+static void
+set_due(mv_node_service_t *service, mv_bucket_t *bucket, bool due)
+{
+    service->due += due;
+    service->due -= bucket->due;
+    bucket->due = due;
+}
+
+/* Configuration ----------------------------------------------------------- */
+
+static mv_node_service_t *
+create_service(mv_node_t *node, const mv_service_t *service, mv_time_t now)
+{
+    mv_node_service_t *state = g_new0(mv_node_service_t, 1);
+    mv_time_t accepted = node->deployment->accepted_at * MV_SECOND;
+    bool settled = now + node->wall_offset - accepted > SETTLED_AFTER;
+    state->service = service;
+    state->count = service->bucket_count;
+    state->buckets = g_new0(mv_bucket_t, state->count);
+    state->open = g_atomic_rc_box_alloc0(MV_LOAD_SLOTS * sizeof(int32_t));
+    state->heard_load =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    for (uint32_t b = 0; b < state->count; b++) {
+        bool known = MvService_Endpoint(service, service->before[b]) != NULL;
+        state->buckets[b].endpoint =
+            known && !settled ? service->before[b] : service->target[b];
+    }
+    return state;
+}
+
+void
+MvBuckets_Free(mv_node_service_t *service)
+{
+    MvViewService_Unref(service->view);
+    g_hash_table_unref(service->heard_load);
+    g_atomic_rc_box_release(service->open);
+    g_free(service->buckets);
+    g_free(service);
+}
+
+static void
+note_targets(mv_node_service_t *state)
+{
+    const mv_service_t *service = state->service;
+    for (uint32_t b = 0; b < state->count; b++) {
+        bool changed = service->target[b] != service->before[b];
+        bool there = MvBucket_ForNew(&state->buckets[b]) == service->target[b];
+        set_due(state, &state->buckets[b], changed && !there);
+    }
+}
+
+void
+MvBuckets_Config(mv_node_t *node, mv_time_t now)
+{
+    GPtrArray *old = node->services;
+    const mv_deployment_t *deployment = node->deployment;
+    node->services = g_ptr_array_new();
+    for (uint16_t i = 0; i < deployment->service_count; i++) {
+        const mv_service_t *service = &deployment->services[i];
+        mv_node_service_t *state = NULL;
+        for (guint j = 0; j < old->len && !state; j++) {
+            mv_node_service_t *candidate = g_ptr_array_index(old, j);
+            if (candidate->service->id == service->id &&
+                candidate->count == service->bucket_count) {
+                state = candidate;
+                g_ptr_array_remove_index_fast(old, j);
+            }
+        }
+        if (!state) {
+            state = create_service(node, service, now);
+        }
+        state->service = service;
+        note_targets(state);
+        mark_changed(node, state);
+        g_ptr_array_add(node->services, state);
+    }
+    for (guint j = 0; j < old->len; j++) {
+        MvBuckets_Free(g_ptr_array_index(old, j));
+    }
+    g_ptr_array_unref(old);
+}
+
+/* Announcements ------------------------------------------------------------ */
+
+static mv_batch_t *
+find_batch(mv_node_t *node, uint16_t service, uint64_t version)
+{
+    MV_LIST_FOREACH(item, &node->batches)
+    {
+        mv_batch_t *batch = MV_CONTAINER_OF(item, mv_batch_t, link);
+        if (batch->service == service && batch->version == version) {
+            return batch;
+        }
+    }
+    return NULL;
+}
+
+static GArray *
+collect_updates(const mv_node_service_t *service, uint64_t version)
+{
+    GArray *updates = g_array_new(FALSE, FALSE, sizeof(mv_bucket_update_t));
+    for (uint32_t b = 0; b < service->count; b++) {
+        const mv_bucket_t *bucket = &service->buckets[b];
+        if (version ? bucket->version != version : bucket->version == 0) {
+            continue;
+        }
+        mv_bucket_update_t update = {.version = bucket->version,
+                                     .bucket = b,
+                                     .endpoint = bucket->endpoint,
+                                     .next = bucket->next,
+                                     .phase = bucket->phase};
+        g_array_append_val(updates, update);
+    }
+    return updates;
+}
+
+static void
+send_updates(mv_node_t *node, const mv_node_service_t *service,
+             uint64_t version, mv_node_id_t to)
+{
+    GArray *updates = collect_updates(service, version);
+    if (updates->len > 0) {
+        mv_message_t message = {
+            .kind = MV_MESSAGE_BUCKETS,
+            .service = service->service->id,
+            .version = version,
+            .bucket_count = updates->len,
+            .buckets = (mv_bucket_update_t *)(void *)updates->data,
+        };
+        MvNode_Send(node, to, &message);
+    }
+    g_array_unref(updates);
+}
+
+void
+MvBuckets_SendAll(mv_node_t *node, mv_node_id_t to)
+{
+    for (guint i = 0; i < node->services->len; i++) {
+        send_updates(node, g_ptr_array_index(node->services, i), 0, to);
+    }
+}
+
+static void
+send_batch(mv_node_t *node, mv_batch_t *batch, mv_time_t now)
+{
+    mv_node_service_t *service = MvBuckets_Service(node, batch->service);
+    batch->sent = now;
+    for (guint i = 0; service && i < node->members->len; i++) {
+        mv_member_t *member = g_ptr_array_index(node->members, i);
+        gpointer key = GUINT_TO_POINTER(member->id);
+        if (MvMembers_IsLive(member) &&
+            !g_hash_table_contains(batch->acked, key)) {
+            send_updates(node, service, batch->version, member->id);
+        }
+    }
+}
+
+void
+MvBuckets_Announce(mv_node_t *node, mv_time_t now, mv_node_service_t *service,
+                   uint64_t version)
+{
+    mv_batch_t *batch = g_new0(mv_batch_t, 1);
+    batch->service = service->service->id;
+    batch->version = version;
+    batch->acked = g_hash_table_new(g_direct_hash, g_direct_equal);
+    MvList_Append(&node->batches, &batch->link);
+    mark_changed(node, service);
+    send_batch(node, batch, now);
+}
+
+void
+MvBuckets_Move(mv_node_service_t *service, mv_time_t now, uint32_t number,
+               uint16_t to, uint64_t version)
+{
+    mv_bucket_t *bucket = &service->buckets[number];
+    set_due(service, bucket, false);
+    bucket->version = version;
+    bucket->next = to;
+    if (bucket->phase == MV_BUCKET_STABLE ||
+        bucket->phase == MV_BUCKET_NAMED) {
+        set_phase(service, bucket, MV_BUCKET_ANNOUNCED);
+        bucket->since = now;
+    }
+}
+
+static void
+free_batch(mv_batch_t *batch)
+{
+    MvList_Remove(&batch->link);
+    g_hash_table_unref(batch->acked);
+    g_free(batch);
+}
+
+/* A member that is only suspected has fenced itself or cannot be reached. */
+static bool
+is_acknowledged(const mv_node_t *node, const mv_batch_t *batch)
+{
+    for (guint i = 0; i < node->members->len; i++) {
+        const mv_member_t *member = g_ptr_array_index(node->members, i);
+        if (member->state == MV_MEMBER_ALIVE &&
+            !g_hash_table_contains(batch->acked,
+                                   GUINT_TO_POINTER(member->id))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+check_batches(mv_node_t *node, mv_time_t now)
+{
+    MV_LIST_FOREACH(item, &node->batches)
+    {
+        mv_batch_t *batch = MV_CONTAINER_OF(item, mv_batch_t, link);
+        if (!is_acknowledged(node, batch)) {
+            batch->complete_at = 0;
+            if (now - batch->sent >= RESEND_INTERVAL) {
+                send_batch(node, batch, now);
+            }
+            continue;
+        }
+        if (batch->complete_at == 0) {
+            batch->complete_at = now;
+        }
+        if (now - batch->complete_at > 2 * node->settings.announce_dwell) {
+            free_batch(batch);
+        }
+    }
+}
+
+/* Messages ------------------------------------------------------------------ */
+
+static void
+apply_update(mv_node_t *node, mv_time_t now, mv_node_service_t *service,
+             const mv_bucket_update_t *update)
+{
+    if (update->bucket >= service->count ||
+        update->phase > MV_BUCKET_NAMED) {
+        return;
+    }
+    mv_bucket_t *bucket = &service->buckets[update->bucket];
+    if (update->version <= bucket->version) {
+        return;
+    }
+    if (update->version > node->last_version) {
+        node->last_version = update->version;
+    }
+    if (update->phase != bucket->phase) {
+        bucket->since = now;
+    }
+    bucket->version = update->version;
+    bucket->endpoint = (uint16_t)update->endpoint;
+    bucket->next = (uint16_t)update->next;
+    bucket->named = UINT32_MAX;
+    set_phase(service, bucket, (uint8_t)update->phase);
+    if (MvBucket_ForNew(bucket) ==
+        service->service->target[update->bucket]) {
+        set_due(service, bucket, false);
+    }
+}
+
+static void
+take_updates(mv_node_t *node, mv_time_t now, const mv_message_t *message)
+{
+    mv_node_service_t *service = MvBuckets_Service(node, message->service);
+    if (!service) {
+        return; /* Asked again once the configuration is here. */
+    }
+    for (size_t i = 0; i < message->bucket_count; i++) {
+        apply_update(node, now, service, &message->buckets[i]);
+    }
+    mark_changed(node, service);
+    mv_message_t answer = {.kind = MV_MESSAGE_BUCKETS_ACK,
+                           .service = message->service,
+                           .version = message->version};
+    if (message->version) {
+        MvNode_Send(node, (mv_node_id_t)message->from, &answer);
+    }
+}
+
+void
+MvBuckets_Message(mv_node_t *node, mv_time_t now, const mv_message_t *message)
+{
+    if (message->kind == MV_MESSAGE_BUCKETS) {
+        take_updates(node, now, message);
+    }
+    if (message->kind == MV_MESSAGE_BUCKETS_ACK) {
+        mv_batch_t *batch = find_batch(node, (uint16_t)message->service,
+                                       message->version);
+        if (batch) {
+            g_hash_table_add(batch->acked, GUINT_TO_POINTER(message->from));
+        }
+    }
+}
+
+/* Transitions of the buckets this node is home of ---------------------------- */
+
+/* New home without the batch: announce again to learn who knows. */
+static bool
+move_is_known(mv_node_t *node, const mv_node_service_t *service,
+              const mv_bucket_t *bucket, mv_time_t now, bool *lost)
+{
+    mv_batch_t *batch =
+        find_batch(node, service->service->id, bucket->version);
+    *lost = batch == NULL;
+    return batch && batch->complete_at &&
+           now - batch->complete_at >= node->settings.announce_dwell;
+}
+
+static bool
+advance(mv_node_t *node, mv_time_t now, mv_node_service_t *service,
+        mv_bucket_t *bucket, uint64_t version)
+{
+    mv_time_t idle =
+        (mv_time_t)node->deployment->flow_idle_seconds * MV_SECOND;
+    bool lost = false;
+    switch (bucket->phase) {
+    case MV_BUCKET_ANNOUNCED:
+        if (!move_is_known(node, service, bucket, now, &lost)) {
+            bucket->version = lost ? version : bucket->version;
+            return lost;
+        }
+        set_phase(service, bucket, MV_BUCKET_MIXED);
+        break;
+    case MV_BUCKET_MIXED:
+        if (now - bucket->since < idle) {
+            return false;
+        }
+        set_phase(service, bucket, MV_BUCKET_NAMED);
+        bucket->endpoint = bucket->next;
+        bucket->named = UINT32_MAX;
+        break;
+    case MV_BUCKET_NAMED:
+        if (bucket->named != 0) {
+            return false;
+        }
+        set_phase(service, bucket, MV_BUCKET_STABLE);
+        break;
+    default:
+        return false;
+    }
+    bucket->since = now;
+    bucket->version = version;
+    return true;
+}
+
+/* Endpoint of each bucket once leaving endpoints have given theirs up. */
+static uint16_t *
+plan_around_leaving(const mv_node_t *node, const mv_node_service_t *state,
+                    mv_time_t now)
+{
+    mv_service_t copy = *state->service;
+    copy.before = g_new(uint16_t, state->count);
+    copy.target = g_new(uint16_t, state->count);
+    for (uint32_t b = 0; b < state->count; b++) {
+        copy.before[b] = MvBucket_ForNew(&state->buckets[b]);
+    }
+    MvService_Rebalance(&copy, (now + node->wall_offset) / MV_SECOND);
+    g_free(copy.before);
+    return copy.target;
+}
+
+static uint16_t
+wanted_endpoint(const mv_node_t *node, const mv_node_service_t *state,
+                uint32_t number, mv_time_t now, uint16_t **plan)
+{
+    const mv_bucket_t *bucket = &state->buckets[number];
+    uint16_t current = MvBucket_ForNew(bucket);
+    uint16_t target = state->service->target[number];
+    if (bucket->due && MvBuckets_IsUsable(node, state, target, now)) {
+        return target;
+    }
+    if (MvBuckets_IsUsable(node, state, current, now)) {
+        return current;
+    }
+    if (!*plan) {
+        *plan = plan_around_leaving(node, state, now);
+    }
+    return MvBuckets_IsUsable(node, state, (*plan)[number], now)
+               ? (*plan)[number]
+               : current;
+}
+
+static bool
+has_unusable_endpoint(const mv_node_t *node, const mv_node_service_t *state,
+                      mv_time_t now)
+{
+    const mv_service_t *service = state->service;
+    for (uint16_t i = 0; i < service->endpoint_count; i++) {
+        if (!MvBuckets_IsUsable(node, state, service->endpoints[i].id, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+service_timer(mv_node_t *node, mv_time_t now, mv_node_service_t *state)
+{
+    if (state->moving == 0 && state->due == 0 &&
+        !has_unusable_endpoint(node, state, now)) {
+        return;
+    }
+    uint64_t version = 0;
+    bool changed = false;
+    uint16_t *plan = NULL;
+    for (uint32_t b = 0; b < state->count; b++) {
+        if (!MvBuckets_IsHome(node, state, b)) {
+            continue;
+        }
+        if (!version) {
+            version = MvNode_NextVersion(node, now);
+        }
+        mv_bucket_t *bucket = &state->buckets[b];
+        uint16_t want = wanted_endpoint(node, state, b, now, &plan);
+        if (want != MvBucket_ForNew(bucket)) {
+            MvBuckets_Move(state, now, b, want, version);
+            changed = true;
+        }
+        else {
+            changed |= advance(node, now, state, bucket, version);
+        }
+    }
+    g_free(plan);
+    if (changed) {
+        MvBuckets_Announce(node, now, state, version);
+    }
+}
+
+void
+MvBuckets_Timer(mv_node_t *node, mv_time_t now)
+{
+    check_batches(node, now);
+    if (!node->ready || node->left) {
+        return;
+    }
+    for (guint i = 0; i < node->services->len; i++) {
+        service_timer(node, now, g_ptr_array_index(node->services, i));
+    }
+}
--- /dev/null
+++ b/packages/core/src/deployment.c
@@ -0,0 +1,145 @@
+#include "masticvane/core.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define BUCKETS_PER_ENDPOINT 64
+#define MIN_BUCKETS 256
+
+mv_deployment_t *
+MvDeployment_Ref(mv_deployment_t *deployment)
+{
+    __atomic_add_fetch(&deployment->references, 1, __ATOMIC_RELAXED);
+    return deployment;
+}
+
+void
+MvDeployment_Unref(mv_deployment_t *deployment)
+{
+    if (!deployment ||
+        __atomic_sub_fetch(&deployment->references, 1, __ATOMIC_ACQ_REL)) {
+        return;
+    }
+    for (uint16_t i = 0; deployment->services && i < deployment->service_count;
+         i++) {
+        g_free(deployment->services[i].endpoints);
+        g_free(deployment->services[i].work);
+        g_free(deployment->services[i].before);
+        g_free(deployment->services[i].target);
+    }
+    g_free(deployment->services);
+    g_free(deployment->members);
+    g_free(deployment->source);
+    g_free(deployment);
+}
+
+const mv_service_t *
+MvDeployment_Find(const mv_deployment_t *deployment, uint16_t service)
+{
+    for (uint16_t i = 0; deployment && i < deployment->service_count; i++) {
+        if (deployment->services[i].id == service) {
+            return &deployment->services[i];
+        }
+    }
+    return NULL;
+}
+
+static const mv_endpoint_t *
+find_endpoint(const mv_service_t *service, uint16_t id)
+{
+    for (uint16_t i = 0; i < service->endpoint_count; i++) {
+        if (service->endpoints[i].id == id) {
+            return &service->endpoints[i];
+        }
+    }
+    return NULL;
+}
+
+const mv_endpoint_t *
+MvService_Endpoint(const mv_service_t *service, uint16_t endpoint)
+{
+    /* Ids are mostly dense and start at 1. */
+    uint16_t guess = (uint16_t)(endpoint - 1);
+    if (guess < service->endpoint_count &&
+        service->endpoints[guess].id == endpoint) {
+        return &service->endpoints[guess];
+    }
+    return find_endpoint(service, endpoint);
+}
+
+uint16_t
+MvService_BucketCount(uint16_t endpoints)
+{
+    uint32_t count = MIN_BUCKETS;
+    while (count < (uint32_t)endpoints * BUCKETS_PER_ENDPOINT &&
+           count < MV_MAX_BUCKETS) {
+        count *= 2;
+    }
+    return (uint16_t)count;
+}
+
+static bool
+is_staying(const mv_endpoint_t *endpoint, int64_t now)
+{
+    return endpoint->leaves_at == 0 || endpoint->leaves_at > now;
+}
+
+static uint16_t
+least_loaded(const mv_service_t *service, const uint32_t *held, int64_t now)
+{
+    uint16_t best = MV_NO_ENDPOINT;
+    for (uint16_t i = 0; i < service->endpoint_count; i++) {
+        if (!is_staying(&service->endpoints[i], now)) {
+            continue;
+        }
+        if (best == MV_NO_ENDPOINT || held[i] < held[best]) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+static uint16_t
+index_of(const mv_service_t *service, uint16_t id)
+{
+    const mv_endpoint_t *endpoint = find_endpoint(service, id);
+    return endpoint ? (uint16_t)(endpoint - service->endpoints)
+                    : MV_NO_ENDPOINT;
+}
+
+/* Spread buckets that have no endpoint, then level the staying ones. */
+void
+MvService_Rebalance(mv_service_t *service, int64_t now)
+{
+    uint32_t *held = g_new0(uint32_t, service->endpoint_count + 1u);
+    uint32_t staying = 0;
+    for (uint16_t i = 0; i < service->endpoint_count; i++) {
+        staying += is_staying(&service->endpoints[i], now);
+    }
+    for (uint32_t b = 0; b < service->bucket_count; b++) {
+        uint16_t index = index_of(service, service->before[b]);
+        bool keep = index != MV_NO_ENDPOINT &&
+                    (staying == 0 ||
+                     is_staying(&service->endpoints[index], now));
+        service->target[b] = keep ? service->before[b] : MV_NO_ENDPOINT;
+        held[keep ? index : service->endpoint_count] += keep;
+    }
+    uint32_t ceiling =
+        staying ? (service->bucket_count + staying - 1) / staying : 0;
+    for (uint32_t b = 0; staying && b < service->bucket_count; b++) {
+        uint16_t index = index_of(service, service->target[b]);
+        uint16_t best = least_loaded(service, held, now);
+        bool move = index == MV_NO_ENDPOINT ||
+                    (held[index] > ceiling && held[best] < ceiling) ||
+                    held[index] > held[best] + 1;
+        if (!move) {
+            continue;
+        }
+        if (index != MV_NO_ENDPOINT) {
+            held[index]--;
+        }
+        held[best]++;
+        service->target[b] = service->endpoints[best].id;
+    }
+    g_free(held);
+}
--- /dev/null
+++ b/packages/core/src/flow_table.c
@@ -0,0 +1,221 @@
+#include "flow_table.h"
+
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#define SHARDS 64
+#define SHARD_SHIFT 58
+#define MIN_SHARD_SLOTS 16
+#define HASH_SEED 0x6d617374696376ULL
+
+typedef struct shard {
+    atomic_flag busy;
+    uint32_t mask;
+    uint32_t count;
+    uint32_t limit;
+    mv_flow_entry_t *slots;
+} shard_t;
+
+struct mv_flow_table {
+    shard_t shards[SHARDS];
+};
+
+uint64_t
+MvFlowKey_Hash(mv_flow_key_t key)
+{
+    return XXH3_64bits_withSeed(&key, sizeof(key), HASH_SEED);
+}
+
+static void
+shard_lock(shard_t *shard)
+{
+    while (atomic_flag_test_and_set_explicit(&shard->busy,
+                                             memory_order_acquire)) {
+    }
+}
+
+static void
+shard_unlock(shard_t *shard)
+{
+    atomic_flag_clear_explicit(&shard->busy, memory_order_release);
+}
+
+static bool
+shard_resize(shard_t *shard, uint32_t slots)
+{
+    mv_flow_entry_t *fresh = malloc(slots * sizeof(*fresh));
+    if (!fresh) {
+        return false;
+    }
+    for (uint32_t i = 0; i < slots; i++) {
+        fresh[i].endpoint = MV_NO_ENDPOINT;
+    }
+    for (uint32_t i = 0; shard->slots && i <= shard->mask; i++) {
+        if (shard->slots[i].endpoint == MV_NO_ENDPOINT) {
+            continue;
+        }
+        uint32_t at = (uint32_t)MvFlowKey_Hash(shard->slots[i].key);
+        while (fresh[at & (slots - 1)].endpoint != MV_NO_ENDPOINT) {
+            at++;
+        }
+        fresh[at & (slots - 1)] = shard->slots[i];
+    }
+    free(shard->slots);
+    shard->slots = fresh;
+    shard->mask = slots - 1;
+    return true;
+}
+
+mv_flow_table_t *
+MvFlowTable_Create(uint32_t capacity)
+{
+    mv_flow_table_t *table = calloc(1, sizeof(*table));
+    if (!table) {
+        return NULL;
+    }
+    for (unsigned i = 0; i < SHARDS; i++) {
+        table->shards[i].limit = capacity / SHARDS + 1;
+        if (!shard_resize(&table->shards[i], MIN_SHARD_SLOTS)) {
+            MvFlowTable_Destroy(table);
+            return NULL;
+        }
+    }
+    return table;
+}
+
+void
+MvFlowTable_Destroy(mv_flow_table_t *table)
+{
+    for (unsigned i = 0; table && i < SHARDS; i++) {
+        free(table->shards[i].slots);
+    }
+    free(table);
+}
+
+static mv_flow_entry_t *
+shard_find(shard_t *shard, mv_flow_key_t key, uint64_t hash)
+{
+    uint32_t at = (uint32_t)hash;
+    for (;;) {
+        mv_flow_entry_t *entry = &shard->slots[at & shard->mask];
+        if (entry->endpoint == MV_NO_ENDPOINT ||
+            !memcmp(&entry->key, &key, sizeof(key))) {
+            return entry;
+        }
+        at++;
+    }
+}
+
+uint16_t
+MvFlowTable_Touch(mv_flow_table_t *table, mv_flow_key_t key, uint32_t now_ms,
+                  bool closing)
+{
+    uint64_t hash = MvFlowKey_Hash(key);
+    shard_t *shard = &table->shards[hash >> SHARD_SHIFT];
+    shard_lock(shard);
+    mv_flow_entry_t *entry = shard_find(shard, key, hash);
+    uint16_t endpoint = entry->endpoint;
+    if (endpoint != MV_NO_ENDPOINT) {
+        entry->seen_ms = now_ms;
+        entry->flags |= closing ? MV_FLOW_CLOSED : 0;
+    }
+    shard_unlock(shard);
+    return endpoint;
+}
+
+uint16_t
+MvFlowTable_Insert(mv_flow_table_t *table, mv_flow_key_t key, uint32_t now_ms,
+                   uint16_t endpoint, uint16_t flags)
+{
+    uint64_t hash = MvFlowKey_Hash(key);
+    shard_t *shard = &table->shards[hash >> SHARD_SHIFT];
+    shard_lock(shard);
+    mv_flow_entry_t *entry = shard_find(shard, key, hash);
+    if (entry->endpoint != MV_NO_ENDPOINT) {
+        endpoint = entry->endpoint;
+    }
+    else if (shard->count >= shard->limit) {
+        endpoint = MV_NO_ENDPOINT;
+    }
+    else {
+        bool roomy = (shard->count + 1) * 4 <= (shard->mask + 1) * 3;
+        if (!roomy && !shard_resize(shard, (shard->mask + 1) * 2)) {
+            shard_unlock(shard);
+            return MV_NO_ENDPOINT;
+        }
+        entry = shard_find(shard, key, hash);
+        *entry = (mv_flow_entry_t){.key = key,
+                                   .seen_ms = now_ms,
+                                   .endpoint = endpoint,
+                                   .flags = flags};
+        shard->count++;
+    }
+    shard_unlock(shard);
+    return endpoint;
+}
+
+/* Close the gap that a removal leaves in the probe sequence. */
+static void
+shard_remove(shard_t *shard, uint32_t hole)
+{
+    uint32_t at = hole;
+    shard->count--;
+    for (;;) {
+        shard->slots[hole].endpoint = MV_NO_ENDPOINT;
+        for (;;) {
+            at = (at + 1) & shard->mask;
+            mv_flow_entry_t *entry = &shard->slots[at];
+            if (entry->endpoint == MV_NO_ENDPOINT) {
+                return;
+            }
+            uint32_t home = (uint32_t)MvFlowKey_Hash(entry->key) & shard->mask;
+            if (((at - home) & shard->mask) >= ((at - hole) & shard->mask)) {
+                break;
+            }
+        }
+        shard->slots[hole] = shard->slots[at];
+        hole = at;
+    }
+}
+
+static void
+shard_sweep(shard_t *shard, mv_flow_visit_t visit, void *context)
+{
+    uint32_t i = 0;
+    while (i <= shard->mask) {
+        mv_flow_entry_t *entry = &shard->slots[i];
+        if (entry->endpoint == MV_NO_ENDPOINT || visit(context, entry)) {
+            i++;
+            continue;
+        }
+        shard_remove(shard, i);
+    }
+}
+
+void
+MvFlowTable_Sweep(mv_flow_table_t *table, mv_flow_visit_t visit,
+                  void *context)
+{
+    for (unsigned i = 0; i < SHARDS; i++) {
+        shard_t *shard = &table->shards[i];
+        if (shard->count == 0) {
+            continue;
+        }
+        shard_lock(shard);
+        shard_sweep(shard, visit, context);
+        shard_unlock(shard);
+    }
+}
+
+size_t
+MvFlowTable_Count(const mv_flow_table_t *table)
+{
+    size_t count = 0;
+    for (unsigned i = 0; i < SHARDS; i++) {
+        count += table->shards[i].count;
+    }
+    return count;
+}
--- /dev/null
+++ b/packages/core/src/flow_table.h
@@ -0,0 +1,93 @@
+/**
+ * DOC: Flows known by name.
+ *
+ * Open addressing in shards, 16 bytes an entry.  Traffic threads and the
+ * control thread use it at the same time; each operation holds one shard for
+ * a bounded, short time.
+ */
+#ifndef MV_CORE_FLOW_TABLE_H
+#define MV_CORE_FLOW_TABLE_H
+
+#include "masticvane/core.h"
+
+/**
+ * struct mv_flow_key - Identity of a flow within a deployment.
+ * @address: caller's address
+ * @port: caller's port
+ * @service: service id
+ */
+typedef struct mv_flow_key {
+    uint32_t address;
+    uint16_t port;
+    uint16_t service;
+} mv_flow_key_t;
+
+/** MvFlowKey_Hash() - 64-bit hash of a flow. */
+uint64_t MvFlowKey_Hash(mv_flow_key_t key);
+
+/** MvFlowHash_Bucket() - Bucket of a flow; independent of its table slot. */
+static inline uint32_t
+MvFlowHash_Bucket(uint64_t hash, uint32_t mask)
+{
+    return (uint32_t)(hash >> 32) & mask;
+}
+
+/** enum mv_flow_flags - Flags of a flow entry. */
+typedef enum mv_flow_flags {
+    MV_FLOW_UNCOPIED = 1,
+    MV_FLOW_CLOSED = 2,
+    MV_FLOW_NEW = 4,
+} mv_flow_flags_t;
+
+/**
+ * struct mv_flow_entry - One flow.
+ * @key: its identity
+ * @seen_ms: time of its last packet, milliseconds modulo 2^32
+ * @endpoint: endpoint id, MV_NO_ENDPOINT marks an empty place
+ * @flags: &enum mv_flow_flags
+ */
+typedef struct mv_flow_entry {
+    mv_flow_key_t key;
+    uint32_t seen_ms;
+    uint16_t endpoint;
+    uint16_t flags;
+} mv_flow_entry_t;
+
+/** typedef mv_flow_table_t - The table. */
+typedef struct mv_flow_table mv_flow_table_t;
+
+/** MvFlowTable_Create() - Table for @capacity entries; NULL without memory. */
+mv_flow_table_t *MvFlowTable_Create(uint32_t capacity);
+
+/** MvFlowTable_Destroy() - Free; NULL is accepted. */
+void MvFlowTable_Destroy(mv_flow_table_t *table);
+
+/**
+ * MvFlowTable_Touch() - Find an entry and mark it as seen.
+ *
+ * Return: its endpoint id, or MV_NO_ENDPOINT.
+ */
+uint16_t MvFlowTable_Touch(mv_flow_table_t *table, mv_flow_key_t key,
+                           uint32_t now_ms, bool closing);
+
+/**
+ * MvFlowTable_Insert() - Record a flow unless it is known already.
+ *
+ * Return: the endpoint id in the table afterwards; MV_NO_ENDPOINT when the
+ * table is full.
+ */
+uint16_t MvFlowTable_Insert(mv_flow_table_t *table, mv_flow_key_t key,
+                            uint32_t now_ms, uint16_t endpoint,
+                            uint16_t flags);
+
+/** typedef mv_flow_visit_t - Return false to remove the entry. */
+typedef bool (*mv_flow_visit_t)(void *context, mv_flow_entry_t *entry);
+
+/** MvFlowTable_Sweep() - Visit every entry, shard by shard. */
+void MvFlowTable_Sweep(mv_flow_table_t *table, mv_flow_visit_t visit,
+                       void *context);
+
+/** MvFlowTable_Count() - Entries held; a momentary value. */
+size_t MvFlowTable_Count(const mv_flow_table_t *table);
+
+#endif
--- /dev/null
+++ b/packages/core/src/packet.h
@@ -0,0 +1,35 @@
+/**
+ * DOC: Parsing of the inner IP packet.
+ */
+#ifndef MV_CORE_PACKET_H
+#define MV_CORE_PACKET_H
+
+#include "masticvane/core.h"
+
+/**
+ * struct mv_packet - What steering needs to know of a packet.
+ * @source: caller's address, host byte order
+ * @destination: service's address, host byte order
+ * @source_port: caller's port
+ * @destination_port: service's port
+ * @is_syn: first packet of a flow
+ * @is_close: FIN or RST
+ */
+typedef struct mv_packet {
+    uint32_t source;
+    uint32_t destination;
+    uint16_t source_port;
+    uint16_t destination_port;
+    bool is_syn;
+    bool is_close;
+} mv_packet_t;
+
+/**
+ * MvPacket_Parse() - Parse an IPv4 packet that carries TCP.
+ *
+ * Return: true, or false with @reason set to the counter of the reason.
+ */
+bool MvPacket_Parse(const uint8_t *data, size_t length, mv_packet_t *packet,
+                    mv_counter_id_t *reason);
+
+#endif
--- /dev/null
+++ b/packages/core/src/spread.c
@@ -0,0 +1,130 @@
+/* How an accepted configuration reaches every node and never reverts. */
+#include "node_private.h"
+
+#define PULL_INTERVAL (200 * MV_MILLISECOND)
+#define EAGER_FANOUT 4
+
+/* Tell a few members at once; each that learns it does the same. */
+static void
+tell_some(mv_node_t *node)
+{
+    guint total = node->members->len;
+    unsigned told = 0;
+    if (total == 0) {
+        return;
+    }
+    guint start = (guint)g_rand_int_range(node->random, 0, (gint32)total);
+    for (guint i = 0; i < total && told < EAGER_FANOUT; i++) {
+        mv_member_t *member =
+            g_ptr_array_index(node->members, (start + i) % total);
+        if (!MvMembers_IsLive(member) ||
+            member->config_version >= node->deployment->version) {
+            continue;
+        }
+        mv_member_update_t self = {
+            .node = node->settings.id,
+            .incarnation = node->incarnation,
+            .state = MV_MEMBER_ALIVE,
+            .ready = node->ready,
+            .config_version = node->deployment->version,
+        };
+        mv_message_t message = {.kind = MV_MESSAGE_PING,
+                                .target = MV_NO_NODE,
+                                .version = node->deployment->version,
+                                .member_count = 1,
+                                .members = &self};
+        MvNode_Send(node, member->id, &message);
+        told++;
+    }
+}
+
+bool
+MvNode_Config(mv_node_t *node, mv_time_t now, mv_deployment_t *deployment)
+{
+    if (node->deployment &&
+        deployment->version <= node->deployment->version) {
+        return false;
+    }
+    mv_deployment_t *old = node->deployment;
+    node->deployment = MvDeployment_Ref(deployment);
+    MvBuckets_Config(node, now);
+    MvDeployment_Unref(old);
+    node->effects->ops->event(node->effects, MV_EVENT_CONFIG_IN_FORCE,
+                              node->settings.id, deployment->version);
+    node->next_pull = 0;
+    tell_some(node);
+    return true;
+}
+
+static void
+answer_pull(mv_node_t *node, const mv_message_t *message)
+{
+    if (!node->deployment || node->deployment->version <= message->version) {
+        return;
+    }
+    mv_message_t answer = {.kind = MV_MESSAGE_CONFIG,
+                           .version = node->deployment->version,
+                           .blob = node->deployment->source,
+                           .blob_length = node->deployment->source_length};
+    MvNode_Send(node, (mv_node_id_t)message->from, &answer);
+}
+
+static void
+take_config(mv_node_t *node, mv_time_t now, const mv_message_t *message)
+{
+    uint64_t have = node->deployment ? node->deployment->version : 0;
+    if (message->version <= have) {
+        return;
+    }
+    mv_deployment_t *deployment = node->effects->ops->decode(
+        node->effects, message->blob, message->blob_length);
+    if (deployment) {
+        MvNode_Config(node, now, deployment);
+        MvDeployment_Unref(deployment);
+    }
+}
+
+static void
+pull_if_behind(mv_node_t *node, mv_time_t now, mv_node_id_t from,
+               uint64_t version)
+{
+    uint64_t have = node->deployment ? node->deployment->version : 0;
+    if (version <= have || now < node->next_pull) {
+        return;
+    }
+    node->next_pull = now + PULL_INTERVAL;
+    mv_message_t pull = {.kind = MV_MESSAGE_CONFIG_PULL, .version = have};
+    MvNode_Send(node, from, &pull);
+}
+
+void
+MvSpread_Message(mv_node_t *node, mv_time_t now, const mv_message_t *message)
+{
+    switch (message->kind) {
+    case MV_MESSAGE_PING:
+    case MV_MESSAGE_ACK:
+        pull_if_behind(node, now, (mv_node_id_t)message->from,
+                       message->version);
+        break;
+    case MV_MESSAGE_CONFIG_PULL:
+        answer_pull(node, message);
+        break;
+    case MV_MESSAGE_CONFIG:
+        take_config(node, now, message);
+        break;
+    default:
+        break;
+    }
+}
+
+/* A lost pull or answer is asked for again from whoever is ahead. */
+void
+MvSpread_Timer(mv_node_t *node, mv_time_t now)
+{
+    for (guint i = 0; i < node->members->len; i++) {
+        mv_member_t *member = g_ptr_array_index(node->members, i);
+        if (MvMembers_IsLive(member)) {
+            pull_if_behind(node, now, member->id, member->config_version);
+        }
+    }
+}
--- /dev/null
+++ b/packages/core/src/view.c
@@ -0,0 +1,139 @@
+#include "view.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#define GROUP_STRIDE 37
+#define MIN_INDEX 16
+
+uint32_t
+MvGroup_Of(uint16_t service, uint32_t bucket)
+{
+    return (bucket + (uint32_t)service * GROUP_STRIDE) % MV_GROUPS;
+}
+
+static uint64_t
+rendezvous_score(uint32_t group, mv_node_id_t node)
+{
+    uint32_t key[2] = {group, node};
+    return XXH3_64bits(key, sizeof(key));
+}
+
+void
+MvHomes_Compute(mv_homes_t *homes, const mv_node_id_t *nodes, size_t count)
+{
+    for (uint32_t group = 0; group < MV_GROUPS; group++) {
+        uint64_t best = 0;
+        uint64_t runner_up = 0;
+        mv_node_id_t home = MV_NO_NODE;
+        mv_node_id_t second = MV_NO_NODE;
+        for (size_t i = 0; i < count; i++) {
+            uint64_t score = rendezvous_score(group, nodes[i]);
+            if (home == MV_NO_NODE || score > best) {
+                runner_up = best;
+                second = home;
+                best = score;
+                home = nodes[i];
+            }
+            else if (second == MV_NO_NODE || score > runner_up) {
+                runner_up = score;
+                second = nodes[i];
+            }
+        }
+        homes->home[group] = home;
+        homes->second[group] = second;
+    }
+}
+
+mv_view_service_t *
+MvViewService_Create(mv_deployment_t *deployment, const mv_service_t *service,
+                     int32_t *open)
+{
+    mv_view_service_t *view =
+        g_malloc0(sizeof(*view) +
+                  service->bucket_count * sizeof(view->buckets[0]));
+    view->references = 1;
+    view->deployment = MvDeployment_Ref(deployment);
+    view->service = service;
+    view->open = g_atomic_rc_box_acquire(open);
+    view->mask = service->bucket_count - 1u;
+    return view;
+}
+
+void
+MvViewService_Unref(mv_view_service_t *service)
+{
+    if (!service || --service->references > 0) {
+        return;
+    }
+    MvDeployment_Unref(service->deployment);
+    g_atomic_rc_box_release(service->open);
+    g_free(service);
+}
+
+static uint32_t
+address_hash(uint32_t address, uint16_t port)
+{
+    uint32_t key[2] = {address, port};
+    return (uint32_t)XXH3_64bits(key, sizeof(key));
+}
+
+mv_view_t *
+MvView_Create(mv_view_service_t **services, uint32_t count)
+{
+    mv_view_t *view = g_new0(mv_view_t, 1);
+    MvList_Init(&view->retired);
+    uint32_t places = MIN_INDEX;
+    while (places < 2 * count) {
+        places *= 2;
+    }
+    view->index_mask = places - 1;
+    view->index = g_new(int32_t, places);
+    for (uint32_t i = 0; i < places; i++) {
+        view->index[i] = -1;
+    }
+    view->services = g_new0(mv_view_service_t *, count + 1);
+    view->service_count = count;
+    for (uint32_t i = 0; i < count; i++) {
+        const mv_service_t *service = services[i]->service;
+        uint32_t at = address_hash(service->address, service->port);
+        while (view->index[at & view->index_mask] >= 0) {
+            at++;
+        }
+        view->index[at & view->index_mask] = (int32_t)i;
+        view->services[i] = services[i];
+        services[i]->references++;
+    }
+    return view;
+}
+
+void
+MvView_Destroy(mv_view_t *view)
+{
+    if (!view) {
+        return;
+    }
+    for (uint32_t i = 0; i < view->service_count; i++) {
+        MvViewService_Unref(view->services[i]);
+    }
+    g_free(view->services);
+    g_free(view->index);
+    g_free(view);
+}
+
+const mv_view_service_t *
+MvView_Find(const mv_view_t *view, uint32_t address, uint16_t port)
+{
+    uint32_t at = address_hash(address, port);
+    for (;;) {
+        int32_t position = view->index[at & view->index_mask];
+        if (position < 0) {
+            return NULL;
+        }
+        const mv_service_t *service = view->services[position]->service;
+        if (service->address == address && service->port == port) {
+            return view->services[position];
+        }
+        at++;
+    }
+}
--- /dev/null
+++ b/packages/core/src/view.h
@@ -0,0 +1,108 @@
+/**
+ * DOC: The immutable snapshot that traffic threads read.
+ *
+ * The control thread builds a view, publishes it with one atomic store and
+ * frees an old one only when no reader can still hold it.
+ */
+#ifndef MV_CORE_VIEW_H
+#define MV_CORE_VIEW_H
+
+#include "masticvane/core.h"
+
+/** Endpoint ids below this have load counts. */
+#define MV_LOAD_SLOTS 256
+
+/** Buckets of all services share this many homes. */
+#define MV_GROUPS 256
+
+/**
+ * struct mv_view_bucket - A bucket as packets see it.
+ * @endpoint: endpoint id for packets of flows not known by name
+ * @next: endpoint id for new flows
+ * @phase: &enum mv_bucket_phase
+ */
+typedef struct mv_view_bucket {
+    uint16_t endpoint;
+    uint16_t next;
+    uint8_t phase;
+} mv_view_bucket_t;
+
+/**
+ * struct mv_view_service - A service as packets see it.
+ * @references: views that share it
+ * @service: its configuration, kept by @deployment
+ * @deployment: reference that keeps @service
+ * @mask: number of buckets minus one
+ * @open: open flows by endpoint id, added to by traffic threads; shared
+ * @buckets: the buckets
+ */
+typedef struct mv_view_service {
+    int references;
+    const mv_service_t *service;
+    mv_deployment_t *deployment;
+    uint32_t mask;
+    int32_t *open;
+    mv_view_bucket_t buckets[];
+} mv_view_service_t;
+
+/**
+ * struct mv_homes - Who is home and second home of each group of buckets.
+ * @home: first choice
+ * @second: second choice, MV_NO_NODE when alone
+ */
+typedef struct mv_homes {
+    mv_node_id_t home[MV_GROUPS];
+    mv_node_id_t second[MV_GROUPS];
+} mv_homes_t;
+
+/**
+ * struct mv_view - Everything a traffic thread reads.
+ * @epoch: publication number
+ * @retired: list of views that wait to be freed
+ * @homes: homes of the groups
+ * @fenced: relay everything, since this node's knowledge may be old
+ * @index_mask: places in @index minus one
+ * @service_count: entries in @services
+ * @services: shared services
+ * @index: open-addressed positions in @services by address and port
+ */
+typedef struct mv_view {
+    uint64_t epoch;
+    mv_list_t retired;
+    mv_homes_t homes;
+    bool fenced;
+    uint32_t index_mask;
+    uint32_t service_count;
+    mv_view_service_t **services;
+    int32_t *index;
+} mv_view_t;
+
+/** MvGroup_Of() - Group of a bucket. */
+uint32_t MvGroup_Of(uint16_t service, uint32_t bucket);
+
+/** MvHomes_Compute() - Choose homes over @nodes by rendezvous hashing. */
+void MvHomes_Compute(mv_homes_t *homes, const mv_node_id_t *nodes,
+                     size_t count);
+
+/**
+ * MvViewService_Create() - One reference, buckets zeroed.
+ * @open: reference-counted box of MV_LOAD_SLOTS counts; a reference is taken
+ */
+mv_view_service_t *MvViewService_Create(mv_deployment_t *deployment,
+                                        const mv_service_t *service,
+                                        int32_t *open);
+
+/** MvViewService_Unref() - Drop a reference. */
+void MvViewService_Unref(mv_view_service_t *service);
+
+/** MvView_Create() - View over @services, taking a reference to each. */
+mv_view_t *MvView_Create(mv_view_service_t **services, uint32_t count);
+
+/** MvView_Destroy() - Free; NULL is accepted. */
+void MvView_Destroy(mv_view_t *view);
+
+/** MvView_Find() - Service behind an address, or NULL. */
+const mv_view_service_t *MvView_Find(const mv_view_t *view, uint32_t address,
+                                     uint16_t port);
+
+#endif
--- /dev/null
+++ b/scripts/deps.sh
@@ -0,0 +1,16 @@
+#!/bin/sh
+# Install the Debian packages the build and the tests use.
+set -eu
+PACKAGES="gcc g++ clang cmake ninja-build pkg-config libapr1-dev
+libmsgpack-dev libglib2.0-dev libgtest-dev libgmock-dev libnghttp2-dev
+libcurl4-openssl-dev libjansson-dev libxxhash-dev libsodium-dev libinih-dev
+libmicrohttpd-dev libbenchmark-dev librapidcheck-dev curl clang-format
+clang-tidy cppcheck"
+missing=""
+for package in $PACKAGES; do
+    dpkg -s "$package" >/dev/null 2>&1 || missing="$missing $package"
+done
+[ -z "$missing" ] && exit 0
+apt-get update -qq
+# shellcheck disable=SC2086
+DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends $missing >/dev/null
