--- /dev/null
+++ b/packages/masticvaned/src/proxy.c
@@ -0,0 +1,676 @@
+/* The traffic thread for requests: HTTP/2 on both sides. */
+#include "daemon.h"
+
+#include <apr_network_io.h>
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LOOP_WAIT (2 * MV_MILLISECOND)
+#define MAX_DESCRIPTORS 16384
+#define PING_AFTER (500 * MV_MILLISECOND)
+#define SILENT_AFTER (2 * MV_SECOND)
+#define DUMP_INTERVAL (200 * MV_MILLISECOND)
+#define GOAWAY_STEP (500 * MV_MILLISECOND)
+
+#define HEADER_OUTCOME "masticvane-outcome"
+#define HEADER_REASON "masticvane-reason"
+#define HEADER_MEMBER "masticvane-member"
+#define HEADER_DEADLINE "masticvane-deadline-ms"
+
+/* One caller's connection. */
+typedef struct caller {
+    mv_list_t link;
+    mv_proxy_t *proxy;
+    mv_h2_t *h2;
+} caller_t;
+
+/* The connection to one backend server. */
+typedef struct backend {
+    mv_proxy_t *proxy;
+    uint64_t where;
+    mv_h2_t *h2;
+    mv_time_t pinged;
+    GHashTable *streams;
+} backend_t;
+
+/* A request between the two. */
+typedef struct exchange {
+    mv_request_id_t id;
+    caller_t *caller;
+    int32_t caller_stream;
+    backend_t *backend;
+    int32_t backend_stream;
+    mv_time_t deadline;
+    mv_http_message_t *request;
+} exchange_t;
+
+struct mv_proxy {
+    mv_request_effects_t effects;
+    mv_daemon_t *daemon;
+    pthread_t thread;
+    bool started;
+    apr_pool_t *pool;
+    mv_loop_t *loop;
+    mv_watch_t accept_watch;
+    apr_socket_t *listener;
+    mv_links_t *links;
+    mv_requests_t *requests;
+    GRand *random;
+    GHashTable *exchanges;
+    GHashTable *backends;
+    mv_list_t callers;
+    mv_request_id_t next_id;
+    mv_time_t next_dump;
+    mv_time_t stop_began;
+    unsigned stop_step;
+};
+
+static mv_time_t
+monotonic(void)
+{
+    return g_get_monotonic_time();
+}
+
+/* Callers ----------------------------------------------------------------------- */
+
+static exchange_t *
+find_by_caller(mv_proxy_t *proxy, const caller_t *caller, int32_t stream)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, proxy->exchanges);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        exchange_t *exchange = value;
+        if (exchange->caller == caller &&
+            exchange->caller_stream == stream) {
+            return exchange;
+        }
+    }
+    return NULL;
+}
+
+static void
+free_exchange(gpointer pointer)
+{
+    exchange_t *exchange = pointer;
+    MvHttpMessage_Destroy(exchange->request);
+    g_free(exchange);
+}
+
+static const char *
+field(const mv_http_message_t *message, const char *name)
+{
+    const char *value = MvHttpMessage_Get(message, name);
+    return value ? value : "";
+}
+
+static mv_time_t
+deadline_of(const mv_proxy_t *proxy, const mv_http_message_t *request,
+            mv_time_t now)
+{
+    const char *text = MvHttpMessage_Get(request, HEADER_DEADLINE);
+    gint64 milliseconds = text ? g_ascii_strtoll(text, NULL, 10) : 0;
+    mv_time_t most = proxy->daemon->settings->default_deadline;
+    if (milliseconds <= 0 || milliseconds * MV_MILLISECOND > most) {
+        return now + most;
+    }
+    return now + milliseconds * MV_MILLISECOND;
+}
+
+/* The authority may carry a port; the service's name is before it. */
+static void
+service_name(const mv_http_message_t *request, char *out)
+{
+    const char *authority = MvHttpMessage_Get(request, ":authority");
+    if (!authority) {
+        authority = field(request, "host");
+    }
+    g_strlcpy(out, authority, MV_NAME_MAX);
+    out[strcspn(out, ":")] = '\0';
+}
+
+static void
+caller_message(mv_h2_t *h2, int32_t stream, mv_http_message_t *request)
+{
+    caller_t *caller = MvH2_Context(h2);
+    mv_proxy_t *proxy = caller->proxy;
+    mv_time_t now = monotonic();
+    char service[MV_NAME_MAX];
+    exchange_t *exchange = g_new0(exchange_t, 1);
+    exchange->id = ++proxy->next_id;
+    exchange->caller = caller;
+    exchange->caller_stream = stream;
+    exchange->request = request;
+    exchange->deadline = deadline_of(proxy, request, now);
+    g_hash_table_insert(proxy->exchanges, &exchange->id, exchange);
+    service_name(request, service);
+    mv_request_info_t info = {
+        .id = exchange->id,
+        .service = service,
+        .method = field(request, ":method"),
+        .path = field(request, ":path"),
+        .member = field(request, HEADER_MEMBER),
+        .key = field(request, "idempotency-key"),
+        .deadline = exchange->deadline,
+    };
+    MvRequests_Submit(proxy->requests, now, &info);
+}
+
+static void
+caller_closed(mv_h2_t *h2, int32_t stream, bool not_processed)
+{
+    caller_t *caller = MvH2_Context(h2);
+    (void)not_processed;
+    exchange_t *exchange = find_by_caller(caller->proxy, caller, stream);
+    if (exchange) {
+        exchange->caller = NULL;
+        MvRequests_Cancelled(caller->proxy->requests, monotonic(),
+                             exchange->id);
+        if (!exchange->backend) {
+            g_hash_table_remove(caller->proxy->exchanges, &exchange->id);
+        }
+    }
+}
+
+static void
+caller_gone(mv_h2_t *h2)
+{
+    caller_t *caller = MvH2_Context(h2);
+    MvList_Remove(&caller->link);
+    g_free(caller);
+}
+
+static const mv_h2_ops_t caller_ops = {
+    .message = caller_message,
+    .closed = caller_closed,
+    .gone = caller_gone,
+};
+
+static void
+accept_ready(mv_watch_t *watch, int events)
+{
+    mv_proxy_t *proxy = MV_CONTAINER_OF(watch, mv_proxy_t, accept_watch);
+    (void)events;
+    for (;;) {
+        apr_pool_t *pool = NULL;
+        apr_socket_t *socket = NULL;
+        if (apr_pool_create(&pool, proxy->pool) != APR_SUCCESS) {
+            return;
+        }
+        if (apr_socket_accept(&socket, proxy->listener, pool) !=
+            APR_SUCCESS) {
+            apr_pool_destroy(pool);
+            return;
+        }
+        caller_t *caller = g_new0(caller_t, 1);
+        caller->proxy = proxy;
+        MvList_Append(&proxy->callers, &caller->link);
+        caller->h2 =
+            MvH2_Accept(proxy->loop, socket, pool, &caller_ops, caller);
+        if (!caller->h2) {
+            MvList_Remove(&caller->link);
+            g_free(caller);
+        }
+    }
+}
+
+static void
+give_answer(exchange_t *exchange, const mv_http_message_t *answer)
+{
+    if (exchange->caller) {
+        MvH2_Answer(exchange->caller->h2, exchange->caller_stream, answer);
+    }
+}
+
+static void
+give_outcome(exchange_t *exchange, mv_outcome_t outcome, mv_reason_t reason)
+{
+    mv_http_message_t *answer = MvHttpMessage_Create();
+    bool not_run = outcome == MV_OUTCOME_NOT_RUN;
+    bool overload = reason == MV_REASON_OVERLOAD ||
+                    reason == MV_REASON_STOPPING ||
+                    reason == MV_REASON_BACKEND_REFUSED;
+    const char *status = not_run ? "503" : "504";
+    if (reason == MV_REASON_NO_SERVICE) {
+        status = "404";
+    }
+    if (reason == MV_REASON_SERVICE_ENDED) {
+        status = "410";
+    }
+    MvHttpMessage_Add(answer, ":status", status);
+    MvHttpMessage_Add(answer, HEADER_OUTCOME,
+                      not_run ? "not-run" : "unknown");
+    MvHttpMessage_Add(answer, HEADER_REASON, MvReason_Name(reason));
+    if (not_run && overload) {
+        MvHttpMessage_Add(answer, "retry-after", "1");
+    }
+    give_answer(exchange, answer);
+    MvHttpMessage_Destroy(answer);
+}
+
+/* Backend servers -------------------------------------------------------------------- */
+
+static void
+settle(backend_t *backend, int32_t stream, mv_result_t result,
+       mv_http_message_t *answer)
+{
+    mv_proxy_t *proxy = backend->proxy;
+    gpointer key = GINT_TO_POINTER(stream);
+    exchange_t *exchange = g_hash_table_lookup(backend->streams, key);
+    if (!exchange) {
+        return;
+    }
+    g_hash_table_remove(backend->streams, key);
+    exchange->backend = NULL;
+    mv_request_id_t id = exchange->id;
+    const char *bytes =
+        answer && answer->body.data ? (const char *)answer->body.data : "";
+    size_t length = answer ? answer->body.length : 0;
+    bool give = MvRequests_Answered(proxy->requests, monotonic(), id, result,
+                                    bytes, length);
+    exchange = g_hash_table_lookup(proxy->exchanges, &id);
+    if (!exchange || exchange->backend) {
+        return; /* Already finished, or dispatched again. */
+    }
+    if (give) {
+        give_answer(exchange, answer);
+        g_hash_table_remove(proxy->exchanges, &id);
+    }
+    else if (!exchange->caller) {
+        g_hash_table_remove(proxy->exchanges, &id);
+    }
+}
+
+static void
+backend_message(mv_h2_t *h2, int32_t stream, mv_http_message_t *answer)
+{
+    settle(MvH2_Context(h2), stream, MV_RESULT_WHOLE, answer);
+    MvHttpMessage_Destroy(answer);
+}
+
+static void
+backend_closed(mv_h2_t *h2, int32_t stream, bool not_processed)
+{
+    settle(MvH2_Context(h2), stream,
+           not_processed ? MV_RESULT_NOT_PROCESSED : MV_RESULT_BROKEN, NULL);
+}
+
+static void
+backend_gone(mv_h2_t *h2)
+{
+    backend_t *backend = MvH2_Context(h2);
+    backend->h2 = NULL;
+    if (g_hash_table_lookup(backend->proxy->backends, &backend->where) ==
+        backend) {
+        g_hash_table_steal(backend->proxy->backends, &backend->where);
+    }
+    g_hash_table_unref(backend->streams);
+    g_free(backend);
+}
+
+static const mv_h2_ops_t backend_ops = {
+    .message = backend_message,
+    .closed = backend_closed,
+    .gone = backend_gone,
+};
+
+static backend_t *
+connect_backend(mv_proxy_t *proxy, const mv_endpoint_t *endpoint)
+{
+    uint64_t where =
+        ((uint64_t)endpoint->address << 16) | endpoint->request_port;
+    backend_t *backend = g_hash_table_lookup(proxy->backends, &where);
+    if (backend && MvH2_TakesRequests(backend->h2)) {
+        return backend;
+    }
+    if (backend) {
+        /* It takes no more: leave it to finish, and open another. */
+        g_hash_table_steal(proxy->backends, &where);
+    }
+    char address[INET_ADDRSTRLEN];
+    struct in_addr in = {.s_addr = htonl(endpoint->address)};
+    inet_ntop(AF_INET, &in, address, sizeof(address));
+    backend = g_new0(backend_t, 1);
+    backend->proxy = proxy;
+    backend->where = where;
+    backend->h2 = MvH2_Connect(proxy->loop, address, endpoint->request_port,
+                               &backend_ops, backend);
+    if (!backend->h2) {
+        g_free(backend);
+        return NULL;
+    }
+    backend->streams = g_hash_table_new(g_direct_hash, g_direct_equal);
+    g_hash_table_insert(proxy->backends, &backend->where, backend);
+    return backend;
+}
+
+/* Actions of the decisions ----------------------------------------------------------------- */
+
+static mv_http_message_t *
+onward_request(const exchange_t *exchange, mv_time_t now)
+{
+    mv_http_message_t *onward = MvHttpMessage_Create();
+    char left[32];
+    for (guint i = 0; i < exchange->request->fields->len; i++) {
+        const mv_http_field_t *one =
+            &g_array_index(exchange->request->fields, mv_http_field_t, i);
+        if (strcmp(one->name, HEADER_DEADLINE) != 0) {
+            MvHttpMessage_Add(onward, one->name, one->value);
+        }
+    }
+    (void)snprintf(left, sizeof(left), "%" G_GINT64_FORMAT,
+                   MAX(exchange->deadline - now, 0) / MV_MILLISECOND);
+    MvHttpMessage_Add(onward, HEADER_DEADLINE, left);
+    MvBuffer_Append(&onward->body, exchange->request->body.data,
+                    exchange->request->body.length);
+    return onward;
+}
+
+static void
+effect_dispatch(mv_request_effects_t *effects, mv_request_id_t id,
+                const mv_service_t *service, const mv_endpoint_t *endpoint)
+{
+    mv_proxy_t *proxy = MV_CONTAINER_OF(effects, mv_proxy_t, effects);
+    exchange_t *exchange = g_hash_table_lookup(proxy->exchanges, &id);
+    backend_t *backend = connect_backend(proxy, endpoint);
+    int32_t stream = -1;
+    (void)service;
+    if (exchange && backend) {
+        mv_http_message_t *onward = onward_request(exchange, monotonic());
+        stream = MvH2_Request(backend->h2, onward);
+        MvHttpMessage_Destroy(onward);
+    }
+    if (stream < 0) {
+        MvRequests_Answered(proxy->requests, monotonic(), id,
+                            MV_RESULT_NOT_PROCESSED, NULL, 0);
+        return;
+    }
+    exchange->backend = backend;
+    exchange->backend_stream = stream;
+    g_hash_table_insert(backend->streams, GINT_TO_POINTER(stream), exchange);
+}
+
+static void
+effect_finish(mv_request_effects_t *effects, mv_request_id_t id,
+              mv_outcome_t outcome, mv_reason_t reason)
+{
+    mv_proxy_t *proxy = MV_CONTAINER_OF(effects, mv_proxy_t, effects);
+    exchange_t *exchange = g_hash_table_lookup(proxy->exchanges, &id);
+    if (!exchange) {
+        return;
+    }
+    give_outcome(exchange, outcome, reason);
+    exchange->caller = NULL;
+    if (!exchange->backend) {
+        g_hash_table_remove(proxy->exchanges, &id);
+    }
+}
+
+static void
+effect_replay(mv_request_effects_t *effects, mv_request_id_t id,
+              const char *bytes, size_t length)
+{
+    mv_proxy_t *proxy = MV_CONTAINER_OF(effects, mv_proxy_t, effects);
+    exchange_t *exchange = g_hash_table_lookup(proxy->exchanges, &id);
+    if (!exchange) {
+        return;
+    }
+    mv_http_message_t *answer = MvHttpMessage_Create();
+    MvHttpMessage_Add(answer, ":status", "200");
+    MvHttpMessage_Add(answer, HEADER_OUTCOME, "replayed");
+    MvBuffer_Append(&answer->body, bytes, length);
+    give_answer(exchange, answer);
+    MvHttpMessage_Destroy(answer);
+    g_hash_table_remove(proxy->exchanges, &id);
+}
+
+static void
+effect_cancel(mv_request_effects_t *effects, mv_request_id_t id)
+{
+    mv_proxy_t *proxy = MV_CONTAINER_OF(effects, mv_proxy_t, effects);
+    exchange_t *exchange = g_hash_table_lookup(proxy->exchanges, &id);
+    if (exchange && exchange->backend) {
+        MvH2_Reset(exchange->backend->h2, exchange->backend_stream, false);
+    }
+}
+
+static void
+effect_send(mv_request_effects_t *effects, mv_node_id_t to,
+            const mv_message_t *message)
+{
+    mv_proxy_t *proxy = MV_CONTAINER_OF(effects, mv_proxy_t, effects);
+    MvLinks_Send(proxy->links, to, message);
+}
+
+static const mv_request_effects_ops_t effect_ops = {
+    .dispatch = effect_dispatch,
+    .finish = effect_finish,
+    .replay = effect_replay,
+    .cancel = effect_cancel,
+    .send = effect_send,
+};
+
+/* The thread ------------------------------------------------------------------------------------ */
+
+static void
+peer_message(void *context, const mv_message_t *message)
+{
+    mv_proxy_t *proxy = context;
+    MvRequests_Message(proxy->requests, monotonic(), message);
+}
+
+static void
+peer_command(void *context, const char *command, size_t length,
+             mv_reply_t *reply)
+{
+    const char answer[] = "{\"error\":\"ask the control port\"}";
+    (void)context;
+    (void)command;
+    (void)length;
+    MvReply_Send(reply, answer, sizeof(answer) - 1);
+}
+
+static const mv_links_ops_t links_ops = {
+    .message = peer_message,
+    .command = peer_command,
+};
+
+void
+MvMembersView_Free(mv_members_view_t *view)
+{
+    if (view) {
+        MvDeployment_Unref(view->deployment);
+        g_free(view);
+    }
+}
+
+static void
+take_members(mv_proxy_t *proxy)
+{
+    mv_members_view_t *view = __atomic_exchange_n(
+        &proxy->daemon->members_view, NULL, __ATOMIC_ACQ_REL);
+    if (view) {
+        MvRequests_View(proxy->requests, monotonic(), view->deployment,
+                        view->members, view->count);
+        MvMembersView_Free(view);
+    }
+}
+
+/* A connection with work on it must show signs of life. */
+static void
+check_silence(mv_proxy_t *proxy)
+{
+    mv_time_t now = apr_time_now();
+    GList *backends = g_hash_table_get_values(proxy->backends);
+    for (GList *item = backends; item; item = item->next) {
+        backend_t *backend = item->data;
+        mv_time_t silent = now - MvH2_LastHeard(backend->h2);
+        if (MvH2_StreamCount(backend->h2) == 0 || silent < PING_AFTER) {
+            continue;
+        }
+        if (backend->pinged && silent >= SILENT_AFTER &&
+            now - backend->pinged >= SILENT_AFTER - PING_AFTER &&
+            backend->pinged > MvH2_LastHeard(backend->h2)) {
+            MvLog_Write(proxy->daemon->log, MV_EVENT_ENDPOINT_SILENT,
+                        "silent_ms=%d", (int)(silent / MV_MILLISECOND));
+            MvH2_Close(backend->h2);
+            continue;
+        }
+        if (backend->pinged < MvH2_LastHeard(backend->h2)) {
+            backend->pinged = now;
+            MvH2_Ping(backend->h2);
+        }
+    }
+    g_list_free(backends);
+}
+
+static void
+stop_steps(mv_proxy_t *proxy)
+{
+    if (!MvFlag_Get(&proxy->daemon->stopping)) {
+        return;
+    }
+    mv_time_t now = monotonic();
+    if (proxy->stop_step == 0) {
+        proxy->stop_step = 1;
+        proxy->stop_began = now;
+        MV_LIST_FOREACH(item, &proxy->callers)
+        {
+            MvH2_NoticeShutdown(MV_CONTAINER_OF(item, caller_t, link)->h2);
+        }
+    }
+    if (proxy->stop_step == 1 && now - proxy->stop_began > GOAWAY_STEP) {
+        proxy->stop_step = 2;
+        MvLoop_Watch(proxy->loop, &proxy->accept_watch, proxy->listener, 0);
+        apr_socket_close(proxy->listener);
+        proxy->listener = NULL;
+        MV_LIST_FOREACH(item, &proxy->callers)
+        {
+            MvH2_Shutdown(MV_CONTAINER_OF(item, caller_t, link)->h2);
+        }
+    }
+    if (proxy->stop_step == 2 && MvList_IsEmpty(&proxy->callers) &&
+        MvRequests_Open(proxy->requests) == 0) {
+        MvFlag_Set(&proxy->daemon->requests_done);
+    }
+}
+
+static void
+publish_dump(mv_proxy_t *proxy)
+{
+    mv_time_t now = monotonic();
+    if (now < proxy->next_dump) {
+        return;
+    }
+    proxy->next_dump = now + DUMP_INTERVAL;
+    json_t *state = MvRequests_Dump(proxy->requests, now);
+    char *text = json_dumps(state, JSON_COMPACT);
+    json_decref(state);
+    pthread_mutex_lock(&proxy->daemon->dump_lock);
+    free(proxy->daemon->proxy_dump);
+    proxy->daemon->proxy_dump = text;
+    pthread_mutex_unlock(&proxy->daemon->dump_lock);
+}
+
+static void *
+run(void *argument)
+{
+    mv_proxy_t *proxy = argument;
+    while (!MvFlag_Get(&proxy->daemon->finished)) {
+        take_members(proxy);
+        MvLoop_Run(proxy->loop, LOOP_WAIT);
+        MvRequests_Timer(proxy->requests, monotonic());
+        check_silence(proxy);
+        stop_steps(proxy);
+        publish_dump(proxy);
+    }
+    return NULL;
+}
+
+static bool
+open_ports(mv_proxy_t *proxy, GError **error)
+{
+    const mv_settings_t *settings = proxy->daemon->settings;
+    mv_links_settings_t links = {
+        .address = settings->self.address,
+        .port = settings->self.request_peer_port,
+        .keyring = settings->keyring,
+        .id = settings->self.id,
+        .channel = 2,
+        .first_sequence = (uint64_t)proxy->daemon->started_at,
+        .counters = &proxy->daemon->counters,
+        .log = proxy->daemon->log,
+    };
+    proxy->listener =
+        MvNet_Listen(proxy->pool, settings->self.address,
+                     settings->request_port, SOCK_STREAM, false, error);
+    if (!proxy->listener) {
+        return false;
+    }
+    proxy->links =
+        MvLinks_Create(proxy->loop, &links, &links_ops, proxy, error);
+    for (size_t i = 0; proxy->links && i < settings->peer_count; i++) {
+        MvLinks_AddPeer(proxy->links, settings->peers[i].id,
+                        settings->peers[i].address,
+                        settings->peers[i].request_peer_port);
+    }
+    MvLoop_Watch(proxy->loop, &proxy->accept_watch, proxy->listener,
+                 APR_POLLIN);
+    return proxy->links != NULL;
+}
+
+mv_proxy_t *
+MvProxy_Start(mv_daemon_t *daemon, GError **error)
+{
+    mv_proxy_t *proxy = g_new0(mv_proxy_t, 1);
+    proxy->effects.ops = &effect_ops;
+    proxy->daemon = daemon;
+    proxy->accept_watch.ready = accept_ready;
+    MvList_Init(&proxy->callers);
+    apr_pool_create(&proxy->pool, NULL);
+    proxy->loop = MvLoop_Create(proxy->pool, MAX_DESCRIPTORS);
+    proxy->random = g_rand_new();
+    proxy->exchanges = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                             NULL, free_exchange);
+    proxy->backends = g_hash_table_new(g_int64_hash, g_int64_equal);
+    proxy->requests = MvRequests_Create(
+        daemon->settings->self.id, &proxy->effects, &daemon->counters,
+        proxy->random, g_get_real_time(), monotonic());
+    if (open_ports(proxy, error)) {
+        proxy->started =
+            pthread_create(&proxy->thread, NULL, run, proxy) == 0;
+    }
+    if (!proxy->started) {
+        MvProxy_Join(proxy);
+        return NULL;
+    }
+    return proxy;
+}
+
+void
+MvProxy_Join(mv_proxy_t *proxy)
+{
+    if (!proxy) {
+        return;
+    }
+    if (proxy->started) {
+        pthread_join(proxy->thread, NULL);
+    }
+    MV_LIST_FOREACH(item, &proxy->callers)
+    {
+        MvH2_Close(MV_CONTAINER_OF(item, caller_t, link)->h2);
+    }
+    GList *backends = g_hash_table_get_values(proxy->backends);
+    for (GList *item = backends; item; item = item->next) {
+        MvH2_Close(((backend_t *)item->data)->h2);
+    }
+    g_list_free(backends);
+    MvLinks_Destroy(proxy->links);
+    MvRequests_Destroy(proxy->requests);
+    g_hash_table_unref(proxy->exchanges);
+    g_hash_table_unref(proxy->backends);
+    g_rand_free(proxy->random);
+    apr_pool_destroy(proxy->pool);
+    g_free(proxy);
+}
--- /dev/null
+++ b/packages/net/include/masticvane/net.h
@@ -0,0 +1,371 @@
+/**
+ * DOC: masticvane network library
+ *
+ * Frames between entry VMs and operators, an event loop over APR's pollset,
+ * links that carry frames, HTTP/2 sessions, and the header of relayed
+ * packets.  Every object belongs to the thread whose loop it is on.
+ */
+#ifndef MASTICVANE_NET_H
+#define MASTICVANE_NET_H
+
+#include <apr_poll.h>
+#include <apr_pools.h>
+
+#include "masticvane/core.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Message codec -------------------------------------------------------------- */
+
+/**
+ * MvMessage_Encode() - Append the msgpack form of @message to @out.
+ *
+ * Return: false when memory ran out.
+ */
+bool MvMessage_Encode(const mv_message_t *message, mv_buffer_t *out);
+
+/**
+ * MvMessage_Decode() - Decode one message.
+ *
+ * Return: the message, to be freed with MvMessage_Free(); NULL when the
+ * bytes are not exactly one well-formed message.
+ */
+mv_message_t *MvMessage_Decode(const uint8_t *data, size_t length);
+
+/** MvMessage_Free() - Free a decoded message; NULL is accepted. */
+void MvMessage_Free(mv_message_t *message);
+
+/* Frames ---------------------------------------------------------------------- */
+
+/** Longest frame body accepted. */
+#define MV_FRAME_MAX (8u << 20)
+#define MV_KEY_BYTES 32
+#define MV_MAC_BYTES 16
+
+/** enum mv_frame_type - What a frame's body is. */
+typedef enum mv_frame_type {
+    MV_FRAME_MESSAGE = 1,
+    MV_FRAME_COMMAND = 2,
+    MV_FRAME_ANSWER = 3,
+} mv_frame_type_t;
+
+/**
+ * struct mv_frame_header - First bytes of every frame, network byte order.
+ * @length: bytes that follow the header, MAC included
+ * @version: MV_FRAME_VERSION
+ * @type: &enum mv_frame_type
+ * @key_id: which key made the MAC
+ * @reserved: zero
+ * @sender: node id, MV_NO_NODE for operators
+ * @channel: distinguishes the sender's sequences
+ * @sequence: rises with every frame of the sender's channel
+ */
+typedef struct mv_frame_header {
+    uint32_t length;
+    uint8_t version;
+    uint8_t type;
+    uint8_t key_id;
+    uint8_t reserved;
+    uint16_t sender;
+    uint16_t channel;
+    uint64_t sequence;
+} __attribute__((packed)) mv_frame_header_t;
+
+#define MV_FRAME_VERSION 1
+#define MV_FRAME_OVERHEAD (sizeof(mv_frame_header_t) + MV_MAC_BYTES)
+
+/** typedef mv_keyring_t - Keys that sign and check frames. */
+typedef struct mv_keyring mv_keyring_t;
+
+/**
+ * MvKeyring_Parse() - Keys from text lines "ID HEX", 64 hex digits each.
+ * @file: name used in findings
+ * @deployment: mixed into every MAC, so that deployments stay apart
+ *
+ * The first key signs; all keys check.  Return: the keyring, to be freed
+ * with MvKeyring_Destroy(); NULL when there are findings.
+ */
+mv_keyring_t *MvKeyring_Parse(const char *file, const char *text,
+                              const char *deployment,
+                              mv_findings_t *findings);
+
+/** MvKeyring_Destroy() - Wipe and free; NULL is accepted. */
+void MvKeyring_Destroy(mv_keyring_t *keyring);
+
+/** typedef mv_sealer_t - One sender's channel: makes and checks frames. */
+typedef struct mv_sealer mv_sealer_t;
+
+/**
+ * MvSealer_Create() - Channel of @sender.
+ * @first_sequence: larger than any used before, such as Unix microseconds
+ */
+mv_sealer_t *MvSealer_Create(const mv_keyring_t *keyring, mv_node_id_t sender,
+                             uint16_t channel, uint64_t first_sequence);
+
+/** MvSealer_Destroy() - Free; NULL is accepted. */
+void MvSealer_Destroy(mv_sealer_t *sealer);
+
+/** MvSealer_Seal() - Append a whole frame around @body to @out. */
+bool MvSealer_Seal(mv_sealer_t *sealer, mv_frame_type_t type,
+                   const void *body, size_t length, mv_buffer_t *out);
+
+/**
+ * struct mv_frame - A checked frame; points into the bytes it came from.
+ * @type: &enum mv_frame_type
+ * @sender: node id
+ * @body: the body
+ * @length: bytes in @body
+ * @size: bytes of the whole frame
+ */
+typedef struct mv_frame {
+    mv_frame_type_t type;
+    mv_node_id_t sender;
+    const uint8_t *body;
+    size_t length;
+    size_t size;
+} mv_frame_t;
+
+/** enum mv_frame_check - Result of MvSealer_Open(). */
+typedef enum mv_frame_check {
+    MV_FRAME_GOOD,
+    MV_FRAME_INCOMPLETE,
+    MV_FRAME_BAD,
+} mv_frame_check_t;
+
+/**
+ * MvSealer_Open() - Check the frame at the start of @data.
+ *
+ * A frame is bad when it is too long, of another version, unsigned, or was
+ * seen before (replay).  Two windows of 64 sequences a sender are kept.
+ */
+mv_frame_check_t MvSealer_Open(mv_sealer_t *sealer, const uint8_t *data,
+                               size_t length, mv_frame_t *frame);
+
+/* Relayed packets ---------------------------------------------------------------- */
+
+#define MV_RELAY_HEADER_BYTES 16
+
+/** MvRelay_Write() - Header of a relayed packet, MV_RELAY_HEADER_BYTES. */
+void MvRelay_Write(const mv_keyring_t *keyring, mv_node_id_t sender,
+                   uint8_t hops, const uint8_t *packet, size_t length,
+                   uint8_t *out);
+
+/**
+ * MvRelay_Read() - Check a relayed packet.
+ *
+ * Return: true and the hop count, or false when it is not ours.
+ */
+bool MvRelay_Read(const mv_keyring_t *keyring, const uint8_t *data,
+                  size_t length, uint8_t *hops);
+
+/* Event loop ---------------------------------------------------------------------- */
+
+/** typedef mv_loop_t - One thread's descriptors. */
+typedef struct mv_loop mv_loop_t;
+
+/**
+ * struct mv_watch - A descriptor on a loop; embedded in its owner.
+ * @ready: called with APR_POLLIN, APR_POLLOUT, APR_POLLHUP or APR_POLLERR
+ * @fd: for the loop
+ * @active: for the loop
+ */
+typedef struct mv_watch {
+    void (*ready)(struct mv_watch *watch, int events);
+    apr_pollfd_t fd;
+    bool active;
+} mv_watch_t;
+
+/** MvLoop_Create() - Loop for up to @capacity descriptors, or NULL. */
+mv_loop_t *MvLoop_Create(apr_pool_t *pool, uint32_t capacity);
+
+/** MvLoop_Watch() - Set what @watch waits for; 0 removes it. */
+bool MvLoop_Watch(mv_loop_t *loop, mv_watch_t *watch, apr_socket_t *socket,
+                  int events);
+
+/** MvLoop_Run() - Wait up to @timeout and call what is ready. */
+void MvLoop_Run(mv_loop_t *loop, mv_time_t timeout);
+
+/** MvLoop_Pool() - Pool that lives as long as the loop. */
+apr_pool_t *MvLoop_Pool(const mv_loop_t *loop);
+
+/**
+ * MvNet_Listen() - Non-blocking listener, or datagram socket.
+ * @type: SOCK_STREAM or SOCK_DGRAM
+ * @reuse_port: several threads share the port
+ *
+ * Return: the socket, closed with its pool; NULL with @error set.
+ */
+apr_socket_t *MvNet_Listen(apr_pool_t *pool, const char *address,
+                           uint16_t port, int type, bool reuse_port,
+                           GError **error);
+
+/** MvNet_Connect() - Begin a non-blocking TCP connection, or NULL. */
+apr_socket_t *MvNet_Connect(apr_pool_t *pool, const char *address,
+                            uint16_t port);
+
+/* Links ------------------------------------------------------------------------------ */
+
+/** typedef mv_links_t - Frames to and from the other entry VMs. */
+typedef struct mv_links mv_links_t;
+
+/** typedef mv_reply_t - Where the answer to a command goes. */
+typedef struct mv_reply mv_reply_t;
+
+/**
+ * struct mv_links_ops - What links tell their owner.
+ * @message: a checked message
+ * @command: a checked operator's command; answer with MvReply_Send()
+ */
+typedef struct mv_links_ops {
+    void (*message)(void *context, const mv_message_t *message);
+    void (*command)(void *context, const char *command, size_t length,
+                    mv_reply_t *reply);
+} mv_links_ops_t;
+
+/**
+ * struct mv_links_settings - Settings of links.
+ * @address: address to bind to
+ * @port: TCP and UDP port
+ * @keyring: keys
+ * @id: own node id
+ * @channel: own channel number
+ * @first_sequence: see MvSealer_Create()
+ * @counters: where frames and bytes count
+ * @log: where refused frames are reported, once a second at most
+ */
+typedef struct mv_links_settings {
+    const char *address;
+    uint16_t port;
+    const mv_keyring_t *keyring;
+    mv_node_id_t id;
+    uint16_t channel;
+    uint64_t first_sequence;
+    mv_counters_t *counters;
+    mv_log_t *log;
+} mv_links_settings_t;
+
+/** MvLinks_Create() - Bind and listen; NULL with @error set. */
+mv_links_t *MvLinks_Create(mv_loop_t *loop,
+                           const mv_links_settings_t *settings,
+                           const mv_links_ops_t *ops, void *context,
+                           GError **error);
+
+/** MvLinks_Destroy() - Close all; NULL is accepted. */
+void MvLinks_Destroy(mv_links_t *links);
+
+/** MvLinks_AddPeer() - Say where node @id is reached. */
+void MvLinks_AddPeer(mv_links_t *links, mv_node_id_t id, const char *address,
+                     uint16_t port);
+
+/** MvLinks_Send() - Send by UDP or TCP as the kind demands; may be lost. */
+void MvLinks_Send(mv_links_t *links, mv_node_id_t to,
+                  const mv_message_t *message);
+
+/** MvReply_Send() - Answer a command, at most once. */
+void MvReply_Send(mv_reply_t *reply, const char *text, size_t length);
+
+/* HTTP/2 --------------------------------------------------------------------------------- */
+
+/**
+ * struct mv_http_field - One header field.
+ * @name: lower case
+ * @value: its value
+ */
+typedef struct mv_http_field {
+    char *name;
+    char *value;
+} mv_http_field_t;
+
+/**
+ * struct mv_http_message - A whole request or answer.
+ * @fields: array of mv_http_field_t, pseudo fields included
+ * @body: the body
+ */
+typedef struct mv_http_message {
+    GArray *fields;
+    mv_buffer_t body;
+} mv_http_message_t;
+
+/** MvHttpMessage_Create() - Empty message. */
+mv_http_message_t *MvHttpMessage_Create(void);
+
+/** MvHttpMessage_Destroy() - Free; NULL is accepted. */
+void MvHttpMessage_Destroy(mv_http_message_t *message);
+
+/** MvHttpMessage_Add() - Append a copy of a field. */
+void MvHttpMessage_Add(mv_http_message_t *message, const char *name,
+                       const char *value);
+
+/** MvHttpMessage_Get() - Value of the first field @name, or NULL. */
+const char *MvHttpMessage_Get(const mv_http_message_t *message,
+                              const char *name);
+
+/** typedef mv_h2_t - One HTTP/2 connection, either side. */
+typedef struct mv_h2 mv_h2_t;
+
+/**
+ * struct mv_h2_ops - What a connection tells its owner.
+ * @message: a whole request (server) or whole answer (client); the owner
+ *           of the callback frees @message
+ * @closed: a stream ended without a whole message.  @not_processed: the
+ *          other side said so, or nothing was sent
+ * @gone: the connection is over; it is freed after this call
+ */
+typedef struct mv_h2_ops {
+    void (*message)(mv_h2_t *h2, int32_t stream, mv_http_message_t *message);
+    void (*closed)(mv_h2_t *h2, int32_t stream, bool not_processed);
+    void (*gone)(mv_h2_t *h2);
+} mv_h2_ops_t;
+
+/** MvH2_Accept() - Server side of an accepted socket; takes it over. */
+mv_h2_t *MvH2_Accept(mv_loop_t *loop, apr_socket_t *socket, apr_pool_t *pool,
+                     const mv_h2_ops_t *ops, void *context);
+
+/** MvH2_Connect() - Client side of a new connection, or NULL. */
+mv_h2_t *MvH2_Connect(mv_loop_t *loop, const char *address, uint16_t port,
+                      const mv_h2_ops_t *ops, void *context);
+
+/** MvH2_Context() - What was given when it was made. */
+void *MvH2_Context(const mv_h2_t *h2);
+
+/**
+ * MvH2_Request() - Send a request, client side.
+ *
+ * Return: the stream id, or -1 when the connection takes no more.
+ */
+int32_t MvH2_Request(mv_h2_t *h2, const mv_http_message_t *request);
+
+/** MvH2_Answer() - Send an answer, server side; false when it is too late. */
+bool MvH2_Answer(mv_h2_t *h2, int32_t stream,
+                 const mv_http_message_t *answer);
+
+/** MvH2_Reset() - End a stream; @refused says it was not processed. */
+void MvH2_Reset(mv_h2_t *h2, int32_t stream, bool refused);
+
+/** MvH2_Ping() - Ask the other side for a sign of life. */
+void MvH2_Ping(mv_h2_t *h2);
+
+/** MvH2_LastHeard() - APR time of the last bytes received. */
+mv_time_t MvH2_LastHeard(const mv_h2_t *h2);
+
+/** MvH2_StreamCount() - Streams that are open. */
+size_t MvH2_StreamCount(const mv_h2_t *h2);
+
+/** MvH2_TakesRequests() - Client side: new requests may be sent. */
+bool MvH2_TakesRequests(const mv_h2_t *h2);
+
+/** MvH2_NoticeShutdown() - First step of a planned stop: GOAWAY notice. */
+void MvH2_NoticeShutdown(mv_h2_t *h2);
+
+/** MvH2_Shutdown() - Second step: refuse new streams, finish open ones. */
+void MvH2_Shutdown(mv_h2_t *h2);
+
+/** MvH2_Close() - Drop the connection at once, calling closed and gone. */
+void MvH2_Close(mv_h2_t *h2);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/packages/net/src/codec.c
@@ -0,0 +1,325 @@
+/* msgpack form of the messages between entry VMs. */
+#include "masticvane/net.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+#define MESSAGE_FIELDS 11
+#define MEMBER_FIELDS 5
+#define BUCKET_FIELDS 5
+#define LOAD_FIELDS 3
+/* Packed flow record: address, port, service, endpoint, idle in 100 ms. */
+#define FLOW_BYTES 12
+#define IDLE_UNIT_MS 100
+
+static int
+append(void *user, const char *data, size_t length)
+{
+    return MvBuffer_Append(user, data, length) ? 0 : -1;
+}
+
+static void
+pack_members(msgpack_packer *packer, const mv_message_t *message)
+{
+    msgpack_pack_array(packer, message->member_count);
+    for (size_t i = 0; i < message->member_count; i++) {
+        const mv_member_update_t *member = &message->members[i];
+        msgpack_pack_array(packer, MEMBER_FIELDS);
+        msgpack_pack_uint32(packer, member->node);
+        msgpack_pack_uint32(packer, member->incarnation);
+        msgpack_pack_uint32(packer, member->state);
+        msgpack_pack_uint32(packer, member->ready);
+        msgpack_pack_uint64(packer, member->config_version);
+    }
+}
+
+static void
+pack_buckets(msgpack_packer *packer, const mv_message_t *message)
+{
+    msgpack_pack_array(packer, message->bucket_count);
+    for (size_t i = 0; i < message->bucket_count; i++) {
+        const mv_bucket_update_t *bucket = &message->buckets[i];
+        bool same = bucket->version == message->version;
+        msgpack_pack_array(packer, BUCKET_FIELDS);
+        msgpack_pack_uint64(packer, same ? 0 : bucket->version);
+        msgpack_pack_uint32(packer, bucket->bucket);
+        msgpack_pack_uint32(packer, bucket->endpoint);
+        msgpack_pack_uint32(packer, bucket->next);
+        msgpack_pack_uint32(packer, bucket->phase);
+    }
+}
+
+static void
+put16(uint8_t *out, uint32_t value)
+{
+    out[0] = (uint8_t)(value >> 8);
+    out[1] = (uint8_t)value;
+}
+
+static uint32_t
+get16(const uint8_t *in)
+{
+    return ((uint32_t)in[0] << 8) | in[1];
+}
+
+static void
+pack_flows(msgpack_packer *packer, const mv_message_t *message)
+{
+    msgpack_pack_bin(packer, message->flow_count * FLOW_BYTES);
+    for (size_t i = 0; i < message->flow_count; i++) {
+        const mv_flow_record_t *flow = &message->flows[i];
+        uint8_t bytes[FLOW_BYTES];
+        put16(bytes, flow->address >> 16);
+        put16(bytes + 2, flow->address);
+        put16(bytes + 4, flow->port);
+        put16(bytes + 6, flow->service);
+        put16(bytes + 8, flow->endpoint);
+        put16(bytes + 10, MIN(flow->idle_ms / IDLE_UNIT_MS, UINT16_MAX));
+        msgpack_pack_bin_body(packer, bytes, sizeof(bytes));
+    }
+}
+
+static void
+pack_loads(msgpack_packer *packer, const mv_message_t *message)
+{
+    msgpack_pack_array(packer, message->load_count);
+    for (size_t i = 0; i < message->load_count; i++) {
+        msgpack_pack_array(packer, LOAD_FIELDS);
+        msgpack_pack_uint32(packer, message->loads[i].service);
+        msgpack_pack_uint32(packer, message->loads[i].endpoint);
+        msgpack_pack_int32(packer, message->loads[i].open);
+    }
+}
+
+bool
+MvMessage_Encode(const mv_message_t *message, mv_buffer_t *out)
+{
+    msgpack_packer packer;
+    size_t before = out->length;
+    msgpack_packer_init(&packer, out, append);
+    msgpack_pack_array(&packer, MESSAGE_FIELDS);
+    msgpack_pack_uint32(&packer, message->kind);
+    msgpack_pack_uint32(&packer, message->from);
+    msgpack_pack_uint32(&packer, message->sequence);
+    msgpack_pack_uint32(&packer, message->target);
+    msgpack_pack_uint32(&packer, message->service);
+    msgpack_pack_uint64(&packer, message->version);
+    pack_members(&packer, message);
+    pack_buckets(&packer, message);
+    pack_flows(&packer, message);
+    pack_loads(&packer, message);
+    msgpack_pack_bin(&packer, message->blob_length);
+    if (message->blob_length > 0) {
+        msgpack_pack_bin_body(&packer, message->blob, message->blob_length);
+    }
+    return out->length > before;
+}
+
+/* Decoding -------------------------------------------------------------------- */
+
+static bool
+get_uint(const msgpack_object *object, uint64_t limit, uint64_t *out)
+{
+    if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        object->via.u64 > limit) {
+        return false;
+    }
+    *out = object->via.u64;
+    return true;
+}
+
+/* Read an array of @count numbers, each at most @limit. */
+static bool
+get_row(const msgpack_object *object, uint32_t count, uint64_t limit,
+        uint64_t *out)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY ||
+        object->via.array.size != count) {
+        return false;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        if (!get_uint(&object->via.array.ptr[i], limit, &out[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+get_members(const msgpack_object *object, mv_message_t *message)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY) {
+        return false;
+    }
+    message->member_count = object->via.array.size;
+    message->members = g_new0(mv_member_update_t, message->member_count + 1);
+    for (size_t i = 0; i < message->member_count; i++) {
+        uint64_t row[MEMBER_FIELDS];
+        if (!get_row(&object->via.array.ptr[i], MEMBER_FIELDS, UINT64_MAX,
+                     row) ||
+            row[0] >= MV_NO_NODE || row[1] > UINT32_MAX ||
+            row[2] > MV_MEMBER_DEAD || row[3] > 1) {
+            return false;
+        }
+        message->members[i] =
+            (mv_member_update_t){.node = (uint32_t)row[0],
+                                 .incarnation = (uint32_t)row[1],
+                                 .state = (uint32_t)row[2],
+                                 .ready = (uint32_t)row[3],
+                                 .config_version = row[4]};
+    }
+    return true;
+}
+
+static bool
+get_buckets(const msgpack_object *object, mv_message_t *message)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY) {
+        return false;
+    }
+    message->bucket_count = object->via.array.size;
+    message->buckets = g_new0(mv_bucket_update_t, message->bucket_count + 1);
+    for (size_t i = 0; i < message->bucket_count; i++) {
+        uint64_t row[BUCKET_FIELDS];
+        if (!get_row(&object->via.array.ptr[i], BUCKET_FIELDS, UINT64_MAX,
+                     row) ||
+            row[1] >= MV_MAX_BUCKETS || row[2] > MV_NO_ENDPOINT ||
+            row[3] > MV_NO_ENDPOINT || row[4] > MV_BUCKET_NAMED) {
+            return false;
+        }
+        message->buckets[i] =
+            (mv_bucket_update_t){.version = row[0] ? row[0]
+                                                   : message->version,
+                                 .bucket = (uint32_t)row[1],
+                                 .endpoint = (uint32_t)row[2],
+                                 .next = (uint32_t)row[3],
+                                 .phase = (uint32_t)row[4]};
+    }
+    return true;
+}
+
+static bool
+get_flows(const msgpack_object *object, mv_message_t *message)
+{
+    if (object->type != MSGPACK_OBJECT_BIN ||
+        object->via.bin.size % FLOW_BYTES) {
+        return false;
+    }
+    const uint8_t *bytes = (const uint8_t *)object->via.bin.ptr;
+    message->flow_count = object->via.bin.size / FLOW_BYTES;
+    message->flows = g_new0(mv_flow_record_t, message->flow_count + 1);
+    for (size_t i = 0; i < message->flow_count; i++, bytes += FLOW_BYTES) {
+        message->flows[i] = (mv_flow_record_t){
+            .address = get16(bytes) << 16 | get16(bytes + 2),
+            .port = get16(bytes + 4),
+            .service = get16(bytes + 6),
+            .endpoint = get16(bytes + 8),
+            .idle_ms = get16(bytes + 10) * IDLE_UNIT_MS,
+        };
+    }
+    return true;
+}
+
+static bool
+get_loads(const msgpack_object *object, mv_message_t *message)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY) {
+        return false;
+    }
+    message->load_count = object->via.array.size;
+    message->loads = g_new0(mv_load_record_t, message->load_count + 1);
+    for (size_t i = 0; i < message->load_count; i++) {
+        const msgpack_object *row = &object->via.array.ptr[i];
+        uint64_t service;
+        uint64_t endpoint;
+        if (row->type != MSGPACK_OBJECT_ARRAY ||
+            row->via.array.size != LOAD_FIELDS ||
+            !get_uint(&row->via.array.ptr[0], UINT16_MAX, &service) ||
+            !get_uint(&row->via.array.ptr[1], UINT16_MAX, &endpoint)) {
+            return false;
+        }
+        const msgpack_object *open = &row->via.array.ptr[2];
+        if ((open->type != MSGPACK_OBJECT_POSITIVE_INTEGER &&
+             open->type != MSGPACK_OBJECT_NEGATIVE_INTEGER) ||
+            open->via.i64 > INT32_MAX || open->via.i64 < INT32_MIN) {
+            return false;
+        }
+        message->loads[i] = (mv_load_record_t){.service = (uint32_t)service,
+                                               .endpoint = (uint32_t)endpoint,
+                                               .open =
+                                                   (int32_t)open->via.i64};
+    }
+    return true;
+}
+
+static bool
+get_message(const msgpack_object *object, mv_message_t *message)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY ||
+        object->via.array.size != MESSAGE_FIELDS) {
+        return false;
+    }
+    const msgpack_object *field = object->via.array.ptr;
+    uint64_t number[6];
+    for (int i = 0; i < 6; i++) {
+        uint64_t limit = i == 5 ? UINT64_MAX : UINT32_MAX;
+        if (!get_uint(&field[i], limit, &number[i])) {
+            return false;
+        }
+    }
+    message->kind = (uint32_t)number[0];
+    message->from = (uint32_t)number[1];
+    message->sequence = (uint32_t)number[2];
+    message->target = (uint32_t)number[3];
+    message->service = (uint32_t)number[4];
+    message->version = number[5];
+    if (message->kind == 0 || message->kind >= MV_MESSAGE_KIND_COUNT ||
+        message->from >= MV_NO_NODE || message->target > MV_NO_NODE ||
+        message->service > UINT16_MAX) {
+        return false;
+    }
+    if (!get_members(&field[6], message) || !get_buckets(&field[7], message) ||
+        !get_flows(&field[8], message) || !get_loads(&field[9], message) ||
+        field[10].type != MSGPACK_OBJECT_BIN) {
+        return false;
+    }
+    message->blob_length = field[10].via.bin.size;
+    message->blob = g_malloc(message->blob_length + 1);
+    memcpy(message->blob, field[10].via.bin.ptr, message->blob_length);
+    message->blob[message->blob_length] = '\0';
+    return true;
+}
+
+mv_message_t *
+MvMessage_Decode(const uint8_t *data, size_t length)
+{
+    msgpack_unpacked result;
+    size_t offset = 0;
+    msgpack_unpacked_init(&result);
+    mv_message_t *message = NULL;
+    if (msgpack_unpack_next(&result, (const char *)data, length, &offset) ==
+            MSGPACK_UNPACK_SUCCESS &&
+        offset == length) {
+        message = g_new0(mv_message_t, 1);
+        if (!get_message(&result.data, message)) {
+            MvMessage_Free(message);
+            message = NULL;
+        }
+    }
+    msgpack_unpacked_destroy(&result);
+    return message;
+}
+
+void
+MvMessage_Free(mv_message_t *message)
+{
+    if (!message) {
+        return;
+    }
+    g_free(message->members);
+    g_free(message->buckets);
+    g_free(message->flows);
+    g_free(message->loads);
+    g_free(message->blob);
+    g_free(message);
+}
--- /dev/null
+++ b/packages/net/src/frame.c
@@ -0,0 +1,236 @@
+/* Signed frames with protection against replay. */
+#include "masticvane/net.h"
+
+#include "keyring.h"
+
+#include <arpa/inet.h>
+#include <endian.h>
+#include <sodium.h>
+#include <string.h>
+
+#define WINDOW_BITS 64
+
+/* Sequences seen of one sender's channel. */
+typedef struct window {
+    uint64_t highest;
+    uint64_t seen;
+} window_t;
+
+struct mv_sealer {
+    const mv_keyring_t *keyring;
+    mv_node_id_t sender;
+    uint16_t channel;
+    uint64_t sequence;
+    GHashTable *windows;
+};
+
+/* Keys ------------------------------------------------------------------------ */
+
+static bool
+parse_key(const char *line, mv_key_t *key)
+{
+    char *end = NULL;
+    guint64 id = g_ascii_strtoull(line, &end, 10);
+    size_t length = 0;
+    if (end == line || *end != ' ' || id > UINT8_MAX) {
+        return false;
+    }
+    key->id = (uint8_t)id;
+    return sodium_hex2bin(key->bytes, MV_KEY_BYTES, end + 1, strlen(end + 1),
+                          NULL, &length, NULL) == 0 &&
+           length == MV_KEY_BYTES;
+}
+
+mv_keyring_t *
+MvKeyring_Parse(const char *file, const char *text, const char *deployment,
+                mv_findings_t *findings)
+{
+    mv_keyring_t *keyring = g_new0(mv_keyring_t, 1);
+    size_t before = MvFindings_Count(findings);
+    char **lines = g_strsplit(text, "\n", -1);
+    crypto_generichash(keyring->deployment, sizeof(keyring->deployment),
+                       (const unsigned char *)deployment, strlen(deployment),
+                       NULL, 0);
+    for (int i = 0; lines[i]; i++) {
+        g_strstrip(lines[i]);
+        if (!*lines[i] || *lines[i] == ';') {
+            continue;
+        }
+        if (keyring->count == MV_MAX_KEYS ||
+            !parse_key(lines[i], &keyring->keys[keyring->count])) {
+            MvFindings_Add(findings, file, i + 1, "key",
+                           "write up to %d lines \"ID HEX\", ID 0 to 255, "
+                           "HEX 64 digits",
+                           MV_MAX_KEYS);
+            continue;
+        }
+        keyring->count++;
+    }
+    if (keyring->count == 0) {
+        MvFindings_Add(findings, file, 0, "key", "no key; one is needed");
+    }
+    for (int i = 0; lines[i]; i++) {
+        sodium_memzero(lines[i], strlen(lines[i]));
+    }
+    g_strfreev(lines);
+    if (MvFindings_Count(findings) > before) {
+        MvKeyring_Destroy(keyring);
+        return NULL;
+    }
+    return keyring;
+}
+
+void
+MvKeyring_Destroy(mv_keyring_t *keyring)
+{
+    if (!keyring) {
+        return;
+    }
+    sodium_memzero(keyring, sizeof(*keyring));
+    g_free(keyring);
+}
+
+const mv_key_t *
+MvKeyring_Find(const mv_keyring_t *keyring, uint8_t id)
+{
+    for (unsigned i = 0; i < keyring->count; i++) {
+        if (keyring->keys[i].id == id) {
+            return &keyring->keys[i];
+        }
+    }
+    return NULL;
+}
+
+/* Frames ------------------------------------------------------------------------ */
+
+mv_sealer_t *
+MvSealer_Create(const mv_keyring_t *keyring, mv_node_id_t sender,
+                uint16_t channel, uint64_t first_sequence)
+{
+    mv_sealer_t *sealer = g_new0(mv_sealer_t, 1);
+    sealer->keyring = keyring;
+    sealer->sender = sender;
+    sealer->channel = channel;
+    sealer->sequence = first_sequence;
+    sealer->windows =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    return sealer;
+}
+
+void
+MvSealer_Destroy(mv_sealer_t *sealer)
+{
+    if (!sealer) {
+        return;
+    }
+    g_hash_table_unref(sealer->windows);
+    g_free(sealer);
+}
+
+static void
+compute_mac(const mv_keyring_t *keyring, const mv_key_t *key,
+            const void *bytes, size_t length, uint8_t mac[MV_MAC_BYTES])
+{
+    crypto_generichash_state state;
+    crypto_generichash_init(&state, key->bytes, MV_KEY_BYTES, MV_MAC_BYTES);
+    crypto_generichash_update(&state, keyring->deployment,
+                              sizeof(keyring->deployment));
+    crypto_generichash_update(&state, bytes, length);
+    crypto_generichash_final(&state, mac, MV_MAC_BYTES);
+}
+
+bool
+MvSealer_Seal(mv_sealer_t *sealer, mv_frame_type_t type, const void *body,
+              size_t length, mv_buffer_t *out)
+{
+    const mv_key_t *key = &sealer->keyring->keys[0];
+    uint8_t mac[MV_MAC_BYTES];
+    size_t start = out->length;
+    if (length > MV_FRAME_MAX) {
+        return false;
+    }
+    mv_frame_header_t header = {
+        .length = htonl((uint32_t)(length + MV_MAC_BYTES)),
+        .version = MV_FRAME_VERSION,
+        .type = (uint8_t)type,
+        .key_id = key->id,
+        .sender = htons(sealer->sender),
+        .channel = htons(sealer->channel),
+        .sequence = htobe64(++sealer->sequence),
+    };
+    if (!MvBuffer_Append(out, &header, sizeof(header)) ||
+        !MvBuffer_Append(out, body, length)) {
+        out->length = start;
+        return false;
+    }
+    compute_mac(sealer->keyring, key, out->data + start,
+                sizeof(header) + length, mac);
+    if (!MvBuffer_Append(out, mac, sizeof(mac))) {
+        out->length = start;
+        return false;
+    }
+    return true;
+}
+
+static bool
+is_replay(mv_sealer_t *sealer, uint16_t sender, uint16_t channel,
+          uint64_t sequence)
+{
+    gpointer key = GUINT_TO_POINTER(((guint)channel << 16) | sender);
+    window_t *window = g_hash_table_lookup(sealer->windows, key);
+    if (!window) {
+        window = g_new0(window_t, 1);
+        window->highest = sequence;
+        window->seen = 1;
+        g_hash_table_insert(sealer->windows, key, window);
+        return false;
+    }
+    if (sequence > window->highest) {
+        uint64_t shift = sequence - window->highest;
+        window->seen = shift < WINDOW_BITS ? window->seen << shift : 0;
+        window->seen |= 1;
+        window->highest = sequence;
+        return false;
+    }
+    uint64_t age = window->highest - sequence;
+    if (age >= WINDOW_BITS || (window->seen & (1ULL << age))) {
+        return true;
+    }
+    window->seen |= 1ULL << age;
+    return false;
+}
+
+mv_frame_check_t
+MvSealer_Open(mv_sealer_t *sealer, const uint8_t *data, size_t length,
+              mv_frame_t *frame)
+{
+    mv_frame_header_t header;
+    uint8_t mac[MV_MAC_BYTES];
+    if (length < sizeof(header)) {
+        return MV_FRAME_INCOMPLETE;
+    }
+    memcpy(&header, data, sizeof(header));
+    size_t rest = ntohl(header.length);
+    const mv_key_t *key = MvKeyring_Find(sealer->keyring, header.key_id);
+    if (header.version != MV_FRAME_VERSION || header.reserved != 0 ||
+        rest < MV_MAC_BYTES || rest > MV_FRAME_MAX + MV_MAC_BYTES || !key ||
+        header.type < MV_FRAME_MESSAGE || header.type > MV_FRAME_ANSWER) {
+        return MV_FRAME_BAD;
+    }
+    if (length < sizeof(header) + rest) {
+        return MV_FRAME_INCOMPLETE;
+    }
+    size_t body = rest - MV_MAC_BYTES;
+    compute_mac(sealer->keyring, key, data, sizeof(header) + body, mac);
+    if (sodium_memcmp(mac, data + sizeof(header) + body, sizeof(mac)) != 0 ||
+        is_replay(sealer, ntohs(header.sender), ntohs(header.channel),
+                  be64toh(header.sequence))) {
+        return MV_FRAME_BAD;
+    }
+    *frame = (mv_frame_t){.type = (mv_frame_type_t)header.type,
+                          .sender = ntohs(header.sender),
+                          .body = data + sizeof(header),
+                          .length = body,
+                          .size = sizeof(header) + rest};
+    return MV_FRAME_GOOD;
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,94 @@
+#!/bin/bash
+# The main job with stand-ins: both users' deployments, one after the other,
+# while an entry VM is restarted and a backend server is drained.
+set -eu
+BUILD=${1:-build}
+BIN=$(cd "$BUILD/bin" && pwd)
+EXAMPLES=$(cd "$(dirname "$0")/../examples" && pwd)
+RUN=$(mktemp -d)
+NODES=7
+PIDS=()
+
+cleanup() {
+    for pid in "${PIDS[@]}"; do kill "$pid" 2>/dev/null || true; done
+    wait 2>/dev/null || true
+    rm -rf "$RUN"
+}
+trap cleanup EXIT
+
+start_node() { # name net node
+    "$BIN/masticvaned" --config "$RUN/$1/node$3.ini" &
+    NODE_PID[$3]=$!
+    PIDS+=($!)
+}
+
+vm_list() { # deployment store leaving-node
+    local list="" state
+    for i in $(seq 1 $NODES); do
+        state=live; [ "$i" = "$3" ] && state=leaving
+        list="$list${list:+,}{\"node\":$i,\"state\":\"$state\"}"
+    done
+    curl -s -X PUT -d "[$list]" "http://$2/v1/kv/platform/$1/vms" >/dev/null
+}
+
+json() { python3 -c "import json,sys;d=json.load(open('$1'));print($2)"; }
+
+run_deployment() { # name net service endpoint
+    local name=$1 net=$2 service=$3 endpoint=$4 store="127.$2.255.1:8500"
+    local dir="$RUN/$name" failed=0
+    declare -gA NODE_PID=()
+    mkdir -p "$dir"
+    cp "$EXAMPLES/$name.ini" "$dir/answers.ini"
+    printf '1 %s\n' "$(head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n')" >"$dir/keys"
+    for i in $(seq 1 $NODES); do
+        printf '[peer %d]\naddress = 127.%d.250.%d\n' "$i" "$net" "$i" >>"$dir/nodes.ini"
+    done
+    for i in $(seq 1 $NODES); do
+        { printf '[node]\nid = %d\naddress = 127.%d.250.%d\ndata_centre = %s\ndeployment = %s\nkey_file = %s\n' \
+            "$i" "$net" "$i" "$(sed -n 's/^data_centres = \([^ ]*\).*/\1/p' "$dir/answers.ini")" "$name" "$dir/keys"
+          printf '[store]\naddresses = %s\n[log]\nfile = %s\n' "$store" "$dir/node$i.log"
+          cat "$dir/nodes.ini"; } >"$dir/node$i.ini"
+    done
+    echo "== $name: $NODES entry VMs"
+    "$BIN/standin-store" "127.$net.255.1" 8500 & PIDS+=($!)
+    "$BIN/standin-backends" "$EXAMPLES/$name.ini" 20 >"$dir/backends.json" & local backends=$!
+    PIDS+=("$backends")
+    for _ in $(seq 50); do curl -s "http://$store/v1/kv/x" >/dev/null && break; sleep 0.05; done
+    vm_list "$name" "$store" 0
+    for i in $(seq 1 $NODES); do start_node "$name" "$net" "$i"; done
+    local operate=(--store "$store" --nodes "$dir/nodes.ini" --key-file "$dir/keys" --deployment "$name")
+    "$BIN/masticvane" confirm "$dir/answers.ini" "${operate[@]}" --wait 15 2>&1 | tail -3
+    sleep 2
+    "$BIN/standin-callers" "$dir/answers.ini" "$dir/nodes.ini" "$store" 400 6 150 >"$dir/callers.json" & local callers=$!
+    PIDS+=("$callers")
+    sleep 3
+    echo "-- one request by curl:"
+    curl -s --max-time 5 --http2-prior-knowledge -H "Host: $service" -o /dev/null \
+        -w 'status %{http_code}, %{size_download} bytes, %{time_total} s\n' "http://127.$net.250.1:8080/read/0"
+    echo "-- backend server $endpoint leaves now"
+    "$BIN/masticvane" retire "$dir/answers.ini" "$service" "$endpoint" --at now 2>/dev/null
+    "$BIN/masticvane" confirm "$dir/answers.ini" "${operate[@]}" --wait 15 --accept past-retirement 2>/dev/null | grep leaves
+    date +%s%6N >"$dir/retired"
+    sleep 3
+    echo "-- entry VM 3 is restarted"
+    vm_list "$name" "$store" 3
+    kill -TERM "${NODE_PID[3]}"
+    wait "${NODE_PID[3]}" && echo "   planned stop: exit 0"
+    start_node "$name" "$net" 3
+    sleep 3
+    vm_list "$name" "$store" 0
+    sleep 4
+    "$BIN/masticvane" status "${operate[@]}" || true
+    "$BIN/masticvane" dump 1 "${operate[@]}" >"$dir/dump.json"
+    kill -TERM "$callers"; wait "$callers" || true
+    sleep 0.5
+    kill -TERM "$backends"; wait "$backends" || true
+    for i in $(seq 1 $NODES); do kill -TERM "${NODE_PID[$i]}" 2>/dev/null || true; done
+    python3 "$(dirname "$0")/demo_report.py" "$dir" "$endpoint" || failed=1
+    for i in $(seq 1 $NODES); do wait "${NODE_PID[$i]}" || failed=1; done
+    return $failed
+}
+
+run_deployment atlas-jet 20 booking booking-3
+run_deployment zatkovy-svaz 40 brand-desk brand-desk-5
+echo "demo: both deployments served, nothing broken"
