--- a/packages/core/include/masticvane/core.h
+++ b/packages/core/include/masticvane/core.h
@@ -195,10 +195,12 @@
  * @state: &enum mv_member_state
  * @ready: it may be the home of buckets
  * @config_version: configuration it has in force
+ * @life: Unix second at which its process started
  */
 typedef struct mv_member_update {
     uint32_t node;
     uint32_t incarnation;
+    uint32_t life;
     uint32_t state;
     uint32_t ready;
     uint64_t config_version;
@@ -256,6 +258,86 @@
     int32_t open;
 } mv_load_record_t;
 
+/** enum mv_slot_op - What a slot record says. */
+typedef enum mv_slot_op {
+    MV_SLOT_ASK = 1,
+    MV_SLOT_GRANT,
+    MV_SLOT_NEXT,
+    MV_SLOT_RETURN,
+    MV_SLOT_REUSED,
+    MV_SLOT_PASSED,
+    MV_SLOT_WITHDRAW,
+    MV_SLOT_REFUSE,
+    MV_SLOT_HINT,
+    MV_SLOT_HOLDING,
+    MV_SLOT_HOLDINGS_END,
+    MV_SLOT_OP_COUNT,
+} mv_slot_op_t;
+
+/**
+ * struct mv_slot_record - Word between a request's node and a slot's owner.
+ * @op: &enum mv_slot_op
+ * @request: request id at its node
+ * @other: the request the slot goes to, with NEXT, REUSED and PASSED
+ * @service: service id
+ * @endpoint: endpoint id
+ * @work: position of its class of work, or the urgency of a hint
+ * @node: node of @other
+ * @member: hash of the member (caller)
+ * @left_ms: time to the deadline, or a flag of a hint or a return
+ */
+typedef struct mv_slot_record {
+    uint32_t op;
+    uint64_t request;
+    uint64_t other;
+    uint32_t service;
+    uint32_t endpoint;
+    uint32_t work;
+    uint32_t node;
+    uint32_t member;
+    uint32_t left_ms;
+} mv_slot_record_t;
+
+/** enum mv_claim_op - What a claim record says. */
+typedef enum mv_claim_op {
+    MV_CLAIM_ASK = 1,
+    MV_CLAIM_GRANTED,
+    MV_CLAIM_STATE,
+    MV_CLAIM_RETRY,
+    MV_CLAIM_LOST,
+    MV_CLAIM_COPY,
+    MV_CLAIM_COPIED,
+    MV_CLAIM_SETTLE,
+    MV_CLAIM_RECORD,
+    MV_CLAIM_SYNC_ASK,
+    MV_CLAIM_SYNC_END,
+    MV_CLAIM_OP_COUNT,
+} mv_claim_op_t;
+
+/**
+ * struct mv_claim_record - Word about an idempotency key.
+ * @op: &enum mv_claim_op
+ * @key_high: upper half of the key's hash
+ * @key_low: lower half of the key's hash
+ * @state: what became of it, see claims.h
+ * @node: node that claimed it
+ * @request: its request there
+ * @age_ms: age of the record
+ * @bytes: retained answer, or NULL
+ * @length: bytes in @bytes
+ */
+typedef struct mv_claim_record {
+    uint32_t op;
+    uint64_t key_high;
+    uint64_t key_low;
+    uint32_t state;
+    uint32_t node;
+    uint64_t request;
+    uint32_t age_ms;
+    char *bytes;
+    size_t length;
+} mv_claim_record_t;
+
 /** enum mv_message_kind - What a message between entry VMs says. */
 typedef enum mv_message_kind {
     MV_MESSAGE_PING = 1,
@@ -271,6 +353,8 @@
     MV_MESSAGE_SYNC_DONE,
     MV_MESSAGE_HANDOVER_DONE,
     MV_MESSAGE_HANDOVER_ACK,
+    MV_MESSAGE_SLOTS,
+    MV_MESSAGE_CLAIMS,
     MV_MESSAGE_KIND_COUNT,
 } mv_message_kind_t;
 
@@ -290,6 +374,10 @@
  * @flows: flows by name
  * @load_count: entries in @loads
  * @loads: load counts
+ * @slot_count: entries in @slots
+ * @slots: slot records
+ * @claim_count: entries in @claims
+ * @claims: claim records
  * @blob: configuration bytes
  * @blob_length: bytes in @blob
  */
@@ -308,6 +396,10 @@
     mv_flow_record_t *flows;
     size_t load_count;
     mv_load_record_t *loads;
+    size_t slot_count;
+    mv_slot_record_t *slots;
+    size_t claim_count;
+    mv_claim_record_t *claims;
     char *blob;
     size_t blob_length;
 } mv_message_t;
@@ -489,6 +581,15 @@
 /** MvNode_IsAlive() - True when @id is believed alive. */
 bool MvNode_IsAlive(const mv_node_t *node, mv_node_id_t id);
 
+/**
+ * MvNode_Life() - Unix second at which the process of @id started, as far as
+ * known; 0 when it is not.
+ */
+uint32_t MvNode_Life(const mv_node_t *node, mv_node_id_t id);
+
+/** MvNode_HasLeft() - True once this node told the others that it left. */
+bool MvNode_HasLeft(const mv_node_t *node);
+
 /** MvNode_LiveMembers() - Members believed alive, this node included. */
 size_t MvNode_LiveMembers(const mv_node_t *node);
 
--- a/packages/core/include/masticvane/requests.h
+++ b/packages/core/include/masticvane/requests.h
@@ -44,10 +44,17 @@
 /** MvReason_Name() - Word used in answers and dumps. */
 const char *MvReason_Name(mv_reason_t reason);
 
-/** enum mv_result - How a dispatch ended at the backend server. */
+/**
+ * enum mv_result - How a dispatch ended at the backend server.
+ * @MV_RESULT_WHOLE: a whole answer came
+ * @MV_RESULT_NOT_PROCESSED: the backend server said that it did not run it
+ * @MV_RESULT_UNREACHABLE: it was never sent
+ * @MV_RESULT_BROKEN: it may or may not have run
+ */
 typedef enum mv_result {
     MV_RESULT_WHOLE,
     MV_RESULT_NOT_PROCESSED,
+    MV_RESULT_UNREACHABLE,
     MV_RESULT_BROKEN,
 } mv_result_t;
 
@@ -106,6 +113,25 @@
     const mv_request_effects_ops_t *ops;
 };
 
+/**
+ * struct mv_request_member - An entry VM that may own keys and slots.
+ * @id: its number
+ * @life: changes whenever the process starts anew
+ */
+typedef struct mv_request_member {
+    uint32_t id;
+    uint32_t life;
+} mv_request_member_t;
+
+/** How long an idempotency key is remembered. */
+#define MV_KEY_WINDOW (10 * MV_MINUTE)
+
+/** Longest answer that is retained for a repeated key, in bytes. */
+#define MV_RETAINED_MAX 8192
+
+/** Longest time a request may take; far shorter than MV_KEY_WINDOW. */
+#define MV_DEADLINE_MAX (60 * MV_SECOND)
+
 /** typedef mv_requests_t - The request decisions of one entry VM. */
 typedef struct mv_requests mv_requests_t;
 
@@ -128,8 +154,8 @@
  * @members: live nodes that may own keys and slots, this one included
  */
 void MvRequests_View(mv_requests_t *requests, mv_time_t now,
-                     mv_deployment_t *deployment, const mv_node_id_t *members,
-                     size_t count);
+                     mv_deployment_t *deployment,
+                     const mv_request_member_t *members, size_t count);
 
 /** MvRequests_Submit() - Take a request; its id must be new. */
 void MvRequests_Submit(mv_requests_t *requests, mv_time_t now,
@@ -156,8 +182,16 @@
 /** MvRequests_Timer() - Do what is due; call at least every 5 ms. */
 void MvRequests_Timer(mv_requests_t *requests, mv_time_t now);
 
-/** MvRequests_Stop() - Take no more; finish what is open. */
-void MvRequests_Stop(mv_requests_t *requests, mv_time_t now);
+/**
+ * MvRequests_Leave() - Begin a planned stop: own no more keys.
+ *
+ * The other entry VMs get every record this one holds, so that nothing of
+ * what it knows is lost with it.  Requests go on being served.
+ */
+void MvRequests_Leave(mv_requests_t *requests, mv_time_t now);
+
+/** MvRequests_Stop() - Refuse new requests; finish what is open. */
+void MvRequests_Stop(mv_requests_t *requests);
 
 /** MvRequests_Open() - Requests whose caller has no outcome yet. */
 size_t MvRequests_Open(const mv_requests_t *requests);
--- /dev/null
+++ b/packages/core/src/claims.c
@@ -0,0 +1,861 @@
+/*
+ * Idempotency keys: each is claimed at its owner and copied to a second
+ * before its request is dispatched, so that it runs at most once.
+ */
+#include "requests_private.h"
+
+#include <string.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#define SWEEP_INTERVAL (1 * MV_SECOND)
+#define SYNC_INTERVAL (300 * MV_MILLISECOND)
+#define MAX_HISTORY 256
+
+typedef struct claim {
+    mv_key_hash_t key;
+    uint32_t state;
+    mv_node_id_t node;
+    mv_request_id_t request;
+    mv_time_t since;
+    bool copied;
+    char *bytes;
+    size_t length;
+} claim_t;
+
+/* An entry VM that vanished without handing over. */
+typedef struct loss {
+    mv_request_member_t member;
+    mv_time_t since;
+} loss_t;
+
+/* An entry VM and when it was first seen. */
+typedef struct arrival {
+    mv_request_member_t member;
+    mv_time_t since;
+} arrival_t;
+
+struct mv_claims {
+    mv_requests_t *requests;
+    GHashTable *claims;
+    GHashTable *synced;
+    GHashTable *handed_over;
+    GArray *losses;
+    GArray *arrivals;
+    uint64_t epoch;
+    mv_time_t next_sweep;
+    mv_time_t next_sync;
+    bool leaving;
+};
+
+static guint
+key_hash(gconstpointer pointer)
+{
+    return (guint)((const mv_key_hash_t *)pointer)->low;
+}
+
+static gboolean
+key_equal(gconstpointer a, gconstpointer b)
+{
+    return !memcmp(a, b, sizeof(mv_key_hash_t));
+}
+
+static void
+free_claim(gpointer pointer)
+{
+    claim_t *claim = pointer;
+    g_free(claim->bytes);
+    g_free(claim);
+}
+
+mv_claims_t *
+MvClaims_Create(mv_requests_t *requests)
+{
+    mv_claims_t *claims = g_new0(mv_claims_t, 1);
+    claims->requests = requests;
+    claims->claims =
+        g_hash_table_new_full(key_hash, key_equal, NULL, free_claim);
+    claims->synced = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+                                           NULL, g_free);
+    claims->handed_over = g_hash_table_new(g_direct_hash, g_direct_equal);
+    claims->losses = g_array_new(FALSE, FALSE, sizeof(loss_t));
+    claims->arrivals = g_array_new(FALSE, FALSE, sizeof(arrival_t));
+    return claims;
+}
+
+void
+MvClaims_Destroy(mv_claims_t *claims)
+{
+    g_hash_table_unref(claims->claims);
+    g_hash_table_unref(claims->synced);
+    g_hash_table_unref(claims->handed_over);
+    g_array_unref(claims->losses);
+    g_array_unref(claims->arrivals);
+    g_free(claims);
+}
+
+size_t
+MvClaims_Count(const mv_claims_t *claims)
+{
+    return g_hash_table_size(claims->claims);
+}
+
+/* Who owns a key ---------------------------------------------------------------------- */
+
+static uint64_t
+score(mv_key_hash_t key, mv_node_id_t node)
+{
+    uint64_t input[3] = {key.high, key.low, node};
+    return XXH3_64bits(input, sizeof(input));
+}
+
+static void
+owners(const mv_claims_t *claims, mv_key_hash_t key, mv_node_id_t out[2])
+{
+    const mv_requests_t *requests = claims->requests;
+    uint64_t best[2] = {0, 0};
+    out[0] = MV_NO_NODE;
+    out[1] = MV_NO_NODE;
+    for (size_t i = 0; i < requests->member_count; i++) {
+        mv_node_id_t id = (mv_node_id_t)requests->members[i].id;
+        uint64_t value = score(key, id);
+        if (claims->leaving && id == requests->self) {
+            continue;
+        }
+        if (out[0] == MV_NO_NODE || value > best[0]) {
+            best[1] = best[0];
+            out[1] = out[0];
+            best[0] = value;
+            out[0] = id;
+        }
+        else if (out[1] == MV_NO_NODE || value > best[1]) {
+            best[1] = value;
+            out[1] = id;
+        }
+    }
+}
+
+/* Messages out ---------------------------------------------------------------------------- */
+
+static void take_record(mv_claims_t *claims, mv_time_t now, mv_node_id_t from,
+                        const mv_claim_record_t *record, uint64_t epoch);
+
+static void
+send(mv_claims_t *claims, mv_time_t now, mv_node_id_t to,
+     mv_claim_record_t record)
+{
+    mv_requests_t *requests = claims->requests;
+    if (to == requests->self) {
+        take_record(claims, now, to, &record, claims->epoch);
+        return;
+    }
+    mv_message_t message = {.kind = MV_MESSAGE_CLAIMS,
+                            .from = requests->self,
+                            .version = claims->epoch,
+                            .claim_count = 1,
+                            .claims = &record};
+    requests->effects->ops->send(requests->effects, to, &message);
+}
+
+static mv_claim_record_t
+record_of(const claim_t *claim, uint32_t op, mv_time_t now)
+{
+    return (mv_claim_record_t){
+        .op = op,
+        .key_high = claim->key.high,
+        .key_low = claim->key.low,
+        .state = claim->state,
+        .node = claim->node,
+        .request = claim->request,
+        .age_ms = (uint32_t)((now - claim->since) / MV_MILLISECOND),
+        .bytes = claim->bytes,
+        .length = claim->length,
+    };
+}
+
+/* The table ---------------------------------------------------------------------------------- */
+
+static claim_t *
+find(const mv_claims_t *claims, mv_key_hash_t key)
+{
+    return g_hash_table_lookup(claims->claims, &key);
+}
+
+static void
+keep_bytes(claim_t *claim, const char *bytes, size_t length)
+{
+    g_free(claim->bytes);
+    claim->bytes = NULL;
+    claim->length = 0;
+    if (claim->state == MV_CLAIM_DONE && length > MV_RETAINED_MAX) {
+        claim->state = MV_CLAIM_DONE_UNRETAINED;
+    }
+    if (claim->state == MV_CLAIM_DONE && length > 0) {
+        claim->bytes = g_memdup2(bytes, length);
+        claim->length = length;
+    }
+}
+
+static claim_t *
+add(mv_claims_t *claims, mv_time_t now, mv_key_hash_t key, mv_node_id_t node,
+    mv_request_id_t request)
+{
+    claim_t *claim = g_new0(claim_t, 1);
+    claim->key = key;
+    claim->state = MV_CLAIMED;
+    claim->node = node;
+    claim->request = request;
+    claim->since = now;
+    g_hash_table_insert(claims->claims, &claim->key, claim);
+    return claim;
+}
+
+static bool
+is_same_claim(const claim_t *claim, const mv_claim_record_t *record)
+{
+    return claim->node == record->node && claim->request == record->request;
+}
+
+/* How much a state says about a run having happened. */
+static int
+strength(uint32_t state)
+{
+    switch (state) {
+    case MV_CLAIM_DONE:
+        return 3;
+    case MV_CLAIM_DONE_UNRETAINED:
+        return 2;
+    case MV_CLAIM_NOT_RUN:
+        return 0;
+    default:
+        return 1;
+    }
+}
+
+/*
+ * Of the same claim a settled state replaces an open one.  Of two claims of
+ * one key the one that says more about a run stays.
+ */
+static void
+merge(mv_claims_t *claims, mv_time_t now, const mv_claim_record_t *record)
+{
+    mv_key_hash_t key = {.high = record->key_high, .low = record->key_low};
+    claim_t *claim = find(claims, key);
+    if (!claim) {
+        claim = add(claims, now, key, (mv_node_id_t)record->node,
+                    record->request);
+        claim->since = now - record->age_ms * MV_MILLISECOND;
+        claim->state = record->state;
+        keep_bytes(claim, record->bytes, record->length);
+        return;
+    }
+    bool open = claim->state == MV_CLAIMED ||
+                claim->state == MV_CLAIM_OUTCOME_UNKNOWN;
+    bool settles = is_same_claim(claim, record) && open &&
+                   record->state != MV_CLAIMED;
+    if (settles || strength(record->state) > strength(claim->state)) {
+        claim->node = (mv_node_id_t)record->node;
+        claim->request = record->request;
+        claim->state = record->state;
+        claim->copied = false;
+        keep_bytes(claim, record->bytes, record->length);
+    }
+}
+
+/* Is the evidence complete? -------------------------------------------------------------------- */
+
+static uint64_t
+epoch_of(const mv_requests_t *requests)
+{
+    return XXH3_64bits(requests->members,
+                       requests->member_count * sizeof(mv_request_member_t));
+}
+
+static bool
+is_synced_with(const mv_claims_t *claims, mv_node_id_t id)
+{
+    const uint64_t *epoch =
+        g_hash_table_lookup(claims->synced, GUINT_TO_POINTER(id));
+    return epoch && *epoch == claims->epoch;
+}
+
+static bool
+is_synced(const mv_claims_t *claims)
+{
+    const mv_requests_t *requests = claims->requests;
+    for (size_t i = 0; i < requests->member_count; i++) {
+        mv_node_id_t id = (mv_node_id_t)requests->members[i].id;
+        if (id != requests->self && !is_synced_with(claims, id)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+is_lost(const mv_claims_t *claims, mv_node_id_t id)
+{
+    for (guint i = 0; i < claims->losses->len; i++) {
+        if (g_array_index(claims->losses, loss_t, i).member.id == id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_recent(const mv_claims_t *claims, mv_time_t now, mv_node_id_t id)
+{
+    for (guint i = 0; i < claims->arrivals->len; i++) {
+        const arrival_t *one = &g_array_index(claims->arrivals, arrival_t, i);
+        if (one->member.id == id) {
+            return now - one->since < MV_KEY_WINDOW;
+        }
+    }
+    return false;
+}
+
+typedef struct ranked {
+    mv_node_id_t id;
+    uint64_t score;
+    bool lost;
+} ranked_t;
+
+static int
+compare_ranked(const void *a, const void *b)
+{
+    const ranked_t *one = a;
+    const ranked_t *other = b;
+    return (one->score < other->score) - (one->score > other->score);
+}
+
+/*
+ * An earlier claim of @key was kept by the two highest-ranked of the members
+ * of its time.  Members that arrived since were not among them.  When both
+ * of the others that rank highest were lost, so may be the claim.
+ */
+static bool
+may_have_lost(const mv_claims_t *claims, mv_time_t now, mv_key_hash_t key)
+{
+    const mv_requests_t *requests = claims->requests;
+    if (claims->losses->len < 2) {
+        return false;
+    }
+    size_t most = requests->member_count + claims->losses->len;
+    ranked_t *ranked = g_new0(ranked_t, most);
+    size_t count = 0;
+    for (size_t i = 0; i < requests->member_count; i++) {
+        mv_node_id_t id = (mv_node_id_t)requests->members[i].id;
+        if (!is_recent(claims, now, id) && !is_lost(claims, id)) {
+            ranked[count++] = (ranked_t){.id = id, .score = score(key, id)};
+        }
+    }
+    for (guint i = 0; i < claims->losses->len; i++) {
+        const loss_t *loss = &g_array_index(claims->losses, loss_t, i);
+        mv_node_id_t id = (mv_node_id_t)loss->member.id;
+        ranked[count++] =
+            (ranked_t){.id = id, .score = score(key, id), .lost = true};
+    }
+    qsort(ranked, count, sizeof(ranked[0]), compare_ranked);
+    bool lost = count >= 2 && ranked[0].lost && ranked[1].lost;
+    g_free(ranked);
+    return lost;
+}
+
+/* Owner ------------------------------------------------------------------------------------------ */
+
+static void
+answer_state(mv_claims_t *claims, mv_time_t now, mv_node_id_t to,
+             mv_request_id_t request, const claim_t *claim)
+{
+    mv_claim_record_t record = record_of(claim, MV_CLAIM_STATE, now);
+    record.request = request;
+    send(claims, now, to, record);
+}
+
+static void
+answer(mv_claims_t *claims, mv_time_t now, mv_node_id_t to, uint32_t op,
+       const mv_claim_record_t *asked)
+{
+    send(claims, now, to,
+         (mv_claim_record_t){.op = op,
+                             .key_high = asked->key_high,
+                             .key_low = asked->key_low,
+                             .node = to,
+                             .request = asked->request});
+}
+
+static void
+copy_or_grant(mv_claims_t *claims, mv_time_t now, claim_t *claim,
+              mv_node_id_t second)
+{
+    if (claim->copied || second == MV_NO_NODE) {
+        send(claims, now, claim->node,
+             record_of(claim, MV_CLAIM_GRANTED, now));
+        return;
+    }
+    send(claims, now, second, record_of(claim, MV_CLAIM_COPY, now));
+}
+
+static void
+take_ask(mv_claims_t *claims, mv_time_t now, mv_node_id_t from,
+         const mv_claim_record_t *record)
+{
+    mv_key_hash_t key = {.high = record->key_high, .low = record->key_low};
+    mv_requests_t *requests = claims->requests;
+    mv_node_id_t who[2];
+    owners(claims, key, who);
+    claim_t *claim = find(claims, key);
+    bool own = who[0] == requests->self;
+    if (claim && claim->state == MV_CLAIM_NOT_RUN && own) {
+        g_hash_table_remove(claims->claims, &key);
+        claim = NULL;
+    }
+    bool again = claim && claim->state == MV_CLAIMED &&
+                 claim->node == from && claim->request == record->request;
+    if (claim && !again && claim->state != MV_CLAIM_NOT_RUN) {
+        MvCounters_Add(requests->counters, MV_COUNTER_CLAIMS_DUPLICATE, 1);
+        answer_state(claims, now, from, record->request, claim);
+        return;
+    }
+    if (!own || claims->leaving || !is_synced(claims)) {
+        answer(claims, now, from, MV_CLAIM_RETRY, record);
+        return;
+    }
+    if (!claim && may_have_lost(claims, now, key)) {
+        MvCounters_Add(requests->counters, MV_COUNTER_CLAIMS_REFUSED, 1);
+        answer(claims, now, from, MV_CLAIM_LOST, record);
+        return;
+    }
+    if (!claim) {
+        MvCounters_Add(requests->counters, MV_COUNTER_CLAIMS_ACCEPTED, 1);
+        claim = add(claims, now, key, from, record->request);
+    }
+    copy_or_grant(claims, now, claim, who[1]);
+}
+
+static void
+take_copied(mv_claims_t *claims, mv_time_t now, mv_node_id_t from,
+            const mv_claim_record_t *record)
+{
+    mv_key_hash_t key = {.high = record->key_high, .low = record->key_low};
+    claim_t *claim = find(claims, key);
+    mv_node_id_t who[2];
+    owners(claims, key, who);
+    bool current = claim && claim->state == MV_CLAIMED &&
+                   claim->node == record->node &&
+                   claim->request == record->request &&
+                   who[0] == claims->requests->self && who[1] == from;
+    if (current) {
+        claim->copied = true;
+        copy_or_grant(claims, now, claim, who[1]);
+    }
+}
+
+/* Second: agrees only when it sees the same owner. */
+static void
+take_copy(mv_claims_t *claims, mv_time_t now, mv_node_id_t from,
+          const mv_claim_record_t *record)
+{
+    mv_key_hash_t key = {.high = record->key_high, .low = record->key_low};
+    claim_t *claim = find(claims, key);
+    mv_node_id_t who[2];
+    owners(claims, key, who);
+    if (who[0] != from || who[1] != claims->requests->self) {
+        return;
+    }
+    if (claim && claim->state != MV_CLAIM_NOT_RUN &&
+        !is_same_claim(claim, record)) {
+        /* The owner lacks what is known here: tell it instead. */
+        send(claims, now, from, record_of(claim, MV_CLAIM_RECORD, now));
+        return;
+    }
+    if (claim) {
+        g_hash_table_remove(claims->claims, &key);
+    }
+    add(claims, now, key, (mv_node_id_t)record->node, record->request);
+    mv_claim_record_t reply = *record;
+    reply.op = MV_CLAIM_COPIED;
+    reply.bytes = NULL;
+    reply.length = 0;
+    send(claims, now, from, reply);
+}
+
+/* Asker ----------------------------------------------------------------------------------------- */
+
+void
+MvClaims_Ask(mv_claims_t *claims, mv_time_t now, mv_request_t *request)
+{
+    mv_node_id_t who[2];
+    owners(claims, request->key, who);
+    if (who[0] == MV_NO_NODE) {
+        return;
+    }
+    send(claims, now, who[0],
+         (mv_claim_record_t){.op = MV_CLAIM_ASK,
+                             .key_high = request->key.high,
+                             .key_low = request->key.low,
+                             .node = claims->requests->self,
+                             .request = request->id});
+}
+
+static mv_request_t *
+find_asking(mv_claims_t *claims, const mv_claim_record_t *record)
+{
+    mv_request_t *request =
+        MvRequests_Find(claims->requests, record->request);
+    bool asking = request && request->state == MV_REQUEST_CLAIMING &&
+                  !request->abandoned &&
+                  request->key.high == record->key_high &&
+                  request->key.low == record->key_low;
+    return asking ? request : NULL;
+}
+
+static void
+take_granted(mv_claims_t *claims, mv_time_t now,
+             const mv_claim_record_t *record)
+{
+    mv_requests_t *requests = claims->requests;
+    mv_request_t *request = find_asking(claims, record);
+    if (!request) {
+        /* It gave up before: the key is free again, if it never ran. */
+        if (!MvRequests_Find(requests, record->request)) {
+            mv_key_hash_t key = {.high = record->key_high,
+                                 .low = record->key_low};
+            MvClaims_Settle(claims, now, key, record->request,
+                            MV_CLAIM_NOT_RUN, NULL, 0);
+        }
+        return;
+    }
+    request->claimed = true;
+    /* This node keeps evidence of what it dispatched, too. */
+    merge(claims, now, record);
+    MvSlots_Enqueue(requests->slots, now, request);
+}
+
+static void
+take_state(mv_claims_t *claims, mv_time_t now,
+           const mv_claim_record_t *record)
+{
+    mv_requests_t *requests = claims->requests;
+    mv_request_t *request = find_asking(claims, record);
+    if (!request) {
+        return;
+    }
+    switch (record->state) {
+    case MV_CLAIM_DONE: {
+        mv_request_id_t id = request->id;
+        MvCounters_Add(requests->counters, MV_COUNTER_REQUESTS_REPLAYED, 1);
+        MvRequests_Close(requests, request);
+        requests->effects->ops->replay(requests->effects, id, record->bytes,
+                                       record->length);
+        break;
+    }
+    case MV_CLAIM_DONE_UNRETAINED:
+    case MV_CLAIM_OUTCOME_UNKNOWN:
+        MvRequests_Finish(requests, now, request, MV_OUTCOME_UNKNOWN,
+                          MV_REASON_DUPLICATE);
+        break;
+    default:
+        /* Still running: asked again until the deadline. */
+        request->is_duplicate = true;
+        break;
+    }
+}
+
+static void
+take_lost(mv_claims_t *claims, mv_time_t now,
+          const mv_claim_record_t *record)
+{
+    mv_request_t *request = find_asking(claims, record);
+    if (request) {
+        MvRequests_Finish(claims->requests, now, request, MV_OUTCOME_UNKNOWN,
+                          MV_REASON_EVIDENCE_LOST);
+    }
+}
+
+void
+MvClaims_Settle(mv_claims_t *claims, mv_time_t now, mv_key_hash_t key,
+                mv_request_id_t id, uint32_t state, const char *bytes,
+                size_t length)
+{
+    mv_node_id_t self = claims->requests->self;
+    mv_node_id_t who[2];
+    owners(claims, key, who);
+    bool kept = length <= MV_RETAINED_MAX;
+    mv_claim_record_t record = {
+        .op = MV_CLAIM_SETTLE,
+        .key_high = key.high,
+        .key_low = key.low,
+        .state = state == MV_CLAIM_DONE && !kept ? MV_CLAIM_DONE_UNRETAINED
+                                                 : state,
+        .node = self,
+        .request = id,
+        .bytes = kept ? (char *)bytes : NULL,
+        .length = kept ? length : 0,
+    };
+    take_record(claims, now, self, &record, claims->epoch);
+    for (int i = 0; i < 2; i++) {
+        if (who[i] != MV_NO_NODE && who[i] != self) {
+            send(claims, now, who[i], record);
+        }
+    }
+}
+
+static void
+take_settle(mv_claims_t *claims, mv_time_t now,
+            const mv_claim_record_t *record)
+{
+    mv_key_hash_t key = {.high = record->key_high, .low = record->key_low};
+    claim_t *claim = find(claims, key);
+    if (!claim) {
+        if (record->state != MV_CLAIM_NOT_RUN) {
+            merge(claims, now, record);
+        }
+        return;
+    }
+    if (is_same_claim(claim, record)) {
+        merge(claims, now, record);
+    }
+}
+
+/* Members change: everyone tells the new owners what it knows. ------------------------------------- */
+
+static void
+send_sync_end(mv_claims_t *claims, mv_time_t now, mv_node_id_t to)
+{
+    send(claims, now, to,
+         (mv_claim_record_t){.op = MV_CLAIM_SYNC_END,
+                             .state = claims->leaving,
+                             .node = claims->requests->self});
+}
+
+/* Send every record to its owners, or only those that @only should have. */
+static void
+send_records(mv_claims_t *claims, mv_time_t now, mv_node_id_t only)
+{
+    mv_requests_t *requests = claims->requests;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, claims->claims);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        claim_t *claim = value;
+        mv_node_id_t who[2];
+        owners(claims, claim->key, who);
+        claim->copied = claim->copied && only != MV_NO_NODE;
+        for (int i = 0; i < 2; i++) {
+            bool wanted = only == MV_NO_NODE || only == who[i];
+            if (wanted && who[i] != MV_NO_NODE && who[i] != requests->self) {
+                send(claims, now, who[i],
+                     record_of(claim, MV_CLAIM_RECORD, now));
+            }
+        }
+    }
+    for (size_t i = 0; i < requests->member_count; i++) {
+        mv_node_id_t id = (mv_node_id_t)requests->members[i].id;
+        bool wanted = only == MV_NO_NODE || only == id;
+        if (wanted && id != requests->self) {
+            send_sync_end(claims, now, id);
+        }
+    }
+}
+
+/* A word of theirs may have been lost: ask those that are missing. */
+static void
+ask_unsynced(mv_claims_t *claims, mv_time_t now)
+{
+    mv_requests_t *requests = claims->requests;
+    for (size_t i = 0; i < requests->member_count; i++) {
+        mv_node_id_t id = (mv_node_id_t)requests->members[i].id;
+        if (id != requests->self && !is_synced_with(claims, id)) {
+            send(claims, now, id,
+                 (mv_claim_record_t){.op = MV_CLAIM_SYNC_ASK,
+                                     .node = requests->self});
+        }
+    }
+}
+
+static void
+note_losses(mv_claims_t *claims, mv_time_t now,
+            const mv_request_member_t *old, size_t old_count)
+{
+    const mv_requests_t *requests = claims->requests;
+    for (size_t i = 0; i < old_count; i++) {
+        bool there = false;
+        for (size_t j = 0; j < requests->member_count; j++) {
+            there = there || !memcmp(&old[i], &requests->members[j],
+                                     sizeof(old[i]));
+        }
+        gpointer life = GUINT_TO_POINTER(old[i].life ^ old[i].id);
+        if (there || g_hash_table_contains(claims->handed_over, life) ||
+            claims->losses->len >= MAX_HISTORY) {
+            continue;
+        }
+        loss_t loss = {.member = old[i], .since = now};
+        g_array_append_val(claims->losses, loss);
+    }
+}
+
+/* One that was only cut off or paused comes back with all it knew. */
+static void
+drop_returned(mv_claims_t *claims)
+{
+    const mv_requests_t *requests = claims->requests;
+    for (guint i = claims->losses->len; i-- > 0;) {
+        const loss_t *loss = &g_array_index(claims->losses, loss_t, i);
+        bool back = false;
+        for (size_t j = 0; j < requests->member_count; j++) {
+            back = back || !memcmp(&loss->member, &requests->members[j],
+                                   sizeof(loss->member));
+        }
+        if (back) {
+            g_array_remove_index(claims->losses, i);
+        }
+    }
+}
+
+static void
+note_arrivals(mv_claims_t *claims, mv_time_t now, bool first)
+{
+    const mv_requests_t *requests = claims->requests;
+    for (size_t i = 0; i < requests->member_count; i++) {
+        const mv_request_member_t *member = &requests->members[i];
+        bool known = false;
+        for (guint j = 0; j < claims->arrivals->len; j++) {
+            arrival_t *one = &g_array_index(claims->arrivals, arrival_t, j);
+            if (one->member.id == member->id) {
+                known = one->member.life == member->life;
+                if (!known) {
+                    one->member = *member;
+                    one->since = now;
+                }
+                known = true;
+            }
+        }
+        if (!known) {
+            arrival_t one = {.member = *member,
+                             .since = first ? now - MV_KEY_WINDOW : now};
+            g_array_append_val(claims->arrivals, one);
+        }
+    }
+}
+
+void
+MvClaims_View(mv_claims_t *claims, mv_time_t now,
+              const mv_request_member_t *old, size_t old_count)
+{
+    uint64_t epoch = epoch_of(claims->requests);
+    if (epoch == claims->epoch) {
+        return;
+    }
+    note_losses(claims, now, old, old_count);
+    drop_returned(claims);
+    note_arrivals(claims, now, claims->epoch == 0);
+    claims->epoch = epoch;
+    send_records(claims, now, MV_NO_NODE);
+    claims->next_sync = now + SYNC_INTERVAL;
+}
+
+void
+MvClaims_Leave(mv_claims_t *claims, mv_time_t now)
+{
+    claims->leaving = true;
+    send_records(claims, now, MV_NO_NODE);
+}
+
+static void
+take_sync_end(mv_claims_t *claims, mv_node_id_t from,
+              const mv_claim_record_t *record, uint64_t epoch)
+{
+    const mv_requests_t *requests = claims->requests;
+    uint64_t *kept = g_new0(uint64_t, 1);
+    *kept = epoch;
+    g_hash_table_insert(claims->synced, GUINT_TO_POINTER(from), kept);
+    for (size_t i = 0; record->state && i < requests->member_count; i++) {
+        const mv_request_member_t *member = &requests->members[i];
+        if (member->id == from) {
+            g_hash_table_add(claims->handed_over,
+                             GUINT_TO_POINTER(member->life ^ member->id));
+        }
+    }
+}
+
+/* Messages in ----------------------------------------------------------------------------------------- */
+
+static void
+take_record(mv_claims_t *claims, mv_time_t now, mv_node_id_t from,
+            const mv_claim_record_t *record, uint64_t epoch)
+{
+    switch (record->op) {
+    case MV_CLAIM_ASK:
+        take_ask(claims, now, from, record);
+        break;
+    case MV_CLAIM_GRANTED:
+        take_granted(claims, now, record);
+        break;
+    case MV_CLAIM_STATE:
+        take_state(claims, now, record);
+        break;
+    case MV_CLAIM_LOST:
+        take_lost(claims, now, record);
+        break;
+    case MV_CLAIM_COPY:
+        take_copy(claims, now, from, record);
+        break;
+    case MV_CLAIM_COPIED:
+        take_copied(claims, now, from, record);
+        break;
+    case MV_CLAIM_SETTLE:
+        take_settle(claims, now, record);
+        break;
+    case MV_CLAIM_RECORD:
+        merge(claims, now, record);
+        break;
+    case MV_CLAIM_SYNC_ASK:
+        send_records(claims, now, from);
+        break;
+    case MV_CLAIM_SYNC_END:
+        take_sync_end(claims, from, record, epoch);
+        break;
+    default:
+        break; /* RETRY: asked again by the timer. */
+    }
+}
+
+void
+MvClaims_Message(mv_claims_t *claims, mv_time_t now,
+                 const mv_message_t *message)
+{
+    for (size_t i = 0; i < message->claim_count; i++) {
+        take_record(claims, now, (mv_node_id_t)message->from,
+                    &message->claims[i], message->version);
+    }
+}
+
+static gboolean
+is_old(gpointer key, gpointer value, gpointer now)
+{
+    const claim_t *claim = value;
+    (void)key;
+    return *(mv_time_t *)now - claim->since > MV_KEY_WINDOW;
+}
+
+void
+MvClaims_Timer(mv_claims_t *claims, mv_time_t now)
+{
+    if (now >= claims->next_sync) {
+        claims->next_sync = now + SYNC_INTERVAL;
+        ask_unsynced(claims, now);
+    }
+    if (now < claims->next_sweep) {
+        return;
+    }
+    claims->next_sweep = now + SWEEP_INTERVAL;
+    g_hash_table_foreach_remove(claims->claims, is_old, &now);
+    for (guint i = claims->losses->len; i-- > 0;) {
+        const loss_t *loss = &g_array_index(claims->losses, loss_t, i);
+        if (now - loss->since > MV_KEY_WINDOW) {
+            g_array_remove_index(claims->losses, i);
+        }
+    }
+}
--- a/packages/core/src/members.c
+++ b/packages/core/src/members.c
@@ -112,6 +112,7 @@
     }
     member->incarnation = update->incarnation;
     member->ready = update->ready;
+    member->life = update->life;
     member->config_version =
         MAX(member->config_version, update->config_version);
     spread_again(node, member);
@@ -124,6 +125,7 @@
     return (mv_member_update_t){
         .node = node->settings.id,
         .incarnation = node->incarnation,
+        .life = node->life,
         .state = node->left ? MV_MEMBER_LEFT : MV_MEMBER_ALIVE,
         .ready = node->ready && !node->left,
         .config_version = node->deployment ? node->deployment->version : 0,
@@ -136,6 +138,7 @@
     return (mv_member_update_t){
         .node = member->id,
         .incarnation = member->incarnation,
+        .life = member->life,
         .state = member->state,
         .ready = member->ready,
         .config_version = member->config_version,
--- a/packages/core/src/node.c
+++ b/packages/core/src/node.c
@@ -49,6 +49,7 @@
     node->fresh_at = now;
     node->last_timer = now;
     node->incarnation = (uint32_t)(wall / MV_SECOND);
+    node->life = node->incarnation;
     node->members = g_ptr_array_new_with_free_func(g_free);
     node->services = g_ptr_array_new();
     MvList_Init(&node->batches);
@@ -321,6 +322,22 @@
     return id == node->settings.id || (member && MvMembers_IsLive(member));
 }
 
+uint32_t
+MvNode_Life(const mv_node_t *node, mv_node_id_t id)
+{
+    const mv_member_t *member = MvMembers_Find(node, id);
+    if (id == node->settings.id) {
+        return node->life;
+    }
+    return member ? member->life : 0;
+}
+
+bool
+MvNode_HasLeft(const mv_node_t *node)
+{
+    return node->left;
+}
+
 size_t
 MvNode_LiveMembers(const mv_node_t *node)
 {
--- a/packages/core/src/node_private.h
+++ b/packages/core/src/node_private.h
@@ -23,6 +23,7 @@
  * @ready: may be a home
  * @known_ready: value of @ready when homes were last computed
  * @incarnation: latest heard
+ * @life: Unix second at which its process started
  * @config_version: configuration it said it has
  * @state_since: time of the last change of @state
  * @spread_left: times the belief is still passed on
@@ -31,12 +32,14 @@
  * @probe_indirect: others were asked to probe
  * @heard: time of the last message from it
  * @synced: it answered the current sync round
+ * @handed_over: it has all that this stopping node handed over
  */
 typedef struct mv_member {
     mv_node_id_t id;
     mv_member_state_t state;
     bool ready;
     uint32_t incarnation;
+    uint32_t life;
     uint64_t config_version;
     mv_time_t state_since;
     unsigned spread_left;
@@ -126,6 +129,7 @@
     GPtrArray *members;
     mv_member_t **member_index;
     uint32_t incarnation;
+    uint32_t life;
     uint32_t sequence;
     size_t probe_position;
     mv_time_t next_probe;
--- a/packages/core/src/requests.c
+++ b/packages/core/src/requests.c
@@ -1,34 +1,10 @@
-/* Requests: which may run, where, and what their caller is told. */
-#include "masticvane/requests.h"
+/* Life of a request: filters, claim, slot, dispatch, outcome. */
+#include "requests_private.h"
 
 #include <string.h>
 
-typedef struct request {
-    mv_request_id_t id;
-    mv_list_t queued;
-    const mv_service_t *service;
-    const mv_work_t *work;
-    mv_time_t deadline;
-    mv_time_t arrived;
-    uint16_t endpoint;
-    bool dispatched;
-    bool abandoned;
-} request_t;
-
-struct mv_requests {
-    mv_node_id_t self;
-    mv_request_effects_t *effects;
-    mv_counters_t *counters;
-    GRand *random;
-    mv_time_t wall_offset;
-    mv_deployment_t *deployment;
-    GHashTable *requests;
-    GHashTable *busy;
-    mv_list_t queue;
-    size_t open;
-    bool stopping;
-    mv_histogram_t waits;
-};
+#define MAX_ATTEMPTS 3
+#define CLAIM_RETRY (20 * MV_MILLISECOND)
 
 static const char *const reason_names[MV_REASON_COUNT] = {
     [MV_REASON_NO_CONFIG] = "no-configuration",
@@ -67,8 +43,8 @@
     requests->wall_offset = wall - now;
     requests->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                                NULL, g_free);
-    requests->busy = g_hash_table_new(g_direct_hash, g_direct_equal);
-    MvList_Init(&requests->queue);
+    requests->claims = MvClaims_Create(requests);
+    requests->slots = MvSlots_Create(requests);
     return requests;
 }
 
@@ -78,136 +54,132 @@
     if (!requests) {
         return;
     }
+    MvSlots_Destroy(requests->slots);
+    MvClaims_Destroy(requests->claims);
     g_hash_table_unref(requests->requests);
-    g_hash_table_unref(requests->busy);
+    g_free(requests->members);
     MvDeployment_Unref(requests->deployment);
     g_free(requests);
 }
 
-static const mv_service_t *
-find_service(const mv_requests_t *requests, const char *name)
+mv_request_t *
+MvRequests_Find(const mv_requests_t *requests, mv_request_id_t id)
 {
-    const mv_deployment_t *deployment = requests->deployment;
-    for (uint16_t i = 0; deployment && i < deployment->service_count; i++) {
-        if (!strcmp(deployment->services[i].name, name)) {
-            return &deployment->services[i];
-        }
-    }
-    return NULL;
+    return g_hash_table_lookup(requests->requests, &id);
 }
 
-static const mv_work_t *
-find_work(const mv_service_t *service, const mv_request_info_t *info)
+bool
+MvRequests_IsMember(const mv_requests_t *requests, mv_node_id_t id)
 {
-    for (uint16_t i = 0; i < service->work_count; i++) {
-        const mv_work_t *work = &service->work[i];
-        bool method = !*work->method || !strcmp(work->method, info->method);
-        if (method && g_str_has_prefix(info->path, work->path)) {
-            return work;
+    for (size_t i = 0; i < requests->member_count; i++) {
+        if (requests->members[i].id == id) {
+            return true;
         }
     }
-    return NULL;
-}
-
-static gpointer
-slot_key(const mv_service_t *service, uint16_t endpoint)
-{
-    return GUINT_TO_POINTER(((guint)service->id << 16) | endpoint);
-}
-
-static guint
-busy_slots(const mv_requests_t *requests, const mv_service_t *service,
-           uint16_t endpoint)
-{
-    return GPOINTER_TO_UINT(
-        g_hash_table_lookup(requests->busy, slot_key(service, endpoint)));
+    return false;
 }
 
-static void
-add_busy(mv_requests_t *requests, const mv_service_t *service,
-         uint16_t endpoint, int change)
-{
-    guint busy = busy_slots(requests, service, endpoint);
-    g_hash_table_insert(requests->busy, slot_key(service, endpoint),
-                        GUINT_TO_POINTER(busy + (guint)change));
-}
+/* Ends ---------------------------------------------------------------------------- */
 
-static const mv_endpoint_t *
-choose_endpoint(const mv_requests_t *requests, const mv_service_t *service,
-                mv_time_t now)
+void
+MvRequests_Close(mv_requests_t *requests, mv_request_t *request)
 {
-    const mv_endpoint_t *best = NULL;
-    guint best_busy = 0;
-    guint start = (guint)g_rand_int_range(requests->random, 0,
-                                          service->endpoint_count);
-    mv_time_t wall = now + requests->wall_offset;
-    for (guint i = 0; i < service->endpoint_count; i++) {
-        const mv_endpoint_t *endpoint =
-            &service->endpoints[(start + i) % service->endpoint_count];
-        if (endpoint->leaves_at && endpoint->leaves_at * MV_SECOND <= wall) {
-            continue;
-        }
-        guint busy = busy_slots(requests, service, endpoint->id);
-        if (!best || busy < best_busy) {
-            best = endpoint;
-            best_busy = busy;
-        }
-    }
-    return best;
+    requests->open -= !request->abandoned;
+    MvList_Remove(&request->link);
+    g_hash_table_remove(requests->requests, &request->id);
 }
 
 static void
-close_request(mv_requests_t *requests, request_t *request)
+settle_claim(mv_requests_t *requests, mv_time_t now,
+             const mv_request_t *request, uint32_t state, const char *bytes,
+             size_t length)
 {
-    if (request->dispatched) {
-        add_busy(requests, request->service, request->endpoint, -1);
+    if (request->claimed) {
+        MvClaims_Settle(requests->claims, now, request->key, request->id,
+                        state, bytes, length);
     }
-    requests->open -= !request->abandoned;
-    MvList_Remove(&request->queued);
-    g_hash_table_remove(requests->requests, &request->id);
 }
 
-static void
-finish(mv_requests_t *requests, mv_request_id_t id, mv_outcome_t outcome,
-       mv_reason_t reason)
+/* Tell the caller; a dispatched request stays until its slot is free. */
+void
+MvRequests_Finish(mv_requests_t *requests, mv_time_t now,
+                  mv_request_t *request, mv_outcome_t outcome,
+                  mv_reason_t reason)
 {
+    bool not_run = outcome == MV_OUTCOME_NOT_RUN;
+    mv_request_id_t id = request->id;
+    bool dispatched = request->state == MV_REQUEST_DISPATCHED;
     MvCounters_Add(requests->counters,
-                   outcome == MV_OUTCOME_NOT_RUN ? MV_COUNTER_REQUESTS_NOT_RUN
-                                                 : MV_COUNTER_REQUESTS_UNKNOWN,
+                   not_run ? MV_COUNTER_REQUESTS_NOT_RUN
+                           : MV_COUNTER_REQUESTS_UNKNOWN,
                    1);
+    requests->reasons[reason]++;
+    settle_claim(requests, now, request,
+                 not_run ? MV_CLAIM_NOT_RUN : MV_CLAIM_OUTCOME_UNKNOWN, NULL,
+                 0);
+    if (dispatched) {
+        request->abandoned = true;
+        requests->open--;
+    }
+    else {
+        MvRequests_Close(requests, request);
+    }
     requests->effects->ops->finish(requests->effects, id, outcome, reason);
+    if (dispatched) {
+        requests->effects->ops->cancel(requests->effects, id);
+    }
 }
 
-static void
-dispatch(mv_requests_t *requests, mv_time_t now, request_t *request)
+void
+MvRequests_Dispatch(mv_requests_t *requests, mv_time_t now,
+                    mv_request_t *request, uint16_t endpoint)
 {
-    const mv_endpoint_t *endpoint =
-        choose_endpoint(requests, request->service, now);
-    if (!endpoint) {
-        finish(requests, request->id, MV_OUTCOME_NOT_RUN,
-               MV_REASON_NO_ENDPOINT);
-        close_request(requests, request);
+    const mv_service_t *service =
+        MvDeployment_Find(requests->deployment, request->service);
+    const mv_endpoint_t *known =
+        service ? MvService_Endpoint(service, endpoint) : NULL;
+    mv_request_id_t id = request->id;
+    MvList_Remove(&request->link);
+    request->state = MV_REQUEST_DISPATCHED;
+    request->endpoint = endpoint;
+    request->attempts++;
+    if (!known) {
+        MvRequests_Answered(requests, now, id, MV_RESULT_UNREACHABLE, NULL,
+                            0);
         return;
     }
-    request->endpoint = endpoint->id;
-    request->dispatched = true;
-    add_busy(requests, request->service, endpoint->id, 1);
     MvHistogram_Add(&requests->waits, now - request->arrived);
     MvCounters_Add(requests->counters, MV_COUNTER_REQUESTS_DISPATCHED, 1);
-    requests->effects->ops->dispatch(requests->effects, request->id,
-                                     request->service, endpoint);
+    if (request->attempts > 1) {
+        MvCounters_Add(requests->counters, MV_COUNTER_REQUESTS_RETRIED, 1);
+    }
+    requests->effects->ops->dispatch(requests->effects, id, service, known);
 }
 
+/* Inputs ---------------------------------------------------------------------------- */
+
 void
 MvRequests_View(mv_requests_t *requests, mv_time_t now,
-                mv_deployment_t *deployment, const mv_node_id_t *members,
-                size_t count)
+                mv_deployment_t *deployment,
+                const mv_request_member_t *members, size_t count)
 {
-    (void)now;
-    (void)members;
-    (void)count;
     mv_deployment_t *old = requests->deployment;
+    mv_request_member_t *old_members = requests->members;
+    size_t old_count = requests->member_count;
+    bool same = old == deployment && old_count == count &&
+                (count == 0 || !memcmp(old_members, members,
+                                       count * sizeof(*members)));
+    if (same) {
+        return;
+    }
     requests->deployment = deployment ? MvDeployment_Ref(deployment) : NULL;
+    requests->members =
+        g_memdup2(members, count * sizeof(mv_request_member_t));
+    requests->member_count = count;
+    MvSlots_View(requests->slots, now);
+    MvClaims_View(requests->claims, now, old_members, old_count);
+    MvSlots_Flush(requests->slots, now);
+    g_free(old_members);
     MvDeployment_Unref(old);
 }
 
@@ -216,24 +188,56 @@
                   const mv_request_info_t *info)
 {
     MvCounters_Add(requests->counters, MV_COUNTER_REQUESTS_IN, 1);
-    const mv_service_t *service = find_service(requests, info->service);
-    if (requests->stopping || !requests->deployment || !service) {
-        finish(requests, info->id, MV_OUTCOME_NOT_RUN,
-               requests->stopping      ? MV_REASON_STOPPING
-               : !requests->deployment ? MV_REASON_NO_CONFIG
-                                       : MV_REASON_NO_SERVICE);
+    MvRetryBudget_Earn(&requests->retries);
+    mv_request_t *request = MvFilters_Run(requests, now, info);
+    if (request && request->has_key) {
+        request->state = MV_REQUEST_CLAIMING;
+        MvClaims_Ask(requests->claims, now, request);
+    }
+    else if (request) {
+        MvSlots_Enqueue(requests->slots, now, request);
+    }
+    MvSlots_Flush(requests->slots, now);
+}
+
+static uint32_t
+return_flag(mv_result_t result)
+{
+    switch (result) {
+    case MV_RESULT_WHOLE:
+        return MV_RETURN_GOOD;
+    case MV_RESULT_NOT_PROCESSED:
+        return MV_RETURN_SHED;
+    default:
+        return MV_RETURN_FAILED;
+    }
+}
+
+static bool
+may_retry(mv_requests_t *requests, mv_time_t now, const mv_request_t *request,
+          mv_result_t result)
+{
+    bool surely_not_run = result != MV_RESULT_BROKEN;
+    bool harmless = surely_not_run || !request->non_idempotent;
+    return harmless && !requests->stopping &&
+           request->attempts < MAX_ATTEMPTS && now < request->deadline &&
+           MvRetryBudget_Spend(&requests->retries);
+}
+
+static void
+settle_failure(mv_requests_t *requests, mv_time_t now, mv_request_t *request,
+               mv_result_t result)
+{
+    request->state = MV_REQUEST_WAITING;
+    if (may_retry(requests, now, request, result)) {
+        MvSlots_Enqueue(requests->slots, now, request);
         return;
     }
-    request_t *request = g_new0(request_t, 1);
-    request->id = info->id;
-    request->service = service;
-    request->work = find_work(service, info);
-    request->deadline = info->deadline;
-    request->arrived = now;
-    MvList_Init(&request->queued);
-    requests->open++;
-    g_hash_table_insert(requests->requests, &request->id, request);
-    dispatch(requests, now, request);
+    bool broken = result == MV_RESULT_BROKEN;
+    MvRequests_Finish(requests, now, request,
+                      broken ? MV_OUTCOME_UNKNOWN : MV_OUTCOME_NOT_RUN,
+                      broken ? MV_REASON_BACKEND_BROKEN
+                             : MV_REASON_BACKEND_REFUSED);
 }
 
 bool
@@ -241,80 +245,125 @@
                     mv_request_id_t id, mv_result_t result, const char *bytes,
                     size_t length)
 {
-    request_t *request = g_hash_table_lookup(requests->requests, &id);
-    (void)now;
-    (void)bytes;
-    (void)length;
-    if (!request || request->abandoned) {
+    mv_request_t *request = MvRequests_Find(requests, id);
+    bool give = false;
+    if (!request || request->state != MV_REQUEST_DISPATCHED) {
         MvCounters_Add(requests->counters, MV_COUNTER_ANSWERS_LATE, 1);
-        if (request) {
-            close_request(requests, request);
-        }
         return false;
     }
-    bool whole = result == MV_RESULT_WHOLE;
-    if (whole) {
-        MvCounters_Add(requests->counters, MV_COUNTER_REQUESTS_ANSWERED, 1);
+    uint16_t service = request->service;
+    uint16_t endpoint = request->endpoint;
+    if (result == MV_RESULT_WHOLE) {
+        /* Also when late: a repeated key then gets the real answer. */
+        settle_claim(requests, now, request, MV_CLAIM_DONE, bytes, length);
+        give = !request->abandoned;
+        MvCounters_Add(requests->counters,
+                       give ? MV_COUNTER_REQUESTS_ANSWERED
+                            : MV_COUNTER_ANSWERS_LATE,
+                       1);
+        MvRequests_Close(requests, request);
+    }
+    else if (request->abandoned) {
+        MvRequests_Close(requests, request);
     }
     else {
-        finish(requests, id,
-               result == MV_RESULT_NOT_PROCESSED ? MV_OUTCOME_NOT_RUN
-                                                 : MV_OUTCOME_UNKNOWN,
-               result == MV_RESULT_NOT_PROCESSED ? MV_REASON_BACKEND_REFUSED
-                                                 : MV_REASON_BACKEND_BROKEN);
+        settle_failure(requests, now, request, result);
     }
-    close_request(requests, request);
-    return whole;
+    MvSlots_Released(requests->slots, now, service, endpoint, id,
+                     return_flag(result));
+    MvSlots_Flush(requests->slots, now);
+    return give;
 }
 
 void
 MvRequests_Cancelled(mv_requests_t *requests, mv_time_t now,
                      mv_request_id_t id)
 {
-    request_t *request = g_hash_table_lookup(requests->requests, &id);
-    (void)now;
+    mv_request_t *request = MvRequests_Find(requests, id);
     if (!request || request->abandoned) {
         return;
     }
     MvCounters_Add(requests->counters, MV_COUNTER_REQUESTS_CANCELLED, 1);
-    request->abandoned = true;
-    requests->open--;
-    if (request->dispatched) {
+    if (request->state == MV_REQUEST_DISPATCHED) {
+        request->abandoned = true;
+        requests->open--;
+        settle_claim(requests, now, request, MV_CLAIM_OUTCOME_UNKNOWN, NULL,
+                     0);
         requests->effects->ops->cancel(requests->effects, id);
     }
+    else {
+        settle_claim(requests, now, request, MV_CLAIM_NOT_RUN, NULL, 0);
+        MvSlots_Withdraw(requests->slots, now, request);
+        MvRequests_Close(requests, request);
+    }
+    MvSlots_Flush(requests->slots, now);
 }
 
 void
 MvRequests_Message(mv_requests_t *requests, mv_time_t now,
                    const mv_message_t *message)
 {
-    (void)requests;
-    (void)now;
-    (void)message;
+    if (message->kind == MV_MESSAGE_SLOTS) {
+        MvSlots_Message(requests->slots, now, message);
+    }
+    if (message->kind == MV_MESSAGE_CLAIMS) {
+        MvClaims_Message(requests->claims, now, message);
+    }
+    MvSlots_Flush(requests->slots, now);
+}
+
+/* What cannot be finished in time gets its outcome now. */
+static void
+expire(mv_requests_t *requests, mv_time_t now, mv_request_t *request)
+{
+    if (request->state == MV_REQUEST_DISPATCHED) {
+        MvRequests_Finish(requests, now, request, MV_OUTCOME_UNKNOWN,
+                          MV_REASON_DEADLINE);
+        return;
+    }
+    bool claiming = request->state == MV_REQUEST_CLAIMING;
+    if (request->is_duplicate) {
+        MvRequests_Finish(requests, now, request, MV_OUTCOME_UNKNOWN,
+                          MV_REASON_DUPLICATE);
+        return;
+    }
+    MvSlots_Withdraw(requests->slots, now, request);
+    MvRequests_Finish(requests, now, request, MV_OUTCOME_NOT_RUN,
+                      claiming ? MV_REASON_CLAIM_UNAVAILABLE
+                               : MV_REASON_DEADLINE);
 }
 
 void
 MvRequests_Timer(mv_requests_t *requests, mv_time_t now)
 {
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, requests->requests);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        request_t *request = value;
-        if (request->abandoned || now <= request->deadline) {
-            continue;
+    GList *all = g_hash_table_get_values(requests->requests);
+    for (GList *item = all; item; item = item->next) {
+        mv_request_t *request = item->data;
+        if (!request->abandoned && now >= request->deadline) {
+            expire(requests, now, request);
+        }
+        else if (request->state == MV_REQUEST_CLAIMING &&
+                 now >= request->retry_claim_at) {
+            request->retry_claim_at = now + CLAIM_RETRY;
+            MvClaims_Ask(requests->claims, now, request);
         }
-        request->abandoned = true;
-        requests->open--;
-        finish(requests, request->id, MV_OUTCOME_UNKNOWN, MV_REASON_DEADLINE);
-        requests->effects->ops->cancel(requests->effects, request->id);
     }
+    g_list_free(all);
+    MvSlots_Timer(requests->slots, now);
+    MvClaims_Timer(requests->claims, now);
+    MvSlots_Flush(requests->slots, now);
 }
 
 void
-MvRequests_Stop(mv_requests_t *requests, mv_time_t now)
+MvRequests_Leave(mv_requests_t *requests, mv_time_t now)
+{
+    MvClaims_Leave(requests->claims, now);
+    MvSlots_Flush(requests->slots, now);
+}
+
+void
+MvRequests_Stop(mv_requests_t *requests)
 {
-    (void)now;
     requests->stopping = true;
 }
 
@@ -327,7 +376,15 @@
 json_t *
 MvRequests_Dump(const mv_requests_t *requests, mv_time_t now)
 {
+    json_t *reasons = json_object();
     (void)now;
-    return json_pack("{s:I,s:o}", "open", (json_int_t)requests->open,
-                     "wait_us", MvHistogram_ToJson(&requests->waits));
+    for (unsigned i = 0; i < MV_REASON_COUNT; i++) {
+        json_object_set_new(reasons, reason_names[i],
+                            json_integer((json_int_t)requests->reasons[i]));
+    }
+    return json_pack("{s:I,s:I,s:o,s:o,s:o}", "open",
+                     (json_int_t)requests->open, "claims",
+                     (json_int_t)MvClaims_Count(requests->claims), "wait_us",
+                     MvHistogram_ToJson(&requests->waits), "outcomes",
+                     reasons, "services", MvSlots_Dump(requests->slots));
 }
--- /dev/null
+++ b/packages/core/src/slots.c
@@ -0,0 +1,650 @@
+/* This node's side of slots: asking, reusing, passing on, returning. */
+#include "requests_private.h"
+
+#include <string.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#define HOLDINGS_INTERVAL (500 * MV_MILLISECOND)
+#define HINT_LIFE (250 * MV_MILLISECOND)
+#define OPEN_TIMEOUT (1 * MV_SECOND)
+/* What a dead node had running may still run for about this long. */
+#define UNKNOWN_HOLD (1 * MV_SECOND)
+
+/* Which request gets the slot of another one when that ends. */
+typedef struct next {
+    mv_request_id_t holder;
+    mv_request_id_t other;
+    mv_node_id_t node;
+} next_t;
+
+/* One service as this node sees it. */
+typedef struct service {
+    uint16_t id;
+    mv_node_id_t owner;
+    mv_list_t waiting;
+    GHashTable *nexts;
+    uint32_t hint_urgency;
+    bool hint_deep;
+    mv_time_t hint_until;
+    mv_dispatcher_t *dispatcher;
+    GHashTable *reported;
+    bool open;
+    bool owner_lost;
+    mv_time_t open_since;
+} service_t;
+
+typedef struct envelope {
+    mv_node_id_t to;
+    mv_slot_record_t record;
+} envelope_t;
+
+struct mv_slots {
+    mv_requests_t *requests;
+    GHashTable *services;
+    GArray *outbox;
+    bool flushing;
+    mv_time_t now;
+    mv_time_t next_holdings;
+};
+
+static void
+post(mv_slots_t *slots, mv_node_id_t to, mv_slot_record_t record)
+{
+    envelope_t envelope = {.to = to, .record = record};
+    if (to != MV_NO_NODE) {
+        g_array_append_val(slots->outbox, envelope);
+    }
+}
+
+static void
+dispatcher_send(void *context, mv_node_id_t to,
+                const mv_slot_record_t *record)
+{
+    post(context, to, *record);
+}
+
+static const mv_dispatcher_ops_t dispatcher_ops = {.send = dispatcher_send};
+
+/* Services ---------------------------------------------------------------------------- */
+
+static void
+free_service(gpointer pointer)
+{
+    service_t *service = pointer;
+    MvDispatcher_Destroy(service->dispatcher);
+    g_hash_table_unref(service->nexts);
+    g_hash_table_unref(service->reported);
+    g_free(service);
+}
+
+static service_t *
+find_service(const mv_slots_t *slots, uint32_t id)
+{
+    return g_hash_table_lookup(slots->services, GUINT_TO_POINTER(id));
+}
+
+static service_t *
+get_service(mv_slots_t *slots, uint16_t id)
+{
+    service_t *service = find_service(slots, id);
+    if (service) {
+        return service;
+    }
+    service = g_new0(service_t, 1);
+    service->id = id;
+    service->owner = MV_NO_NODE;
+    MvList_Init(&service->waiting);
+    service->nexts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                           g_free);
+    service->reported = g_hash_table_new(g_direct_hash, g_direct_equal);
+    g_hash_table_insert(slots->services, GUINT_TO_POINTER(id), service);
+    return service;
+}
+
+mv_slots_t *
+MvSlots_Create(mv_requests_t *requests)
+{
+    mv_slots_t *slots = g_new0(mv_slots_t, 1);
+    slots->requests = requests;
+    slots->services = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+                                            NULL, free_service);
+    slots->outbox = g_array_new(FALSE, FALSE, sizeof(envelope_t));
+    return slots;
+}
+
+void
+MvSlots_Destroy(mv_slots_t *slots)
+{
+    g_hash_table_unref(slots->services);
+    g_array_unref(slots->outbox);
+    g_free(slots);
+}
+
+static mv_node_id_t
+choose_owner(const mv_requests_t *requests, uint16_t service)
+{
+    uint64_t best = 0;
+    mv_node_id_t owner = MV_NO_NODE;
+    for (size_t i = 0; i < requests->member_count; i++) {
+        uint32_t key[3] = {0x736c6f74, service, requests->members[i].id};
+        uint64_t score = XXH3_64bits(key, sizeof(key));
+        if (owner == MV_NO_NODE || score > best) {
+            best = score;
+            owner = (mv_node_id_t)requests->members[i].id;
+        }
+    }
+    return owner;
+}
+
+/* What is held and what waits, for an owner that may not know. ----------------------------- */
+
+static void
+post_holdings(mv_slots_t *slots, service_t *service)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, slots->requests->requests);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const mv_request_t *request = value;
+        if (request->service == service->id &&
+            request->state == MV_REQUEST_DISPATCHED) {
+            post(slots, service->owner,
+                 (mv_slot_record_t){.op = MV_SLOT_HOLDING,
+                                    .service = service->id,
+                                    .request = request->id,
+                                    .endpoint = request->endpoint});
+        }
+    }
+    post(slots, service->owner,
+         (mv_slot_record_t){.op = MV_SLOT_HOLDINGS_END,
+                            .service = service->id});
+}
+
+static void
+post_ask(mv_slots_t *slots, mv_time_t now, const service_t *service,
+         const mv_request_t *request)
+{
+    mv_time_t left = MAX(request->deadline - now, 0) / MV_MILLISECOND;
+    post(slots, service->owner,
+         (mv_slot_record_t){.op = MV_SLOT_ASK,
+                            .service = service->id,
+                            .request = request->id,
+                            .work = request->work,
+                            .member = request->member,
+                            .left_ms = (uint32_t)left});
+}
+
+static void
+report_all(mv_slots_t *slots, mv_time_t now, service_t *service)
+{
+    post_holdings(slots, service);
+    MV_LIST_FOREACH(item, &service->waiting)
+    {
+        post_ask(slots, now, service,
+                 MV_CONTAINER_OF(item, mv_request_t, link));
+    }
+}
+
+/* Ownership ------------------------------------------------------------------------------------- */
+
+static void
+become_owner(mv_slots_t *slots, mv_time_t now, service_t *service)
+{
+    service->dispatcher =
+        MvDispatcher_Create(service->id, &dispatcher_ops, slots);
+    service->open = false;
+    service->open_since = now;
+    g_hash_table_remove_all(service->reported);
+}
+
+static void
+open_when_known(mv_slots_t *slots, mv_time_t now, service_t *service)
+{
+    const mv_requests_t *requests = slots->requests;
+    bool all = true;
+    if (!service->dispatcher || service->open) {
+        return;
+    }
+    for (size_t i = 0; i < requests->member_count; i++) {
+        gpointer key = GUINT_TO_POINTER(requests->members[i].id);
+        all = all && g_hash_table_contains(service->reported, key);
+    }
+    if (!all && now - service->open_since < OPEN_TIMEOUT) {
+        return;
+    }
+    service->open = true;
+    bool complete = all && !service->owner_lost;
+    MvDispatcher_Open(service->dispatcher, now,
+                      complete ? now : now + UNKNOWN_HOLD);
+}
+
+static void
+change_owner(mv_slots_t *slots, mv_time_t now, service_t *service,
+             mv_node_id_t owner)
+{
+    const mv_requests_t *requests = slots->requests;
+    service->owner_lost =
+        service->owner != MV_NO_NODE &&
+        !MvRequests_IsMember(requests, service->owner);
+    service->owner = owner;
+    g_hash_table_remove_all(service->nexts);
+    service->hint_until = 0;
+    if (service->dispatcher && owner != requests->self) {
+        MvDispatcher_Destroy(service->dispatcher);
+        service->dispatcher = NULL;
+    }
+    if (!service->dispatcher && owner == requests->self) {
+        become_owner(slots, now, service);
+    }
+    report_all(slots, now, service);
+}
+
+static void
+configure(mv_slots_t *slots, mv_time_t now, service_t *service,
+          const mv_service_t *config)
+{
+    mv_requests_t *requests = slots->requests;
+    if (service->dispatcher &&
+        !MvDispatcher_Fits(service->dispatcher, config)) {
+        MvDispatcher_Destroy(service->dispatcher);
+        service->dispatcher = NULL;
+        become_owner(slots, now, service);
+        report_all(slots, now, service);
+    }
+    if (service->dispatcher) {
+        MvDispatcher_Configure(service->dispatcher, now,
+                               now + requests->wall_offset, config,
+                               requests->deployment);
+    }
+}
+
+static void
+forget_lost_nodes(mv_slots_t *slots, mv_time_t now, service_t *service)
+{
+    GHashTableIter iter;
+    gpointer key;
+    g_hash_table_iter_init(&iter, service->reported);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        mv_node_id_t id = (mv_node_id_t)GPOINTER_TO_UINT(key);
+        if (!MvRequests_IsMember(slots->requests, id)) {
+            MvDispatcher_NodeLost(service->dispatcher, now, id);
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+void
+MvSlots_View(mv_slots_t *slots, mv_time_t now)
+{
+    mv_requests_t *requests = slots->requests;
+    const mv_deployment_t *deployment = requests->deployment;
+    for (uint16_t i = 0; deployment && i < deployment->service_count; i++) {
+        const mv_service_t *config = &deployment->services[i];
+        service_t *service = get_service(slots, config->id);
+        mv_node_id_t owner = choose_owner(requests, config->id);
+        if (owner != service->owner) {
+            change_owner(slots, now, service, owner);
+        }
+        configure(slots, now, service, config);
+        if (service->dispatcher) {
+            forget_lost_nodes(slots, now, service);
+            open_when_known(slots, now, service);
+        }
+    }
+}
+
+/* Requests -------------------------------------------------------------------------------------- */
+
+void
+MvSlots_Enqueue(mv_slots_t *slots, mv_time_t now, mv_request_t *request)
+{
+    service_t *service = get_service(slots, request->service);
+    request->state = MV_REQUEST_WAITING;
+    MvList_Append(&service->waiting, &request->link);
+    post_ask(slots, now, service, request);
+}
+
+void
+MvSlots_Withdraw(mv_slots_t *slots, mv_time_t now, mv_request_t *request)
+{
+    service_t *service = find_service(slots, request->service);
+    (void)now;
+    if (request->state != MV_REQUEST_WAITING || !service ||
+        MvList_IsEmpty(&request->link)) {
+        return;
+    }
+    MvList_Remove(&request->link);
+    post(slots, service->owner,
+         (mv_slot_record_t){.op = MV_SLOT_WITHDRAW,
+                            .service = service->id,
+                            .request = request->id});
+}
+
+static bool
+is_endpoint_usable(const mv_requests_t *requests, uint16_t service,
+                   uint16_t endpoint, mv_time_t now)
+{
+    const mv_service_t *config =
+        MvDeployment_Find(requests->deployment, service);
+    const mv_endpoint_t *known =
+        config ? MvService_Endpoint(config, endpoint) : NULL;
+    return known &&
+           (known->leaves_at == 0 ||
+            known->leaves_at * MV_SECOND > now + requests->wall_offset);
+}
+
+/* The most urgent and then oldest request that waits here. */
+static mv_request_t *
+local_candidate(const service_t *service)
+{
+    mv_request_t *best = NULL;
+    MV_LIST_FOREACH(item, &service->waiting)
+    {
+        mv_request_t *request = MV_CONTAINER_OF(item, mv_request_t, link);
+        if (!best || request->urgency < best->urgency) {
+            best = request;
+        }
+    }
+    return best;
+}
+
+static mv_request_t *
+may_reuse(const mv_slots_t *slots, mv_time_t now, const service_t *service)
+{
+    mv_request_t *candidate = local_candidate(service);
+    (void)slots;
+    if (!candidate || now >= candidate->deadline) {
+        return NULL;
+    }
+    bool hinted = now < service->hint_until;
+    if (hinted &&
+        (service->hint_deep || candidate->urgency > service->hint_urgency)) {
+        return NULL;
+    }
+    return candidate;
+}
+
+static void
+pass_on(mv_slots_t *slots, mv_time_t now, service_t *service,
+        uint16_t endpoint, const next_t *next)
+{
+    mv_requests_t *requests = slots->requests;
+    bool here = next->node == requests->self;
+    mv_request_t *request =
+        here ? MvRequests_Find(requests, next->other) : NULL;
+    bool waits = request && request->state == MV_REQUEST_WAITING &&
+                 !request->abandoned && now < request->deadline;
+    if (here && !waits) {
+        post(slots, service->owner,
+             (mv_slot_record_t){.op = MV_SLOT_RETURN,
+                                .service = service->id,
+                                .request = next->holder,
+                                .endpoint = endpoint});
+        return;
+    }
+    post(slots, service->owner,
+         (mv_slot_record_t){.op = here ? MV_SLOT_REUSED : MV_SLOT_PASSED,
+                            .service = service->id,
+                            .request = next->holder,
+                            .other = next->other,
+                            .node = next->node,
+                            .endpoint = endpoint});
+    if (here) {
+        MvRequests_Dispatch(requests, now, request, endpoint);
+        return;
+    }
+    post(slots, next->node,
+         (mv_slot_record_t){.op = MV_SLOT_GRANT,
+                            .service = service->id,
+                            .request = next->other,
+                            .endpoint = endpoint});
+}
+
+void
+MvSlots_Released(mv_slots_t *slots, mv_time_t now, uint16_t id,
+                 uint16_t endpoint, mv_request_id_t holder, uint32_t flag)
+{
+    service_t *service = find_service(slots, id);
+    if (!service) {
+        return;
+    }
+    next_t *planned = g_hash_table_lookup(service->nexts, &holder);
+    next_t next = planned ? *planned : (next_t){.holder = 0};
+    g_hash_table_remove(service->nexts, &holder);
+    bool good = flag == MV_RETURN_GOOD &&
+                is_endpoint_usable(slots->requests, id, endpoint, now);
+    if (good && planned) {
+        pass_on(slots, now, service, endpoint, &next);
+        return;
+    }
+    mv_request_t *candidate =
+        good ? may_reuse(slots, now, service) : NULL;
+    if (candidate) {
+        next = (next_t){.holder = holder,
+                        .other = candidate->id,
+                        .node = slots->requests->self};
+        pass_on(slots, now, service, endpoint, &next);
+        return;
+    }
+    post(slots, service->owner,
+         (mv_slot_record_t){.op = MV_SLOT_RETURN,
+                            .service = id,
+                            .request = holder,
+                            .endpoint = endpoint,
+                            .left_ms = flag});
+}
+
+/* Records from owners and other nodes ------------------------------------------------------------ */
+
+static void
+take_grant(mv_slots_t *slots, mv_time_t now, service_t *service,
+           const mv_slot_record_t *record)
+{
+    mv_requests_t *requests = slots->requests;
+    mv_request_t *request = MvRequests_Find(requests, record->request);
+    bool waits = request && request->state == MV_REQUEST_WAITING &&
+                 !MvList_IsEmpty(&request->link) && now < request->deadline;
+    bool usable = is_endpoint_usable(requests, service->id,
+                                     (uint16_t)record->endpoint, now);
+    if (waits && usable) {
+        MvRequests_Dispatch(requests, now, request,
+                            (uint16_t)record->endpoint);
+        return;
+    }
+    bool running = request && request->state == MV_REQUEST_DISPATCHED &&
+                   request->endpoint == record->endpoint;
+    if (!running) {
+        post(slots, service->owner,
+             (mv_slot_record_t){.op = MV_SLOT_RETURN,
+                                .service = service->id,
+                                .request = record->request,
+                                .endpoint = record->endpoint,
+                                .left_ms = MV_RETURN_UNUSED});
+    }
+    if (waits) {
+        post_ask(slots, now, service, request);
+    }
+}
+
+static void
+take_next_record(service_t *service, const mv_slot_record_t *record)
+{
+    next_t *next = g_new0(next_t, 1);
+    next->holder = record->request;
+    next->other = record->other;
+    next->node = (mv_node_id_t)record->node;
+    g_hash_table_replace(service->nexts, &next->holder, next);
+}
+
+static void
+take_refusal(mv_slots_t *slots, mv_time_t now,
+             const mv_slot_record_t *record)
+{
+    mv_requests_t *requests = slots->requests;
+    mv_request_t *request = MvRequests_Find(requests, record->request);
+    if (request && request->state == MV_REQUEST_WAITING) {
+        MvRequests_Finish(requests, now, request, MV_OUTCOME_NOT_RUN,
+                          MV_REASON_OVERLOAD);
+    }
+}
+
+static void
+take_for_holder(mv_slots_t *slots, mv_time_t now, mv_node_id_t from,
+                service_t *service, const mv_slot_record_t *record)
+{
+    mv_requests_t *requests = slots->requests;
+    const mv_request_t *holder = MvRequests_Find(requests, record->request);
+    bool from_owner = from == service->owner;
+    switch (record->op) {
+    case MV_SLOT_GRANT:
+        take_grant(slots, now, service, record);
+        break;
+    case MV_SLOT_NEXT:
+        if (from_owner && holder && holder->state == MV_REQUEST_DISPATCHED &&
+            holder->endpoint == record->endpoint) {
+            take_next_record(service, record);
+        }
+        break;
+    case MV_SLOT_REFUSE:
+        take_refusal(slots, now, record);
+        break;
+    case MV_SLOT_HINT:
+        service->hint_urgency = record->work;
+        service->hint_deep = (record->left_ms & MV_HINT_DEEP) != 0;
+        service->hint_until = now + HINT_LIFE;
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+take_record(mv_slots_t *slots, mv_time_t now, mv_node_id_t from,
+            const mv_slot_record_t *record)
+{
+    service_t *service = find_service(slots, record->service);
+    if (!service) {
+        return;
+    }
+    if (record->op == MV_SLOT_GRANT || record->op == MV_SLOT_NEXT ||
+        record->op == MV_SLOT_REFUSE || record->op == MV_SLOT_HINT) {
+        take_for_holder(slots, now, from, service, record);
+        return;
+    }
+    if (!service->dispatcher) {
+        return; /* The sender will learn of the new owner. */
+    }
+    if (record->op == MV_SLOT_HOLDINGS_END) {
+        g_hash_table_add(service->reported, GUINT_TO_POINTER(from));
+    }
+    MvDispatcher_Take(service->dispatcher, now, from, record);
+    open_when_known(slots, now, service);
+}
+
+void
+MvSlots_Message(mv_slots_t *slots, mv_time_t now,
+                const mv_message_t *message)
+{
+    for (size_t i = 0; i < message->slot_count; i++) {
+        take_record(slots, now, (mv_node_id_t)message->from,
+                    &message->slots[i]);
+    }
+}
+
+/* Send what was posted: to this node at once, to others one message each. */
+static void
+send_to_others(mv_slots_t *slots, const GArray *batch)
+{
+    mv_requests_t *requests = slots->requests;
+    bool *sent = g_new0(bool, batch->len + 1);
+    for (guint i = 0; i < batch->len; i++) {
+        const envelope_t *first = &g_array_index(batch, envelope_t, i);
+        if (sent[i] || first->to == requests->self) {
+            continue;
+        }
+        GArray *records = g_array_new(FALSE, FALSE, sizeof(mv_slot_record_t));
+        for (guint j = i; j < batch->len; j++) {
+            const envelope_t *one = &g_array_index(batch, envelope_t, j);
+            if (one->to == first->to) {
+                g_array_append_val(records, one->record);
+                sent[j] = true;
+            }
+        }
+        mv_message_t message = {
+            .kind = MV_MESSAGE_SLOTS,
+            .from = requests->self,
+            .slot_count = records->len,
+            .slots = (mv_slot_record_t *)(void *)records->data};
+        requests->effects->ops->send(requests->effects, first->to, &message);
+        g_array_unref(records);
+    }
+    g_free(sent);
+}
+
+void
+MvSlots_Flush(mv_slots_t *slots, mv_time_t now)
+{
+    if (slots->flushing) {
+        return;
+    }
+    slots->flushing = true;
+    while (slots->outbox->len > 0) {
+        GArray *batch = slots->outbox;
+        slots->outbox = g_array_new(FALSE, FALSE, sizeof(envelope_t));
+        send_to_others(slots, batch);
+        for (guint i = 0; i < batch->len; i++) {
+            const envelope_t *one = &g_array_index(batch, envelope_t, i);
+            if (one->to == slots->requests->self) {
+                take_record(slots, now, one->to, &one->record);
+            }
+        }
+        g_array_unref(batch);
+    }
+    slots->flushing = false;
+}
+
+void
+MvSlots_Timer(mv_slots_t *slots, mv_time_t now)
+{
+    GHashTableIter iter;
+    gpointer value;
+    bool report = now >= slots->next_holdings;
+    if (report) {
+        slots->next_holdings = now + HOLDINGS_INTERVAL;
+    }
+    g_hash_table_iter_init(&iter, slots->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        service_t *service = value;
+        if (report) {
+            report_all(slots, now, service);
+        }
+        if (service->dispatcher) {
+            open_when_known(slots, now, service);
+            MvDispatcher_Timer(service->dispatcher, now,
+                               now + slots->requests->wall_offset);
+        }
+    }
+}
+
+json_t *
+MvSlots_Dump(const mv_slots_t *slots)
+{
+    json_t *array = json_array();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, slots->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const service_t *service = value;
+        const mv_dispatcher_t *owned = service->dispatcher;
+        json_array_append_new(
+            array,
+            json_pack("{s:i,s:i,s:b,s:I,s:I}", "service", (int)service->id,
+                      "owner", (int)service->owner, "open",
+                      (int)service->open, "waiting_here_as_owner",
+                      (json_int_t)(owned ? MvDispatcher_Waiting(owned) : 0),
+                      "slots_in_use_as_owner",
+                      (json_int_t)(owned ? MvDispatcher_InUse(owned) : 0)));
+    }
+    return array;
+}
--- a/packages/core/src/spread.c
+++ b/packages/core/src/spread.c
@@ -24,6 +24,7 @@
         mv_member_update_t self = {
             .node = node->settings.id,
             .incarnation = node->incarnation,
+            .life = node->life,
             .state = MV_MEMBER_ALIVE,
             .ready = node->ready,
             .config_version = node->deployment->version,
--- /dev/null
+++ b/packages/core/test/requests_test.cc
@@ -0,0 +1,217 @@
+#include "request_fleet.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+const std::vector<work_spec> kBooking = {
+    {"reservation", "/reservations", 0, 50, true},
+    {"availability", "/", 1, 30, false},
+};
+
+std::string
+nobody()
+{
+    return "";
+}
+
+std::string
+first_of(const std::vector<std::string> &wrong)
+{
+    return wrong.empty() ? "" : wrong[0];
+}
+
+} // namespace
+
+TEST(Requests, QuietLoadIsAnsweredWithoutOverrun)
+{
+    request_options options;
+    options.works = kBooking;
+    request_fleet f(options);
+    f.load(200, 0, nobody, 10 * MV_SECOND, f.now() + 10 * MV_SECOND, true);
+    f.load(200, 1, nobody, 10 * MV_SECOND, f.now() + 10 * MV_SECOND);
+    f.run_for(25 * MV_SECOND);
+    auto wrong = check_history(f, true);
+    EXPECT_TRUE(wrong.empty()) << first_of(wrong);
+    for (auto &a : f.attempts()) {
+        ASSERT_EQ(a.second.outcome, outcome_kind::answer) << a.first;
+    }
+}
+
+TEST(Requests, RepeatedKeyRunsOnceAndGetsTheFirstAnswer)
+{
+    request_options options;
+    options.works = kBooking;
+    request_fleet f(options);
+    for (int i = 0; i < 40; i++) {
+        std::string key = "repeated-" + std::to_string(i);
+        for (mv_node_id_t node = 1; node <= 5; node++) {
+            f.submit(node, 0, "", key, 10 * MV_SECOND);
+            f.run_for(7 * MV_MILLISECOND);
+        }
+    }
+    f.run_for(20 * MV_SECOND);
+    auto wrong = check_history(f, true);
+    EXPECT_TRUE(wrong.empty()) << first_of(wrong);
+    for (auto &a : f.attempts()) {
+        EXPECT_NE(a.second.outcome, outcome_kind::not_run) << a.first;
+        EXPECT_NE(a.second.outcome, outcome_kind::unknown) << a.first;
+    }
+    EXPECT_EQ(f.runs().size(), 40u);
+}
+
+struct fault_case {
+    const char *name;
+    bool members_agree;
+    std::function<void(request_fleet &)> fault;
+};
+
+static mv_node_id_t
+any_node(request_fleet &f)
+{
+    auto ids = f.live();
+    return ids[f.random()() % ids.size()];
+}
+
+static const fault_case kFaults[] = {
+    {"none", true, [](request_fleet &) {}},
+    {"death", false, [](request_fleet &f) { f.kill(any_node(f)); }},
+    {"death and restart", false,
+     [](request_fleet &f) {
+         mv_node_id_t id = any_node(f);
+         f.kill(id);
+         f.run_for(4 * MV_SECOND);
+         f.restart(id);
+     }},
+    {"two deaths", false,
+     [](request_fleet &f) {
+         f.kill(any_node(f));
+         f.run_for(500 * MV_MILLISECOND);
+         f.kill(any_node(f));
+     }},
+    {"pause longer than detection", false,
+     [](request_fleet &f) { f.pause(any_node(f), 6 * MV_SECOND); }},
+    {"short pause", false,
+     [](request_fleet &f) { f.pause(any_node(f), 800 * MV_MILLISECOND); }},
+    {"planned stop", false, [](request_fleet &f) { f.leave(any_node(f)); }},
+    {"backend server breaks", true,
+     [](request_fleet &f) {
+         f.break_endpoint(3);
+         f.run_for(3 * MV_SECOND);
+         f.mend_endpoint(3);
+     }},
+    {"cut between halves", false,
+     [](request_fleet &f) {
+         f.cut([](mv_node_id_t a, mv_node_id_t b) {
+             return (a <= 4) != (b <= 4);
+         });
+         f.run_for(1500 * MV_MILLISECOND);
+         f.cut(nullptr);
+     }},
+    {"death while a backend server breaks", false,
+     [](request_fleet &f) {
+         f.break_endpoint(5);
+         f.kill(any_node(f));
+         f.run_for(2 * MV_SECOND);
+         f.mend_endpoint(5);
+     }},
+    {"pause and stop", false,
+     [](request_fleet &f) {
+         f.pause(any_node(f), 5 * MV_SECOND);
+         f.leave(any_node(f));
+     }},
+};
+
+/* Random schedules: callers repeat keys at other nodes while faults run. */
+static void
+run_schedule(request_fleet &f, const fault_case &c)
+{
+    f.load(150, 0, nobody, 4 * MV_SECOND, f.now() + 9 * MV_SECOND, true);
+    f.load(200, 1, nobody, 4 * MV_SECOND, f.now() + 9 * MV_SECOND);
+    f.run_for(2 * MV_SECOND);
+    c.fault(f);
+    for (int round = 0; round < 6; round++) {
+        f.run_for(900 * MV_MILLISECOND);
+        std::vector<std::string> again;
+        for (auto &a : f.attempts()) {
+            bool unsure = a.second.outcome == outcome_kind::unknown ||
+                          a.second.outcome == outcome_kind::not_run;
+            if (unsure && !a.second.key.empty() && f.random()() % 2) {
+                again.push_back(a.second.key);
+            }
+        }
+        for (auto &key : again) {
+            f.submit(any_node(f), 0, "", key, 3 * MV_SECOND);
+        }
+    }
+    f.run_for(20 * MV_SECOND);
+}
+
+class RequestFaults : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(RequestFaults, HistoriesKeepEveryPromise)
+{
+    for (const auto &c : kFaults) {
+        request_options options;
+        options.works = kBooking;
+        options.seed = GetParam();
+        request_fleet f(options);
+        run_schedule(f, c);
+        auto wrong = check_history(f, c.members_agree);
+        EXPECT_TRUE(wrong.empty())
+            << c.name << " seed " << GetParam() << ": " << wrong.size()
+            << ", first " << first_of(wrong);
+        /* What a wrong owner may add at most: the slots once over. */
+        EXPECT_LE(f.max_overrun(), options.slots) << c.name;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RequestFaults, testing::Range<uint64_t>(1, 21));
+
+struct plant_case {
+    const char *name;
+    bool request_fleet::*plant;
+};
+
+TEST(Checker, SeesEveryPlantedFault)
+{
+    const plant_case cases[] = {
+        {"double run", &request_fleet::plant_double_run},
+        {"lie", &request_fleet::plant_lie_not_run},
+        {"wrong answer", &request_fleet::plant_wrong_answer},
+        {"overrun", &request_fleet::plant_overrun},
+    };
+    for (const auto &c : cases) {
+        request_options options;
+        options.works = kBooking;
+        request_fleet f(options);
+        f.*c.plant = true;
+        run_schedule(f, kFaults[0]);
+        EXPECT_FALSE(check_history(f, true).empty()) << c.name;
+    }
+}
+
+struct drain_case {
+    const char *name;
+    bool ignore;
+    bool in_time;
+};
+
+TEST(Requests, LeavingEndpointGetsNoNewWorkAfterThreeSeconds)
+{
+    const drain_case cases[] = {{"drain", false, true},
+                                {"planted: drain ignored", true, false}};
+    for (const auto &c : cases) {
+        request_options options;
+        options.works = kBooking;
+        request_fleet f(options);
+        f.plant_ignore_drain = c.ignore;
+        f.load(350, 1, nobody, 4 * MV_SECOND, f.now() + 12 * MV_SECOND);
+        f.run_for(3 * MV_SECOND);
+        mv_time_t left = f.now();
+        f.drain(3);
+        f.run_for(15 * MV_SECOND);
+        EXPECT_EQ(f.last_start(3) - left <= 3 * MV_SECOND, c.in_time)
+            << c.name;
+    }
+}
--- a/packages/masticvaned/src/daemon.h
+++ b/packages/masticvaned/src/daemon.h
@@ -26,7 +26,7 @@
 typedef struct mv_members_view {
     mv_deployment_t *deployment;
     size_t count;
-    mv_node_id_t members[];
+    mv_request_member_t members[];
 } mv_members_view_t;
 
 /**
--- a/packages/masticvaned/src/proxy.c
+++ b/packages/masticvaned/src/proxy.c
@@ -383,7 +383,7 @@
     }
     if (stream < 0) {
         MvRequests_Answered(proxy->requests, monotonic(), id,
-                            MV_RESULT_NOT_PROCESSED, NULL, 0);
+                            MV_RESULT_UNREACHABLE, NULL, 0);
         return;
     }
     exchange->backend = backend;
@@ -535,6 +535,7 @@
     if (proxy->stop_step == 0) {
         proxy->stop_step = 1;
         proxy->stop_began = now;
+        MvRequests_Leave(proxy->requests, now);
         MV_LIST_FOREACH(item, &proxy->callers)
         {
             MvH2_NoticeShutdown(MV_CONTAINER_OF(item, caller_t, link)->h2);
@@ -545,6 +546,7 @@
         MvLoop_Watch(proxy->loop, &proxy->accept_watch, proxy->listener, 0);
         apr_socket_close(proxy->listener);
         proxy->listener = NULL;
+        MvRequests_Stop(proxy->requests);
         MV_LIST_FOREACH(item, &proxy->callers)
         {
             MvH2_Shutdown(MV_CONTAINER_OF(item, caller_t, link)->h2);
--- a/packages/net/src/codec.c
+++ b/packages/net/src/codec.c
@@ -4,10 +4,12 @@
 #include <msgpack.h>
 #include <string.h>
 
-#define MESSAGE_FIELDS 11
-#define MEMBER_FIELDS 5
+#define MESSAGE_FIELDS 13
+#define MEMBER_FIELDS 6
 #define BUCKET_FIELDS 5
 #define LOAD_FIELDS 3
+#define SLOT_FIELDS 9
+#define CLAIM_FIELDS 8
 /* Packed flow record: address, port, service, endpoint, idle in 100 ms. */
 #define FLOW_BYTES 12
 #define IDLE_UNIT_MS 100
@@ -30,6 +32,7 @@
         msgpack_pack_uint32(packer, member->state);
         msgpack_pack_uint32(packer, member->ready);
         msgpack_pack_uint64(packer, member->config_version);
+        msgpack_pack_uint32(packer, member->life);
     }
 }
 
@@ -91,6 +94,46 @@
     }
 }
 
+static void
+pack_slots(msgpack_packer *packer, const mv_message_t *message)
+{
+    msgpack_pack_array(packer, message->slot_count);
+    for (size_t i = 0; i < message->slot_count; i++) {
+        const mv_slot_record_t *slot = &message->slots[i];
+        msgpack_pack_array(packer, SLOT_FIELDS);
+        msgpack_pack_uint32(packer, slot->op);
+        msgpack_pack_uint64(packer, slot->request);
+        msgpack_pack_uint64(packer, slot->other);
+        msgpack_pack_uint32(packer, slot->service);
+        msgpack_pack_uint32(packer, slot->endpoint);
+        msgpack_pack_uint32(packer, slot->work);
+        msgpack_pack_uint32(packer, slot->node);
+        msgpack_pack_uint32(packer, slot->member);
+        msgpack_pack_uint32(packer, slot->left_ms);
+    }
+}
+
+static void
+pack_claims(msgpack_packer *packer, const mv_message_t *message)
+{
+    msgpack_pack_array(packer, message->claim_count);
+    for (size_t i = 0; i < message->claim_count; i++) {
+        const mv_claim_record_t *claim = &message->claims[i];
+        msgpack_pack_array(packer, CLAIM_FIELDS);
+        msgpack_pack_uint32(packer, claim->op);
+        msgpack_pack_uint64(packer, claim->key_high);
+        msgpack_pack_uint64(packer, claim->key_low);
+        msgpack_pack_uint32(packer, claim->state);
+        msgpack_pack_uint32(packer, claim->node);
+        msgpack_pack_uint64(packer, claim->request);
+        msgpack_pack_uint32(packer, claim->age_ms);
+        msgpack_pack_bin(packer, claim->length);
+        if (claim->length > 0) {
+            msgpack_pack_bin_body(packer, claim->bytes, claim->length);
+        }
+    }
+}
+
 bool
 MvMessage_Encode(const mv_message_t *message, mv_buffer_t *out)
 {
@@ -108,6 +151,8 @@
     pack_buckets(&packer, message);
     pack_flows(&packer, message);
     pack_loads(&packer, message);
+    pack_slots(&packer, message);
+    pack_claims(&packer, message);
     msgpack_pack_bin(&packer, message->blob_length);
     if (message->blob_length > 0) {
         msgpack_pack_bin_body(&packer, message->blob, message->blob_length);
@@ -158,7 +203,8 @@
         if (!get_row(&object->via.array.ptr[i], MEMBER_FIELDS, UINT64_MAX,
                      row) ||
             row[0] >= MV_NO_NODE || row[1] > UINT32_MAX ||
-            row[2] > MV_MEMBER_DEAD || row[3] > 1) {
+            row[2] > MV_MEMBER_DEAD || row[3] > 1 ||
+            row[5] > UINT32_MAX) {
             return false;
         }
         message->members[i] =
@@ -166,7 +212,8 @@
                                  .incarnation = (uint32_t)row[1],
                                  .state = (uint32_t)row[2],
                                  .ready = (uint32_t)row[3],
-                                 .config_version = row[4]};
+                                 .config_version = row[4],
+                                 .life = (uint32_t)row[5]};
     }
     return true;
 }
@@ -252,6 +299,85 @@
     return true;
 }
 
+static bool
+get_slots(const msgpack_object *object, mv_message_t *message)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY) {
+        return false;
+    }
+    message->slot_count = object->via.array.size;
+    message->slots = g_new0(mv_slot_record_t, message->slot_count + 1);
+    for (size_t i = 0; i < message->slot_count; i++) {
+        uint64_t row[SLOT_FIELDS];
+        if (!get_row(&object->via.array.ptr[i], SLOT_FIELDS, UINT64_MAX,
+                     row) ||
+            row[0] == 0 || row[0] >= MV_SLOT_OP_COUNT ||
+            row[3] > UINT16_MAX || row[4] > UINT16_MAX ||
+            row[5] > UINT16_MAX || row[6] > MV_NO_NODE ||
+            row[7] > UINT32_MAX || row[8] > UINT32_MAX) {
+            return false;
+        }
+        message->slots[i] = (mv_slot_record_t){.op = (uint32_t)row[0],
+                                               .request = row[1],
+                                               .other = row[2],
+                                               .service = (uint32_t)row[3],
+                                               .endpoint = (uint32_t)row[4],
+                                               .work = (uint32_t)row[5],
+                                               .node = (uint32_t)row[6],
+                                               .member = (uint32_t)row[7],
+                                               .left_ms = (uint32_t)row[8]};
+    }
+    return true;
+}
+
+static bool
+get_claim(const msgpack_object *object, mv_claim_record_t *claim)
+{
+    uint64_t row[CLAIM_FIELDS - 1];
+    if (object->type != MSGPACK_OBJECT_ARRAY ||
+        object->via.array.size != CLAIM_FIELDS) {
+        return false;
+    }
+    const msgpack_object *field = object->via.array.ptr;
+    for (int i = 0; i < CLAIM_FIELDS - 1; i++) {
+        if (!get_uint(&field[i], UINT64_MAX, &row[i])) {
+            return false;
+        }
+    }
+    const msgpack_object *bytes = &field[CLAIM_FIELDS - 1];
+    if (row[0] == 0 || row[0] >= MV_CLAIM_OP_COUNT || row[3] > UINT8_MAX ||
+        row[4] > MV_NO_NODE || row[6] > UINT32_MAX ||
+        bytes->type != MSGPACK_OBJECT_BIN) {
+        return false;
+    }
+    *claim = (mv_claim_record_t){.op = (uint32_t)row[0],
+                                 .key_high = row[1],
+                                 .key_low = row[2],
+                                 .state = (uint32_t)row[3],
+                                 .node = (uint32_t)row[4],
+                                 .request = row[5],
+                                 .age_ms = (uint32_t)row[6],
+                                 .length = bytes->via.bin.size};
+    claim->bytes = g_memdup2(bytes->via.bin.ptr, claim->length);
+    return true;
+}
+
+static bool
+get_claims(const msgpack_object *object, mv_message_t *message)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY) {
+        return false;
+    }
+    message->claim_count = object->via.array.size;
+    message->claims = g_new0(mv_claim_record_t, message->claim_count + 1);
+    for (size_t i = 0; i < message->claim_count; i++) {
+        if (!get_claim(&object->via.array.ptr[i], &message->claims[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static bool
 get_message(const msgpack_object *object, mv_message_t *message)
 {
@@ -280,12 +406,13 @@
     }
     if (!get_members(&field[6], message) || !get_buckets(&field[7], message) ||
         !get_flows(&field[8], message) || !get_loads(&field[9], message) ||
-        field[10].type != MSGPACK_OBJECT_BIN) {
+        !get_slots(&field[10], message) || !get_claims(&field[11], message) ||
+        field[12].type != MSGPACK_OBJECT_BIN) {
         return false;
     }
-    message->blob_length = field[10].via.bin.size;
+    message->blob_length = field[12].via.bin.size;
     message->blob = g_malloc(message->blob_length + 1);
-    memcpy(message->blob, field[10].via.bin.ptr, message->blob_length);
+    memcpy(message->blob, field[12].via.bin.ptr, message->blob_length);
     message->blob[message->blob_length] = '\0';
     return true;
 }
@@ -320,6 +447,11 @@
     g_free(message->buckets);
     g_free(message->flows);
     g_free(message->loads);
+    g_free(message->slots);
+    for (size_t i = 0; message->claims && i < message->claim_count; i++) {
+        g_free(message->claims[i].bytes);
+    }
+    g_free(message->claims);
     g_free(message->blob);
     g_free(message);
 }
--- a/packages/net/test/net_test.cc
+++ b/packages/net/test/net_test.cc
@@ -109,7 +109,9 @@
 
 TEST(Codec, MessagesSurviveAndDamageIsRefused)
 {
-    mv_member_update_t member = {7, 3, MV_MEMBER_SUSPECT, 1, 12};
+    mv_member_update_t member = {};
+    member.node = 7;
+    member.state = MV_MEMBER_SUSPECT;
     mv_bucket_update_t bucket = {99, 5, 1, 2, MV_BUCKET_MIXED};
     mv_flow_record_t flow = {0x0a000001, 4242, 1, 2, 300};
     mv_load_record_t load = {1, 2, -5};
