Joining nodes are counted in before they are answered; claims go on in a change

Change: sync requests carry the sender's state and homes are recomputed before the answer; readiness and leaving are told to all at once; a key's owner goes on when it kept the key's evidence in every view since the last sync; only ready nodes own keys and slots.

--- a/packages/core/include/masticvane/core.h
+++ b/packages/core/include/masticvane/core.h
@@ -582,13 +582,23 @@
 bool MvNode_IsAlive(const mv_node_t *node, mv_node_id_t id);
 
 /**
- * MvNode_Life() - Unix second at which the process of @id started, as far as
- * known; 0 when it is not.
+ * struct mv_request_member - An entry VM that may own keys and slots.
+ * @id: its number
+ * @life: changes whenever the process starts anew
  */
-uint32_t MvNode_Life(const mv_node_t *node, mv_node_id_t id);
+typedef struct mv_request_member {
+    uint32_t id;
+    uint32_t life;
+} mv_request_member_t;
 
-/** MvNode_HasLeft() - True once this node told the others that it left. */
-bool MvNode_HasLeft(const mv_node_t *node);
+/**
+ * MvNode_RequestMembers() - Members that may own keys and slots, by number.
+ * @out: room for @capacity entries
+ *
+ * Return: entries written.  This node is among them while it is ready.
+ */
+size_t MvNode_RequestMembers(const mv_node_t *node, mv_request_member_t *out,
+                             size_t capacity);
 
 /** MvNode_LiveMembers() - Members believed alive, this node included. */
 size_t MvNode_LiveMembers(const mv_node_t *node);
--- a/packages/core/include/masticvane/requests.h
+++ b/packages/core/include/masticvane/requests.h
@@ -113,16 +113,6 @@
     const mv_request_effects_ops_t *ops;
 };
 
-/**
- * struct mv_request_member - An entry VM that may own keys and slots.
- * @id: its number
- * @life: changes whenever the process starts anew
- */
-typedef struct mv_request_member {
-    uint32_t id;
-    uint32_t life;
-} mv_request_member_t;
-
 /** How long an idempotency key is remembered. */
 #define MV_KEY_WINDOW (10 * MV_MINUTE)
 
--- a/packages/core/src/claims.c
+++ b/packages/core/src/claims.c
@@ -11,6 +11,7 @@
 #define SWEEP_INTERVAL (1 * MV_SECOND)
 #define SYNC_INTERVAL (300 * MV_MILLISECOND)
 #define MAX_HISTORY 256
+#define MAX_VIEWS 16
 
 typedef struct claim {
     mv_key_hash_t key;
@@ -42,12 +43,20 @@
     GHashTable *handed_over;
     GArray *losses;
     GArray *arrivals;
+    GPtrArray *views;
+    bool ever_synced;
     uint64_t epoch;
     mv_time_t next_sweep;
     mv_time_t next_sync;
     bool leaving;
 };
 
+static void
+free_view(gpointer view)
+{
+    g_array_unref(view);
+}
+
 static guint
 key_hash(gconstpointer pointer)
 {
@@ -79,6 +88,7 @@
                                            NULL, g_free);
     claims->handed_over = g_hash_table_new(g_direct_hash, g_direct_equal);
     claims->losses = g_array_new(FALSE, FALSE, sizeof(loss_t));
+    claims->views = g_ptr_array_new_with_free_func(free_view);
     claims->arrivals = g_array_new(FALSE, FALSE, sizeof(arrival_t));
     return claims;
 }
@@ -91,6 +101,7 @@
     g_hash_table_unref(claims->handed_over);
     g_array_unref(claims->losses);
     g_array_unref(claims->arrivals);
+    g_ptr_array_unref(claims->views);
     g_free(claims);
 }
 
@@ -110,16 +121,17 @@
 }
 
 static void
-owners(const mv_claims_t *claims, mv_key_hash_t key, mv_node_id_t out[2])
+owners_among(const mv_claims_t *claims, mv_key_hash_t key,
+             const mv_request_member_t *members, size_t count,
+             mv_node_id_t out[2])
 {
-    const mv_requests_t *requests = claims->requests;
     uint64_t best[2] = {0, 0};
     out[0] = MV_NO_NODE;
     out[1] = MV_NO_NODE;
-    for (size_t i = 0; i < requests->member_count; i++) {
-        mv_node_id_t id = (mv_node_id_t)requests->members[i].id;
+    for (size_t i = 0; i < count; i++) {
+        mv_node_id_t id = (mv_node_id_t)members[i].id;
         uint64_t value = score(key, id);
-        if (claims->leaving && id == requests->self) {
+        if (claims->leaving && id == claims->requests->self) {
             continue;
         }
         if (out[0] == MV_NO_NODE || value > best[0]) {
@@ -135,6 +147,13 @@
     }
 }
 
+static void
+owners(const mv_claims_t *claims, mv_key_hash_t key, mv_node_id_t out[2])
+{
+    const mv_requests_t *requests = claims->requests;
+    owners_among(claims, key, requests->members, requests->member_count, out);
+}
+
 /* Messages out ---------------------------------------------------------------------------- */
 
 static void take_record(mv_claims_t *claims, mv_time_t now, mv_node_id_t from,
@@ -292,6 +311,51 @@
     return true;
 }
 
+static void
+remember_view(mv_claims_t *claims)
+{
+    const mv_requests_t *requests = claims->requests;
+    GArray *view = g_array_new(FALSE, FALSE, sizeof(mv_request_member_t));
+    g_array_append_vals(view, requests->members,
+                        (guint)requests->member_count);
+    g_ptr_array_add(claims->views, view);
+}
+
+/* From here on only the view in force counts. */
+static void
+note_synced(mv_claims_t *claims)
+{
+    if (claims->views->len > 1) {
+        g_ptr_array_set_size(claims->views, 0);
+        remember_view(claims);
+    }
+    claims->ever_synced = true;
+}
+
+/*
+ * Evidence about @key is complete when all members told what they know, or
+ * when this node was its owner or second in every view since they last did.
+ */
+static bool
+has_evidence(mv_claims_t *claims, mv_key_hash_t key)
+{
+    mv_node_id_t self = claims->requests->self;
+    if (is_synced(claims)) {
+        note_synced(claims);
+        return true;
+    }
+    bool kept = claims->ever_synced && claims->views->len <= MAX_VIEWS;
+    for (guint i = 0; kept && i < claims->views->len; i++) {
+        const GArray *view = g_ptr_array_index(claims->views, i);
+        mv_node_id_t who[2];
+        owners_among(claims, key,
+                     (const mv_request_member_t *)(void *)view->data,
+                     view->len, who);
+        kept = who[0] == self || who[1] == self;
+    }
+    return kept;
+}
+
 static bool
 is_lost(const mv_claims_t *claims, mv_node_id_t id)
 {
@@ -418,7 +482,7 @@
         answer_state(claims, now, from, record->request, claim);
         return;
     }
-    if (!own || claims->leaving || !is_synced(claims)) {
+    if (!own || claims->leaving || !has_evidence(claims, key)) {
         answer(claims, now, from, MV_CLAIM_RETRY, record);
         return;
     }
@@ -752,6 +816,7 @@
     drop_returned(claims);
     note_arrivals(claims, now, claims->epoch == 0);
     claims->epoch = epoch;
+    remember_view(claims);
     send_records(claims, now, MV_NO_NODE);
     claims->next_sync = now + SYNC_INTERVAL;
 }
@@ -845,6 +910,9 @@
 {
     if (now >= claims->next_sync) {
         claims->next_sync = now + SYNC_INTERVAL;
+        if (is_synced(claims)) {
+            note_synced(claims);
+        }
         ask_unsynced(claims, now);
     }
     if (now < claims->next_sweep) {
--- a/packages/core/src/handover.c
+++ b/packages/core/src/handover.c
@@ -313,9 +313,13 @@
         if (member->synced || member->state >= MV_MEMBER_LEFT) {
             continue;
         }
+        /* The receiver must count this node in before it answers. */
+        mv_member_update_t self = MvMembers_OwnUpdate(node);
         mv_message_t request = {
             .kind = MV_MESSAGE_SYNC_REQUEST,
-            .version = node->deployment ? node->deployment->version : 0};
+            .version = node->deployment ? node->deployment->version : 0,
+            .member_count = 1,
+            .members = &self};
         MvNode_Send(node, member->id, &request);
     }
 }
@@ -346,6 +350,7 @@
         MvNode_Send(node, to, &config);
     }
     MvBuckets_SendAll(node, to);
+    MvHandover_HomesChanged(node, now);
     copy_flows(node, now, to);
     mv_message_t done = {.kind = MV_MESSAGE_SYNC_DONE,
                          .version = node->deployment
@@ -384,8 +389,7 @@
     node->syncing = false;
     node->view_dirty = true;
     if (!node->ready) {
-        node->ready = true;
-        MvMembers_RaiseIncarnation(node);
+        MvMembers_AnnounceReady(node);
     }
 }
 
@@ -423,7 +427,7 @@
     }
     if (!waiting || now - node->stop_started > HANDOVER_TIMEOUT) {
         node->stop_started = now;
-        MvMembers_AnnounceLeft(node, now);
+        MvMembers_AnnounceLeft(node);
     }
 }
 
--- a/packages/core/src/members.c
+++ b/packages/core/src/members.c
@@ -119,8 +119,8 @@
     set_state(node, member, (mv_member_state_t)update->state, now);
 }
 
-static mv_member_update_t
-own_update(const mv_node_t *node)
+mv_member_update_t
+MvMembers_OwnUpdate(const mv_node_t *node)
 {
     return (mv_member_update_t){
         .node = node->settings.id,
@@ -150,7 +150,7 @@
 fill_updates(mv_node_t *node, mv_node_id_t to, mv_member_update_t *updates)
 {
     size_t count = 0;
-    updates[count++] = own_update(node);
+    updates[count++] = MvMembers_OwnUpdate(node);
     mv_member_t *receiver = MvMembers_Find(node, to);
     if (receiver && receiver->state >= MV_MEMBER_SUSPECT) {
         updates[count++] = update_of(receiver);
@@ -329,24 +329,31 @@
     }
 }
 
+static void
+tell_all(mv_node_t *node)
+{
+    for (guint i = 0; i < node->members->len; i++) {
+        mv_member_t *member = g_ptr_array_index(node->members, i);
+        if (MvMembers_IsLive(member)) {
+            send_probe(node, member->id, MV_MESSAGE_PING, 0, MV_NO_NODE);
+        }
+    }
+}
+
 void
-MvMembers_RaiseIncarnation(mv_node_t *node)
+MvMembers_AnnounceReady(mv_node_t *node)
 {
+    node->ready = true;
     node->incarnation++;
+    tell_all(node);
 }
 
 void
-MvMembers_AnnounceLeft(mv_node_t *node, mv_time_t now)
+MvMembers_AnnounceLeft(mv_node_t *node)
 {
     node->left = true;
     node->incarnation++;
-    (void)now;
-    for (guint i = 0; i < node->members->len; i++) {
-        mv_member_t *member = g_ptr_array_index(node->members, i);
-        if (MvMembers_IsLive(member)) {
-            send_probe(node, member->id, MV_MESSAGE_PING, 0, MV_NO_NODE);
-        }
-    }
+    tell_all(node);
 }
 
 void
--- a/packages/core/src/node.c
+++ b/packages/core/src/node.c
@@ -322,20 +322,32 @@
     return id == node->settings.id || (member && MvMembers_IsLive(member));
 }
 
-uint32_t
-MvNode_Life(const mv_node_t *node, mv_node_id_t id)
+static int
+compare_members(const void *a, const void *b)
 {
-    const mv_member_t *member = MvMembers_Find(node, id);
-    if (id == node->settings.id) {
-        return node->life;
-    }
-    return member ? member->life : 0;
+    const mv_request_member_t *one = a;
+    const mv_request_member_t *other = b;
+    return (one->id > other->id) - (one->id < other->id);
 }
 
-bool
-MvNode_HasLeft(const mv_node_t *node)
+size_t
+MvNode_RequestMembers(const mv_node_t *node, mv_request_member_t *out,
+                      size_t capacity)
 {
-    return node->left;
+    size_t count = 0;
+    if (node->ready && !node->left && capacity > 0) {
+        out[count++] = (mv_request_member_t){.id = node->settings.id,
+                                             .life = node->life};
+    }
+    for (guint i = 0; i < node->members->len && count < capacity; i++) {
+        const mv_member_t *member = g_ptr_array_index(node->members, i);
+        if (MvMembers_IsLive(member) && member->ready) {
+            out[count++] = (mv_request_member_t){.id = member->id,
+                                                 .life = member->life};
+        }
+    }
+    qsort(out, count, sizeof(out[0]), compare_members);
+    return count;
 }
 
 size_t
--- a/packages/core/src/node_private.h
+++ b/packages/core/src/node_private.h
@@ -176,12 +176,13 @@
 /* members.c */
 mv_member_t *MvMembers_Find(const mv_node_t *node, mv_node_id_t id);
 mv_member_t *MvMembers_Add(mv_node_t *node, mv_node_id_t id);
+mv_member_update_t MvMembers_OwnUpdate(const mv_node_t *node);
 bool MvMembers_IsLive(const mv_member_t *member);
 void MvMembers_Heard(mv_node_t *node, mv_time_t now, const mv_message_t *m);
 void MvMembers_Message(mv_node_t *node, mv_time_t now, const mv_message_t *m);
 void MvMembers_Timer(mv_node_t *node, mv_time_t now);
-void MvMembers_RaiseIncarnation(mv_node_t *node);
-void MvMembers_AnnounceLeft(mv_node_t *node, mv_time_t now);
+void MvMembers_AnnounceReady(mv_node_t *node);
+void MvMembers_AnnounceLeft(mv_node_t *node);
 
 /* spread.c */
 void MvSpread_Message(mv_node_t *node, mv_time_t now, const mv_message_t *m);
--- a/packages/core/src/slots.c
+++ b/packages/core/src/slots.c
@@ -9,7 +9,7 @@
 #define HINT_LIFE (250 * MV_MILLISECOND)
 #define OPEN_TIMEOUT (1 * MV_SECOND)
 /* What a dead node had running may still run for about this long. */
-#define UNKNOWN_HOLD (1 * MV_SECOND)
+#define UNKNOWN_HOLD (200 * MV_MILLISECOND)
 
 /* Which request gets the slot of another one when that ends. */
 typedef struct next {
@@ -30,7 +30,7 @@
     mv_dispatcher_t *dispatcher;
     GHashTable *reported;
     bool open;
-    bool owner_lost;
+    mv_node_id_t lost_owner;
     mv_time_t open_since;
 } service_t;
 
@@ -94,6 +94,7 @@
     service = g_new0(service_t, 1);
     service->id = id;
     service->owner = MV_NO_NODE;
+    service->lost_owner = MV_NO_NODE;
     MvList_Init(&service->waiting);
     service->nexts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                            g_free);
@@ -210,11 +211,14 @@
         gpointer key = GUINT_TO_POINTER(requests->members[i].id);
         all = all && g_hash_table_contains(service->reported, key);
     }
-    if (!all && now - service->open_since < OPEN_TIMEOUT) {
+    /* A former owner that stops as planned reports what it holds, too. */
+    gpointer former = GUINT_TO_POINTER(service->lost_owner);
+    bool complete = all && (service->lost_owner == MV_NO_NODE ||
+                            g_hash_table_contains(service->reported, former));
+    if (!complete && now - service->open_since < OPEN_TIMEOUT) {
         return;
     }
     service->open = true;
-    bool complete = all && !service->owner_lost;
     MvDispatcher_Open(service->dispatcher, now,
                       complete ? now : now + UNKNOWN_HOLD);
 }
@@ -224,9 +228,9 @@
              mv_node_id_t owner)
 {
     const mv_requests_t *requests = slots->requests;
-    service->owner_lost =
-        service->owner != MV_NO_NODE &&
-        !MvRequests_IsMember(requests, service->owner);
+    bool lost = service->owner != MV_NO_NODE &&
+                !MvRequests_IsMember(requests, service->owner);
+    service->lost_owner = lost ? service->owner : MV_NO_NODE;
     service->owner = owner;
     g_hash_table_remove_all(service->nexts);
     service->hint_until = 0;
--- a/packages/core/src/spread.c
+++ b/packages/core/src/spread.c
@@ -21,14 +21,7 @@
             member->config_version >= node->deployment->version) {
             continue;
         }
-        mv_member_update_t self = {
-            .node = node->settings.id,
-            .incarnation = node->incarnation,
-            .life = node->life,
-            .state = MV_MEMBER_ALIVE,
-            .ready = node->ready,
-            .config_version = node->deployment->version,
-        };
+        mv_member_update_t self = MvMembers_OwnUpdate(node);
         mv_message_t message = {.kind = MV_MESSAGE_PING,
                                 .target = MV_NO_NODE,
                                 .version = node->deployment->version,
--- a/packages/core/test/fleet.cc
+++ b/packages/core/test/fleet.cc
@@ -368,6 +368,12 @@
         return;
     }
     auto copy = copy_message(message);
+    if (datagram && now_ > 0 && members_.count(from) &&
+        members_.at(from)->started > 0 &&
+        now_ - members_.at(from)->started <
+            options_.datagram_loss_at_start) {
+        return;
+    }
     mv_time_t arrival = now_ + delay();
     if (!datagram && members_.count(to) && now_ > 0 &&
         now_ - members_.at(to)->started < options_.stream_loss_at_start) {
--- a/packages/core/test/fleet.h
+++ b/packages/core/test/fleet.h
@@ -32,6 +32,8 @@
     uint32_t balance_limit_percent = 1000;
     /* Streams to a node that has just started are lost for this long. */
     mv_time_t stream_loss_at_start = 150 * MV_MILLISECOND;
+    /* Its first datagrams are lost for this long. */
+    mv_time_t datagram_loss_at_start = 600 * MV_MILLISECOND;
     uint32_t flow_capacity = 1 << 18;
     bool measure_bytes = false;
 };
--- a/packages/masticvaned/src/control.c
+++ b/packages/masticvaned/src/control.c
@@ -157,23 +157,6 @@
 
 /* Loop ---------------------------------------------------------------------------------------- */
 
-static int
-compare_members(const void *a, const void *b)
-{
-    const mv_request_member_t *one = a;
-    const mv_request_member_t *other = b;
-    return (one->id > other->id) - (one->id < other->id);
-}
-
-static void
-add_member(const mv_daemon_t *daemon, mv_members_view_t *view,
-           mv_node_id_t id)
-{
-    mv_request_member_t *member = &view->members[view->count++];
-    member->id = id;
-    member->life = MvNode_Life(daemon->node, id);
-}
-
 static void
 publish_members(control_t *control, mv_time_t now)
 {
@@ -188,16 +171,8 @@
                   (settings->peer_count + 1) * sizeof(view->members[0]));
     mv_deployment_t *deployment = MvNode_Deployment(daemon->node);
     view->deployment = deployment ? MvDeployment_Ref(deployment) : NULL;
-    if (!MvNode_HasLeft(daemon->node)) {
-        add_member(daemon, view, settings->self.id);
-    }
-    for (size_t i = 0; i < settings->peer_count; i++) {
-        if (MvNode_IsAlive(daemon->node, settings->peers[i].id)) {
-            add_member(daemon, view, settings->peers[i].id);
-        }
-    }
-    qsort(view->members, view->count, sizeof(view->members[0]),
-          compare_members);
+    view->count = MvNode_RequestMembers(daemon->node, view->members,
+                                        settings->peer_count + 1);
     MvMembersView_Free(__atomic_exchange_n(&daemon->members_view, view,
                                            __ATOMIC_ACQ_REL));
 }
