Slots are numbered, requests must be able to finish, members have their turn

Cause: a slot was known by its request, so a request that got two slots of one backend server leaked one for 2.5 s (1.5 a second at 85% load), and a word that overtook another lost its slot; requests started too late to end before their deadline; a heavy member's queue refused light members. Change: the owner numbers slots; early words of a promised next holder are understood; admission goes by the member's own turn and leaves four mean times to finish.

--- a/packages/core/include/masticvane/core.h
+++ b/packages/core/include/masticvane/core.h
@@ -281,6 +281,7 @@
  * @other: the request the slot goes to, with NEXT, REUSED and PASSED
  * @service: service id
  * @endpoint: endpoint id
+ * @slot: number that the owner gave the slot
  * @work: position of its class of work, or the urgency of a hint
  * @node: node of @other
  * @member: hash of the member (caller)
@@ -292,6 +293,7 @@
     uint64_t other;
     uint32_t service;
     uint32_t endpoint;
+    uint32_t slot;
     uint32_t work;
     uint32_t node;
     uint32_t member;
--- a/packages/core/src/dispatcher.c
+++ b/packages/core/src/dispatcher.c
@@ -15,6 +15,9 @@
 #define RATE_WINDOW (1 * MV_SECOND)
 #define LOCAL_LOOK_AHEAD 16
 #define MAX_WAITING 65536
+#define HELD_WEIGHT 0.02
+/* A request should be able to take this many mean times before its deadline. */
+#define FINISH_MARGIN 4.0
 
 typedef struct slot slot_t;
 
@@ -36,6 +39,7 @@
     uint32_t member;
     uint32_t weight;
     unsigned references;
+    size_t waiting;
     double virtual_time;
     struct work_queue *work;
 } turn_t;
@@ -53,6 +57,7 @@
 /* One slot in use. */
 struct slot {
     mv_list_t link;
+    uint32_t number;
     mv_node_id_t node;
     uint64_t request;
     mv_time_t since;
@@ -90,6 +95,7 @@
     size_t waiting;
     size_t assigned;
     size_t in_use;
+    uint32_t last_number;
     bool open;
     mv_time_t unknown_until;
     mv_time_t next_hint;
@@ -97,6 +103,7 @@
     mv_time_t rate_since;
     uint32_t completed;
     double rate;
+    double held;
 };
 
 /* Helpers -------------------------------------------------------------------------- */
@@ -123,6 +130,13 @@
     dispatcher->ops->send(dispatcher->context, to, &record);
 }
 
+static void
+refuse(mv_dispatcher_t *dispatcher, mv_node_id_t to, uint64_t request)
+{
+    send(dispatcher, to,
+         (mv_slot_record_t){.op = MV_SLOT_REFUSE, .request = request});
+}
+
 static server_t *
 find_server(mv_dispatcher_t *dispatcher, uint32_t id)
 {
@@ -135,12 +149,12 @@
 }
 
 static slot_t *
-find_slot(server_t *server, mv_node_id_t node, uint64_t request)
+find_slot(server_t *server, uint32_t number)
 {
     MV_LIST_FOREACH(item, &server->used)
     {
         slot_t *slot = MV_CONTAINER_OF(item, slot_t, link);
-        if (slot->node == node && slot->request == request) {
+        if (slot->number == number) {
             return slot;
         }
     }
@@ -161,11 +175,12 @@
 /* Creation and configuration ---------------------------------------------------------- */
 
 mv_dispatcher_t *
-MvDispatcher_Create(uint16_t service, const mv_dispatcher_ops_t *ops,
-                    void *context)
+MvDispatcher_Create(uint16_t service, uint32_t first_number,
+                    const mv_dispatcher_ops_t *ops, void *context)
 {
     mv_dispatcher_t *dispatcher = g_new0(mv_dispatcher_t, 1);
     dispatcher->id = service;
+    dispatcher->last_number = first_number;
     dispatcher->ops = ops;
     dispatcher->context = context;
     dispatcher->waiters = g_hash_table_new(waiter_hash, waiter_equal);
@@ -345,6 +360,7 @@
     g_hash_table_remove(dispatcher->waiters, waiter);
     if (!MvList_IsEmpty(&waiter->link)) {
         MvList_Remove(&waiter->link);
+        turn->waiting--;
         turn->work->waiting--;
         dispatcher->waiting--;
     }
@@ -391,22 +407,44 @@
     return MAX(left, dispatcher->rate * share_of(dispatcher, work));
 }
 
+static uint32_t
+active_weight(const work_queue_t *work)
+{
+    uint32_t sum = 0;
+    MV_LIST_FOREACH(item, &work->turns)
+    {
+        const turn_t *turn = MV_CONTAINER_OF(item, turn_t, link);
+        sum += MvList_IsEmpty(&turn->waiters) ? 0 : turn->weight;
+    }
+    return sum;
+}
+
+static mv_time_t
+finish_margin(const mv_dispatcher_t *dispatcher)
+{
+    return (mv_time_t)(dispatcher->held * FINISH_MARGIN);
+}
+
+/* Will it be able to finish before its deadline, going by its turn? */
 static bool
-can_start_in_time(const mv_dispatcher_t *dispatcher, size_t work,
-                  mv_time_t left)
+can_finish_in_time(const mv_dispatcher_t *dispatcher, size_t work,
+                   const turn_t *turn, mv_time_t left)
 {
-    size_t ahead = dispatcher->works[work].waiting;
+    size_t ahead = turn->waiting;
+    double rate = expected_rate(dispatcher, work);
     if (dispatcher->waiting >= MAX_WAITING) {
         return false;
     }
-    if (dispatcher->rate <= 0 || ahead == 0) {
+    if (ahead == 0 || dispatcher->rate <= 0) {
         return true;
     }
-    double rate = expected_rate(dispatcher, work);
     if (rate <= 0) {
         return ahead < usable_slots(dispatcher);
     }
-    return (double)ahead / rate * MV_SECOND < (double)left;
+    double part = (double)turn->weight /
+                  MAX(active_weight(&dispatcher->works[work]), 1);
+    double wait = (double)ahead / (rate * part) * MV_SECOND;
+    return wait + (double)finish_margin(dispatcher) < (double)left;
 }
 
 static void
@@ -419,24 +457,24 @@
     if (g_hash_table_contains(dispatcher->waiters, &probe)) {
         return;
     }
-    if (!can_start_in_time(dispatcher, number, left)) {
-        send(dispatcher, from,
-             (mv_slot_record_t){.op = MV_SLOT_REFUSE,
-                                .request = record->request});
+    work_queue_t *work = &dispatcher->works[number];
+    turn_t *turn = get_turn(dispatcher, work, record->member);
+    if (!can_finish_in_time(dispatcher, number, turn, left)) {
+        refuse(dispatcher, from, record->request);
         return;
     }
-    work_queue_t *work = &dispatcher->works[number];
     waiter_t *waiter = g_new0(waiter_t, 1);
     *waiter = (waiter_t){.node = from,
                          .request = record->request,
-                         .turn = get_turn(dispatcher, work, record->member),
+                         .turn = turn,
                          .deadline = now + left,
                          .since = now};
     if (MvList_IsEmpty(&waiter->turn->waiters) &&
         waiter->turn->virtual_time < work->virtual_time) {
         waiter->turn->virtual_time = work->virtual_time;
     }
-    waiter->turn->references++;
+    turn->references++;
+    turn->waiting++;
     MvList_Append(&waiter->turn->waiters, &waiter->link);
     g_hash_table_add(dispatcher->waiters, waiter);
     work->waiting++;
@@ -522,6 +560,7 @@
     turn->virtual_time += 1.0 / turn->weight;
     work->granted++;
     MvList_Remove(&waiter->link);
+    turn->waiting--;
     work->waiting--;
     dispatcher->waiting--;
     dispatcher->assigned++;
@@ -535,6 +574,7 @@
     waiter->next_of->next = NULL;
     waiter->next_of = NULL;
     MvList_InsertBefore(waiter->turn->waiters.next, &waiter->link);
+    waiter->turn->waiting++;
     waiter->turn->work->waiting++;
     dispatcher->waiting++;
     dispatcher->assigned--;
@@ -567,9 +607,10 @@
 
 static void
 add_slot(mv_dispatcher_t *dispatcher, server_t *server, mv_node_id_t node,
-         uint64_t request, mv_time_t now)
+         uint64_t request, uint32_t number, mv_time_t now)
 {
     slot_t *slot = g_new0(slot_t, 1);
+    slot->number = number;
     slot->node = node;
     slot->request = request;
     slot->since = now;
@@ -592,11 +633,13 @@
 grant_to(mv_dispatcher_t *dispatcher, mv_time_t now, server_t *server,
          waiter_t *waiter)
 {
+    uint32_t number = ++dispatcher->last_number;
     send(dispatcher, waiter->node,
          (mv_slot_record_t){.op = MV_SLOT_GRANT,
                             .request = waiter->request,
+                            .slot = number,
                             .endpoint = server->id});
-    add_slot(dispatcher, server, waiter->node, waiter->request, now);
+    add_slot(dispatcher, server, waiter->node, waiter->request, number, now);
     drop_waiter(dispatcher, waiter);
 }
 
@@ -625,6 +668,7 @@
             send(dispatcher, slot->node,
                  (mv_slot_record_t){.op = MV_SLOT_NEXT,
                                     .request = slot->request,
+                                    .slot = slot->number,
                                     .other = slot->next->request,
                                     .node = slot->next->node,
                                     .endpoint = server->id});
@@ -652,12 +696,41 @@
 }
 
 static void
-note_completion(mv_dispatcher_t *dispatcher, server_t *server)
+note_completion(mv_dispatcher_t *dispatcher, server_t *server,
+                const slot_t *slot, mv_time_t now)
 {
+    double held = (double)(now - slot->since);
     dispatcher->completed++;
+    dispatcher->held += HELD_WEIGHT * (held - dispatcher->held);
     server->suspension = 0;
 }
 
+/*
+ * The slot that @record of @from speaks of, NULL when it has moved on.  Its
+ * next holder may be heard before the former one: then it was passed on.
+ */
+static slot_t *
+settle_slot(mv_dispatcher_t *dispatcher, mv_time_t now, server_t *server,
+            mv_node_id_t from, const mv_slot_record_t *record)
+{
+    slot_t *slot = server ? find_slot(server, record->slot) : NULL;
+    if (!slot ||
+        (slot->node == from && slot->request == record->request)) {
+        return slot;
+    }
+    waiter_t *next = slot->next;
+    if (!next || next->node != from || next->request != record->request) {
+        return NULL;
+    }
+    note_completion(dispatcher, server, slot, now);
+    drop_waiter(dispatcher, next);
+    slot->node = from;
+    slot->request = record->request;
+    slot->since = now;
+    slot->missing_since = 0;
+    return slot;
+}
+
 static void
 note_failure(server_t *server, uint32_t flag, mv_time_t now)
 {
@@ -680,8 +753,7 @@
             const mv_slot_record_t *record)
 {
     server_t *server = find_server(dispatcher, record->endpoint);
-    slot_t *slot =
-        server ? find_slot(server, from, record->request) : NULL;
+    slot_t *slot = settle_slot(dispatcher, now, server, from, record);
     if (!slot) {
         return;
     }
@@ -689,10 +761,10 @@
     if (next) {
         put_back(dispatcher, next);
     }
-    drop_slot(dispatcher, server, slot);
     if (record->left_ms == MV_RETURN_GOOD) {
-        note_completion(dispatcher, server);
+        note_completion(dispatcher, server, slot, now);
     }
+    drop_slot(dispatcher, server, slot);
     note_failure(server, record->left_ms, now);
 }
 
@@ -702,8 +774,7 @@
            const mv_slot_record_t *record)
 {
     server_t *server = find_server(dispatcher, record->endpoint);
-    slot_t *slot =
-        server ? find_slot(server, from, record->request) : NULL;
+    slot_t *slot = settle_slot(dispatcher, now, server, from, record);
     mv_node_id_t to = record->op == MV_SLOT_PASSED
                           ? (mv_node_id_t)record->node
                           : from;
@@ -712,7 +783,7 @@
     if (!slot) {
         return;
     }
-    note_completion(dispatcher, server);
+    note_completion(dispatcher, server, slot, now);
     if (slot->next && slot->next != waiter) {
         put_back(dispatcher, slot->next);
     }
@@ -752,10 +823,11 @@
     if (!server) {
         return;
     }
-    slot_t *slot = find_slot(server, from, record->request);
+    slot_t *slot = find_slot(server, record->slot);
     if (!slot) {
-        add_slot(dispatcher, server, from, record->request, now);
-        slot = find_slot(server, from, record->request);
+        add_slot(dispatcher, server, from, record->request, record->slot,
+                 now);
+        slot = find_slot(server, record->slot);
     }
     slot->reported = true;
 }
@@ -870,6 +942,10 @@
 static void
 expire_waiters(mv_dispatcher_t *dispatcher, mv_time_t now)
 {
+    /* What has little time left when it comes may still try. */
+    mv_time_t margin = dispatcher->waiting > usable_slots(dispatcher)
+                           ? finish_margin(dispatcher)
+                           : 0;
     for (size_t i = 0; i < dispatcher->work_count; i++) {
         if (dispatcher->works[i].waiting == 0) {
             continue;
@@ -882,9 +958,10 @@
                 waiter_t *waiter =
                     MV_CONTAINER_OF(turn->waiters.next, waiter_t, link);
                 bool last = waiter->link.next == &turn->waiters;
-                if (now < waiter->deadline) {
+                if (now + margin < waiter->deadline) {
                     break;
                 }
+                refuse(dispatcher, waiter->node, waiter->request);
                 drop_waiter(dispatcher, waiter);
                 if (last) {
                     break; /* The turn may be gone. */
--- a/packages/core/src/dispatcher.h
+++ b/packages/core/src/dispatcher.h
@@ -24,8 +24,11 @@
                  const mv_slot_record_t *record);
 } mv_dispatcher_ops_t;
 
-/** MvDispatcher_Create() - Queue that grants nothing before it is open. */
-mv_dispatcher_t *MvDispatcher_Create(uint16_t service,
+/**
+ * MvDispatcher_Create() - Queue that grants nothing before it is open.
+ * @first_number: slots are numbered from here, apart from former owners'
+ */
+mv_dispatcher_t *MvDispatcher_Create(uint16_t service, uint32_t first_number,
                                      const mv_dispatcher_ops_t *ops,
                                      void *context);
 
--- a/packages/core/src/requests.c
+++ b/packages/core/src/requests.c
@@ -132,7 +132,7 @@
 
 void
 MvRequests_Dispatch(mv_requests_t *requests, mv_time_t now,
-                    mv_request_t *request, uint16_t endpoint)
+                    mv_request_t *request, uint16_t endpoint, uint32_t slot)
 {
     const mv_service_t *service =
         MvDeployment_Find(requests->deployment, request->service);
@@ -142,6 +142,7 @@
     MvList_Remove(&request->link);
     request->state = MV_REQUEST_DISPATCHED;
     request->endpoint = endpoint;
+    request->slot = slot;
     request->attempts++;
     if (!known) {
         MvRequests_Answered(requests, now, id, MV_RESULT_UNREACHABLE, NULL,
@@ -253,6 +254,7 @@
     }
     uint16_t service = request->service;
     uint16_t endpoint = request->endpoint;
+    uint32_t slot = request->slot;
     if (result == MV_RESULT_WHOLE) {
         /* Also when late: a repeated key then gets the real answer. */
         settle_claim(requests, now, request, MV_CLAIM_DONE, bytes, length);
@@ -269,7 +271,7 @@
     else {
         settle_failure(requests, now, request, result);
     }
-    MvSlots_Released(requests->slots, now, service, endpoint, id,
+    MvSlots_Released(requests->slots, now, service, endpoint, slot, id,
                      return_flag(result));
     MvSlots_Flush(requests->slots, now);
     return give;
--- a/packages/core/src/requests_private.h
+++ b/packages/core/src/requests_private.h
@@ -47,6 +47,7 @@
  * @arrived: time it came
  * @state: &enum mv_request_state
  * @endpoint: endpoint id while dispatched
+ * @slot: number of its slot while dispatched
  * @attempts: dispatches so far
  * @abandoned: its caller has an outcome already
  * @retry_claim_at: when to ask for the claim again
@@ -67,6 +68,7 @@
     mv_time_t deadline;
     mv_time_t arrived;
     uint16_t endpoint;
+    uint32_t slot;
     unsigned attempts;
     bool abandoned;
     mv_time_t retry_claim_at;
@@ -109,7 +111,8 @@
                        mv_request_t *request, mv_outcome_t outcome,
                        mv_reason_t reason);
 void MvRequests_Dispatch(mv_requests_t *requests, mv_time_t now,
-                         mv_request_t *request, uint16_t endpoint);
+                         mv_request_t *request, uint16_t endpoint,
+                         uint32_t slot);
 void MvRequests_Close(mv_requests_t *requests, mv_request_t *request);
 bool MvRequests_IsMember(const mv_requests_t *requests, mv_node_id_t id);
 
@@ -148,7 +151,8 @@
 void MvSlots_Withdraw(mv_slots_t *slots, mv_time_t now,
                       mv_request_t *request);
 void MvSlots_Released(mv_slots_t *slots, mv_time_t now, uint16_t service,
-                      uint16_t endpoint, mv_request_id_t id, uint32_t flag);
+                      uint16_t endpoint, uint32_t slot, mv_request_id_t id,
+                      uint32_t flag);
 void MvSlots_Message(mv_slots_t *slots, mv_time_t now,
                      const mv_message_t *message);
 void MvSlots_Timer(mv_slots_t *slots, mv_time_t now);
--- a/packages/core/src/slots.c
+++ b/packages/core/src/slots.c
@@ -154,6 +154,7 @@
                  (mv_slot_record_t){.op = MV_SLOT_HOLDING,
                                     .service = service->id,
                                     .request = request->id,
+                                    .slot = request->slot,
                                     .endpoint = request->endpoint});
         }
     }
@@ -193,7 +194,8 @@
 become_owner(mv_slots_t *slots, mv_time_t now, service_t *service)
 {
     service->dispatcher =
-        MvDispatcher_Create(service->id, &dispatcher_ops, slots);
+        MvDispatcher_Create(service->id, g_rand_int(slots->requests->random),
+                            &dispatcher_ops, slots);
     service->open = false;
     service->open_since = now;
     g_hash_table_remove_all(service->reported);
@@ -371,7 +373,7 @@
 
 static void
 pass_on(mv_slots_t *slots, mv_time_t now, service_t *service,
-        uint16_t endpoint, const next_t *next)
+        uint16_t endpoint, uint32_t slot, const next_t *next)
 {
     mv_requests_t *requests = slots->requests;
     bool here = next->node == requests->self;
@@ -384,6 +386,7 @@
              (mv_slot_record_t){.op = MV_SLOT_RETURN,
                                 .service = service->id,
                                 .request = next->holder,
+                                .slot = slot,
                                 .endpoint = endpoint});
         return;
     }
@@ -391,23 +394,26 @@
          (mv_slot_record_t){.op = here ? MV_SLOT_REUSED : MV_SLOT_PASSED,
                             .service = service->id,
                             .request = next->holder,
+                            .slot = slot,
                             .other = next->other,
                             .node = next->node,
                             .endpoint = endpoint});
     if (here) {
-        MvRequests_Dispatch(requests, now, request, endpoint);
+        MvRequests_Dispatch(requests, now, request, endpoint, slot);
         return;
     }
     post(slots, next->node,
          (mv_slot_record_t){.op = MV_SLOT_GRANT,
                             .service = service->id,
                             .request = next->other,
+                            .slot = slot,
                             .endpoint = endpoint});
 }
 
 void
 MvSlots_Released(mv_slots_t *slots, mv_time_t now, uint16_t id,
-                 uint16_t endpoint, mv_request_id_t holder, uint32_t flag)
+                 uint16_t endpoint, uint32_t slot, mv_request_id_t holder,
+                 uint32_t flag)
 {
     service_t *service = find_service(slots, id);
     if (!service) {
@@ -419,7 +425,7 @@
     bool good = flag == MV_RETURN_GOOD &&
                 is_endpoint_usable(slots->requests, id, endpoint, now);
     if (good && planned) {
-        pass_on(slots, now, service, endpoint, &next);
+        pass_on(slots, now, service, endpoint, slot, &next);
         return;
     }
     mv_request_t *candidate =
@@ -428,13 +434,14 @@
         next = (next_t){.holder = holder,
                         .other = candidate->id,
                         .node = slots->requests->self};
-        pass_on(slots, now, service, endpoint, &next);
+        pass_on(slots, now, service, endpoint, slot, &next);
         return;
     }
     post(slots, service->owner,
          (mv_slot_record_t){.op = MV_SLOT_RETURN,
                             .service = id,
                             .request = holder,
+                            .slot = slot,
                             .endpoint = endpoint,
                             .left_ms = flag});
 }
@@ -453,16 +460,17 @@
                                      (uint16_t)record->endpoint, now);
     if (waits && usable) {
         MvRequests_Dispatch(requests, now, request,
-                            (uint16_t)record->endpoint);
+                            (uint16_t)record->endpoint, record->slot);
         return;
     }
     bool running = request && request->state == MV_REQUEST_DISPATCHED &&
-                   request->endpoint == record->endpoint;
+                   request->slot == record->slot;
     if (!running) {
         post(slots, service->owner,
              (mv_slot_record_t){.op = MV_SLOT_RETURN,
                                 .service = service->id,
                                 .request = record->request,
+                                .slot = record->slot,
                                 .endpoint = record->endpoint,
                                 .left_ms = MV_RETURN_UNUSED});
     }
--- a/packages/net/src/codec.c
+++ b/packages/net/src/codec.c
@@ -8,7 +8,7 @@
 #define MEMBER_FIELDS 6
 #define BUCKET_FIELDS 5
 #define LOAD_FIELDS 3
-#define SLOT_FIELDS 9
+#define SLOT_FIELDS 10
 #define CLAIM_FIELDS 8
 /* Packed flow record: address, port, service, endpoint, idle in 100 ms. */
 #define FLOW_BYTES 12
@@ -110,6 +110,7 @@
         msgpack_pack_uint32(packer, slot->node);
         msgpack_pack_uint32(packer, slot->member);
         msgpack_pack_uint32(packer, slot->left_ms);
+        msgpack_pack_uint32(packer, slot->slot);
     }
 }
 
@@ -314,7 +315,8 @@
             row[0] == 0 || row[0] >= MV_SLOT_OP_COUNT ||
             row[3] > UINT16_MAX || row[4] > UINT16_MAX ||
             row[5] > UINT16_MAX || row[6] > MV_NO_NODE ||
-            row[7] > UINT32_MAX || row[8] > UINT32_MAX) {
+            row[7] > UINT32_MAX || row[8] > UINT32_MAX ||
+            row[9] > UINT32_MAX) {
             return false;
         }
         message->slots[i] = (mv_slot_record_t){.op = (uint32_t)row[0],
@@ -325,7 +327,8 @@
                                                .work = (uint32_t)row[5],
                                                .node = (uint32_t)row[6],
                                                .member = (uint32_t)row[7],
-                                               .left_ms = (uint32_t)row[8]};
+                                               .left_ms = (uint32_t)row[8],
+                                               .slot = (uint32_t)row[9]};
     }
     return true;
 }
