Near slots first, credit across short gaps, and no 'not run' after a broken run

Change: the owner prefers a server and a waiting request in the same data centre where that costs no evenness, and the slot's own node when the queue is deep; credit for guaranteed shares is kept over gaps; a request with a broken run is never told 'not run'.

--- /dev/null
+++ b/bench/src/flows_bench.cc
@@ -0,0 +1,2 @@
+#include "report.h"
+void bench_flows(bench_report &) {}
--- /dev/null
+++ b/bench/src/main.cc
@@ -0,0 +1,27 @@
+/* masticvane-bench [PART] [FILE]: one table of targets and figures. */
+#include "report.h"
+
+#include <cstring>
+
+int
+main(int argc, char **argv)
+{
+    std::string part = argc > 1 ? argv[1] : "all";
+    std::string path = argc > 2 ? argv[2] : "";
+    bench_report report;
+    report.text("# Benchmarks");
+    report.text("");
+    report.text("Decision code under virtual time, seeds fixed (1 to 3).  "
+                "Run with `make bench`.");
+    if (part == "all" || part == "requests") {
+        bench_requests(report);
+    }
+    if (part == "all" || part == "flows") {
+        bench_flows(report);
+    }
+    if (part == "all" || part == "state") {
+        bench_state(report);
+    }
+    report.finish(path);
+    return 0;
+}
--- a/packages/core/include/masticvane/core.h
+++ b/packages/core/include/masticvane/core.h
@@ -196,11 +196,13 @@
  * @ready: it may be the home of buckets
  * @config_version: configuration it has in force
  * @life: Unix second at which its process started
+ * @data_centre: hash of the name of its data centre
  */
 typedef struct mv_member_update {
     uint32_t node;
     uint32_t incarnation;
     uint32_t life;
+    uint32_t data_centre;
     uint32_t state;
     uint32_t ready;
     uint64_t config_version;
@@ -474,6 +476,7 @@
 /**
  * struct mv_node_settings - What a node knows before it hears anything.
  * @id: its own number
+ * @data_centre: MvDataCentre_Hash() of its data centre, 0 when not known
  * @peers: numbers of the other entry VMs it may contact
  * @peer_count: entries in @peers
  * @probe_interval: time between heartbeats
@@ -487,6 +490,7 @@
  */
 typedef struct mv_node_settings {
     mv_node_id_t id;
+    uint32_t data_centre;
     const mv_node_id_t *peers;
     size_t peer_count;
     mv_time_t probe_interval;
@@ -587,12 +591,17 @@
  * struct mv_request_member - An entry VM that may own keys and slots.
  * @id: its number
  * @life: changes whenever the process starts anew
+ * @data_centre: hash of the name of its data centre, 0 when not known
  */
 typedef struct mv_request_member {
     uint32_t id;
     uint32_t life;
+    uint32_t data_centre;
 } mv_request_member_t;
 
+/** MvDataCentre_Hash() - Hash of a data centre's name, never 0. */
+uint32_t MvDataCentre_Hash(const char *name);
+
 /**
  * MvNode_RequestMembers() - Members that may own keys and slots, by number.
  * @out: room for @capacity entries
--- a/packages/core/src/deployment.c
+++ b/packages/core/src/deployment.c
@@ -33,6 +33,13 @@
     g_free(deployment);
 }
 
+uint32_t
+MvDataCentre_Hash(const char *name)
+{
+    uint32_t hash = g_str_hash(name);
+    return hash ? hash : 1;
+}
+
 const mv_service_t *
 MvDeployment_Find(const mv_deployment_t *deployment, uint16_t service)
 {
--- a/packages/core/src/dispatcher.c
+++ b/packages/core/src/dispatcher.c
@@ -10,14 +10,20 @@
 #define LOST_NODE_HOLD (2 * MV_SECOND)
 /* A holding must be missing from reports for this long to be taken back. */
 #define MISSING_HOLD (2 * MV_SECOND)
-#define MAX_CREDIT 4.0
-#define SERVED_DECAY 0.999
+/* Grants that a class may catch up on after it had nothing waiting. */
+#define MAX_CREDIT 16.0
+/* Evenness of work looks back about this long. */
+#define BUSY_MEMORY (10 * MV_SECOND)
+/* A near server is preferred unless it was busier by this part of a slot. */
+#define NEAR_PREFERENCE 0.02
 #define RATE_WINDOW (1 * MV_SECOND)
-#define LOCAL_LOOK_AHEAD 16
+#define LOOK_AHEAD 8
+/* How far behind the first a request at the slot's own node may be. */
+#define SAME_NODE_LOOK_AHEAD 128
 #define MAX_WAITING 65536
 #define HELD_WEIGHT 0.02
 /* A request should be able to take this many mean times before its deadline. */
-#define FINISH_MARGIN 4.0
+#define FINISH_MARGIN 6.0
 
 typedef struct slot slot_t;
 
@@ -74,7 +80,9 @@
     uint32_t in_use;
     bool leaving;
     bool seen;
-    double served;
+    uint32_t data_centre;
+    double busy;
+    mv_time_t busy_since;
     mv_time_t next_ramp;
     mv_time_t suspended_until;
     mv_time_t suspension;
@@ -92,6 +100,7 @@
     work_queue_t *works;
     size_t work_count;
     GHashTable *waiters;
+    GHashTable *data_centres;
     size_t waiting;
     size_t assigned;
     size_t in_use;
@@ -184,6 +193,8 @@
     dispatcher->ops = ops;
     dispatcher->context = context;
     dispatcher->waiters = g_hash_table_new(waiter_hash, waiter_equal);
+    dispatcher->data_centres =
+        g_hash_table_new(g_direct_hash, g_direct_equal);
     dispatcher->hinted = UINT32_MAX;
     return dispatcher;
 }
@@ -214,6 +225,7 @@
     GList *waiters = g_hash_table_get_keys(dispatcher->waiters);
     g_list_free_full(waiters, g_free);
     g_hash_table_unref(dispatcher->waiters);
+    g_hash_table_unref(dispatcher->data_centres);
     g_free(dispatcher->servers);
     g_free(dispatcher->works);
     g_free(dispatcher);
@@ -251,6 +263,8 @@
     server_t *server = &grown[count];
     server->id = endpoint->id;
     server->slots = endpoint->slots;
+    server->data_centre = MvDataCentre_Hash(endpoint->data_centre);
+    server->busy_since = now;
     /* A cold server starts with one slot; at the start all are warm. */
     server->limit = dispatcher->open ? 1 : endpoint->slots;
     server->next_ramp = now + RAMP_INTERVAL;
@@ -309,6 +323,21 @@
     update_leaving(dispatcher, wall);
 }
 
+void
+MvDispatcher_SetNode(mv_dispatcher_t *dispatcher, mv_node_id_t node,
+                     uint32_t data_centre)
+{
+    g_hash_table_insert(dispatcher->data_centres, GUINT_TO_POINTER(node),
+                        GUINT_TO_POINTER(data_centre));
+}
+
+static uint32_t
+data_centre_of(const mv_dispatcher_t *dispatcher, mv_node_id_t node)
+{
+    return GPOINTER_TO_UINT(g_hash_table_lookup(dispatcher->data_centres,
+                                                GUINT_TO_POINTER(node)));
+}
+
 bool
 MvDispatcher_Fits(const mv_dispatcher_t *dispatcher,
                   const mv_service_t *service)
@@ -492,12 +521,12 @@
     uint32_t urgent_urgency = UINT32_MAX;
     for (size_t i = 0; i < dispatcher->work_count; i++) {
         work_queue_t *work = &dispatcher->works[i];
+        work->credit = MIN(work->credit + share_of(dispatcher, i),
+                           MAX_CREDIT);
         if (work->waiting == 0) {
             continue;
         }
         uint32_t urgency = urgency_of(dispatcher, i);
-        work->credit = MIN(work->credit + share_of(dispatcher, i),
-                           MAX_CREDIT);
         if (work->credit >= 1 && urgency < entitled_urgency) {
             entitled = work;
             entitled_urgency = urgency;
@@ -529,33 +558,44 @@
     return best;
 }
 
+/* The first of the turn, or one close behind it that is nearer. */
 static waiter_t *
-choose_waiter(turn_t *turn, mv_node_id_t near)
+choose_waiter(const mv_dispatcher_t *dispatcher, turn_t *turn,
+              mv_node_id_t node, uint32_t data_centre)
 {
     unsigned looked = 0;
+    unsigned most = node == MV_NO_NODE ? LOOK_AHEAD : SAME_NODE_LOOK_AHEAD;
+    waiter_t *first = MV_CONTAINER_OF(turn->waiters.next, waiter_t, link);
+    waiter_t *near = NULL;
     MV_LIST_FOREACH(item, &turn->waiters)
     {
         waiter_t *waiter = MV_CONTAINER_OF(item, waiter_t, link);
-        if (waiter->node == near) {
+        if (waiter->node == node) {
             return waiter;
         }
-        if (++looked >= LOCAL_LOOK_AHEAD) {
+        bool close = looked < LOOK_AHEAD && !near;
+        if (close &&
+            data_centre_of(dispatcher, waiter->node) == data_centre) {
+            near = waiter;
+        }
+        if (++looked >= most) {
             break;
         }
     }
-    return MV_CONTAINER_OF(turn->waiters.next, waiter_t, link);
+    return near ? near : first;
 }
 
-/* Take the next request off the queue; near @near if that makes no odds. */
+/* Take the next request off the queue, preferably at @node or near it. */
 static waiter_t *
-take_next(mv_dispatcher_t *dispatcher, mv_node_id_t near)
+take_next(mv_dispatcher_t *dispatcher, mv_node_id_t node,
+          uint32_t data_centre)
 {
     work_queue_t *work = choose_work(dispatcher);
     if (!work) {
         return NULL;
     }
     turn_t *turn = choose_turn(work);
-    waiter_t *waiter = choose_waiter(turn, near);
+    waiter_t *waiter = choose_waiter(dispatcher, turn, node, data_centre);
     work->virtual_time = MAX(work->virtual_time, turn->virtual_time);
     turn->virtual_time += 1.0 / turn->weight;
     work->granted++;
@@ -582,24 +622,42 @@
 
 /* Slots ------------------------------------------------------------------------------------------ */
 
+static void
+update_busy(server_t *server, mv_time_t now)
+{
+    double passed = (double)(now - server->busy_since);
+    double part = MIN(passed / BUSY_MEMORY, 1.0);
+    double used = (double)server->in_use / server->slots;
+    server->busy += part * (used - server->busy);
+    server->busy_since = now;
+}
+
+/* Lower is better: free slots first, then evenness, then nearness. */
+static double
+server_score(const server_t *server, uint32_t data_centre)
+{
+    double used = (double)server->in_use / server->slots;
+    double far = server->data_centre == data_centre ? 0 : NEAR_PREFERENCE;
+    return 2 * used + server->busy + far;
+}
+
 static server_t *
-choose_server(mv_dispatcher_t *dispatcher, mv_time_t now)
+choose_server(mv_dispatcher_t *dispatcher, mv_time_t now,
+              uint32_t data_centre)
 {
     server_t *best = NULL;
+    double best_score = 0;
     for (size_t i = 0; i < dispatcher->server_count; i++) {
         server_t *server = &dispatcher->servers[i];
         if (server->leaving || server->in_use >= server->limit ||
             server->suspended_until > now) {
             continue;
         }
-        if (!best) {
-            best = server;
-            continue;
-        }
-        uint64_t one = (uint64_t)server->in_use * best->slots;
-        uint64_t other = (uint64_t)best->in_use * server->slots;
-        if (one < other || (one == other && server->served < best->served)) {
+        update_busy(server, now);
+        double score = server_score(server, data_centre);
+        if (!best || score < best_score) {
             best = server;
+            best_score = score;
         }
     }
     return best;
@@ -614,15 +672,17 @@
     slot->node = node;
     slot->request = request;
     slot->since = now;
+    update_busy(server, now);
     MvList_Append(&server->used, &slot->link);
     server->in_use++;
-    server->served += 1;
     dispatcher->in_use++;
 }
 
 static void
-drop_slot(mv_dispatcher_t *dispatcher, server_t *server, slot_t *slot)
+drop_slot(mv_dispatcher_t *dispatcher, server_t *server, slot_t *slot,
+          mv_time_t now)
 {
+    update_busy(server, now);
     MvList_Remove(&slot->link);
     g_free(slot);
     server->in_use--;
@@ -663,7 +723,8 @@
             if (dispatcher->waiting <= slots) {
                 return;
             }
-            slot->next = take_next(dispatcher, slot->node);
+            slot->next =
+                take_next(dispatcher, slot->node, server->data_centre);
             slot->next->next_of = slot;
             send(dispatcher, slot->node,
                  (mv_slot_record_t){.op = MV_SLOT_NEXT,
@@ -683,12 +744,15 @@
         return;
     }
     while (dispatcher->waiting > 0) {
-        server_t *server = choose_server(dispatcher, now);
+        server_t *server = choose_server(dispatcher, now, 0);
         if (!server) {
             break;
         }
-        waiter_t *waiter = take_next(dispatcher, MV_NO_NODE);
-        grant_to(dispatcher, now, server, waiter);
+        waiter_t *waiter =
+            take_next(dispatcher, MV_NO_NODE, server->data_centre);
+        uint32_t near = data_centre_of(dispatcher, waiter->node);
+        grant_to(dispatcher, now, choose_server(dispatcher, now, near),
+                 waiter);
     }
     if (dispatcher->waiting > 0) {
         name_next(dispatcher);
@@ -764,7 +828,7 @@
     if (record->left_ms == MV_RETURN_GOOD) {
         note_completion(dispatcher, server, slot, now);
     }
-    drop_slot(dispatcher, server, slot);
+    drop_slot(dispatcher, server, slot, now);
     note_failure(server, record->left_ms, now);
 }
 
@@ -791,7 +855,6 @@
     slot->request = record->other;
     slot->since = now;
     slot->missing_since = 0;
-    server->served += 1;
     if (waiter) {
         if (!MvList_IsEmpty(&waiter->link)) {
             waiter->turn->virtual_time += 1.0 / waiter->turn->weight;
@@ -935,7 +998,7 @@
         if (slot->next) {
             put_back(dispatcher, slot->next);
         }
-        drop_slot(dispatcher, server, slot);
+        drop_slot(dispatcher, server, slot, now);
     }
 }
 
@@ -1035,7 +1098,7 @@
     for (size_t i = 0; i < dispatcher->server_count; i++) {
         server_t *server = &dispatcher->servers[i];
         expire_slots(dispatcher, server, now);
-        server->served *= SERVED_DECAY;
+        update_busy(server, now);
         if (server->limit < server->slots && now >= server->next_ramp &&
             server->suspended_until <= now) {
             server->limit++;
--- a/packages/core/src/dispatcher.h
+++ b/packages/core/src/dispatcher.h
@@ -44,6 +44,10 @@
 bool MvDispatcher_Fits(const mv_dispatcher_t *dispatcher,
                        const mv_service_t *service);
 
+/** MvDispatcher_SetNode() - Say in which data centre a node runs. */
+void MvDispatcher_SetNode(mv_dispatcher_t *dispatcher, mv_node_id_t node,
+                          uint32_t data_centre);
+
 /** MvDispatcher_Take() - A record from node @from, this one included. */
 void MvDispatcher_Take(mv_dispatcher_t *dispatcher, mv_time_t now,
                        mv_node_id_t from, const mv_slot_record_t *record);
--- a/packages/core/src/members.c
+++ b/packages/core/src/members.c
@@ -113,6 +113,7 @@
     member->incarnation = update->incarnation;
     member->ready = update->ready;
     member->life = update->life;
+    member->data_centre = update->data_centre;
     member->config_version =
         MAX(member->config_version, update->config_version);
     spread_again(node, member);
@@ -126,6 +127,7 @@
         .node = node->settings.id,
         .incarnation = node->incarnation,
         .life = node->life,
+        .data_centre = node->settings.data_centre,
         .state = node->left ? MV_MEMBER_LEFT : MV_MEMBER_ALIVE,
         .ready = node->ready && !node->left,
         .config_version = node->deployment ? node->deployment->version : 0,
@@ -139,6 +141,7 @@
         .node = member->id,
         .incarnation = member->incarnation,
         .life = member->life,
+        .data_centre = member->data_centre,
         .state = member->state,
         .ready = member->ready,
         .config_version = member->config_version,
--- a/packages/core/src/node.c
+++ b/packages/core/src/node.c
@@ -337,13 +337,17 @@
     size_t count = 0;
     if (node->ready && !node->left && capacity > 0) {
         out[count++] = (mv_request_member_t){.id = node->settings.id,
-                                             .life = node->life};
+                                             .life = node->life,
+                                             .data_centre =
+                                                 node->settings.data_centre};
     }
     for (guint i = 0; i < node->members->len && count < capacity; i++) {
         const mv_member_t *member = g_ptr_array_index(node->members, i);
         if (MvMembers_IsLive(member) && member->ready) {
             out[count++] = (mv_request_member_t){.id = member->id,
-                                                 .life = member->life};
+                                                 .life = member->life,
+                                                 .data_centre =
+                                                     member->data_centre};
         }
     }
     qsort(out, count, sizeof(out[0]), compare_members);
--- a/packages/core/src/node_private.h
+++ b/packages/core/src/node_private.h
@@ -24,6 +24,7 @@
  * @known_ready: value of @ready when homes were last computed
  * @incarnation: latest heard
  * @life: Unix second at which its process started
+ * @data_centre: hash of the name of its data centre
  * @config_version: configuration it said it has
  * @state_since: time of the last change of @state
  * @spread_left: times the belief is still passed on
@@ -40,6 +41,7 @@
     bool ready;
     uint32_t incarnation;
     uint32_t life;
+    uint32_t data_centre;
     uint64_t config_version;
     mv_time_t state_since;
     unsigned spread_left;
--- a/packages/core/src/requests.c
+++ b/packages/core/src/requests.c
@@ -106,6 +106,9 @@
                   mv_request_t *request, mv_outcome_t outcome,
                   mv_reason_t reason)
 {
+    if (request->may_have_run) {
+        outcome = MV_OUTCOME_UNKNOWN;
+    }
     bool not_run = outcome == MV_OUTCOME_NOT_RUN;
     mv_request_id_t id = request->id;
     bool dispatched = request->state == MV_REQUEST_DISPATCHED;
@@ -230,6 +233,7 @@
                mv_result_t result)
 {
     request->state = MV_REQUEST_WAITING;
+    request->may_have_run |= result == MV_RESULT_BROKEN;
     if (may_retry(requests, now, request, result)) {
         MvSlots_Enqueue(requests->slots, now, request);
         return;
@@ -294,7 +298,10 @@
         requests->effects->ops->cancel(requests->effects, id);
     }
     else {
-        settle_claim(requests, now, request, MV_CLAIM_NOT_RUN, NULL, 0);
+        settle_claim(requests, now, request,
+                     request->may_have_run ? MV_CLAIM_OUTCOME_UNKNOWN
+                                           : MV_CLAIM_NOT_RUN,
+                     NULL, 0);
         MvSlots_Withdraw(requests->slots, now, request);
         MvRequests_Close(requests, request);
     }
--- a/packages/core/src/requests_private.h
+++ b/packages/core/src/requests_private.h
@@ -49,6 +49,7 @@
  * @endpoint: endpoint id while dispatched
  * @slot: number of its slot while dispatched
  * @attempts: dispatches so far
+ * @may_have_run: a dispatch of it broke, so it is never told "not run"
  * @abandoned: its caller has an outcome already
  * @retry_claim_at: when to ask for the claim again
  */
@@ -70,6 +71,7 @@
     uint16_t endpoint;
     uint32_t slot;
     unsigned attempts;
+    bool may_have_run;
     bool abandoned;
     mv_time_t retry_claim_at;
 } mv_request_t;
--- a/packages/core/src/slots.c
+++ b/packages/core/src/slots.c
@@ -262,6 +262,12 @@
         MvDispatcher_Configure(service->dispatcher, now,
                                now + requests->wall_offset, config,
                                requests->deployment);
+        for (size_t i = 0; i < requests->member_count; i++) {
+            const mv_request_member_t *member = &requests->members[i];
+            MvDispatcher_SetNode(service->dispatcher,
+                                 (mv_node_id_t)member->id,
+                                 member->data_centre);
+        }
     }
 }
 
--- a/packages/core/test/request_fleet.cc
+++ b/packages/core/test/request_fleet.cc
@@ -53,6 +53,7 @@
     unsigned running = 0;
     bool broken = false;
     mv_time_t last_start = -1;
+    mv_time_t accounted = 0;
     struct waiting {
         mv_node_id_t node;
         uint32_t life;
@@ -136,6 +137,8 @@
     for (unsigned e = 0; e < options_.endpoints; e++) {
         s->endpoints[e].id = (uint16_t)(e + 1);
         s->endpoints[e].slots = (uint16_t)options_.slots;
+        g_snprintf(s->endpoints[e].data_centre, MV_NAME_MAX, "dc%u",
+                   (e + 1) % options_.data_centres);
         if (leaving.count((uint16_t)(e + 1))) {
             s->endpoints[e].leaves_at = (now_ + kWallStart) / MV_SECOND;
         }
@@ -269,7 +272,10 @@
                            m.second->died &&
                            now_ - m.second->died >= options_.detect;
         if (!known_dead && !seen_paused && !m.second->leaving) {
-            now_live.push_back({m.first, m.second->life});
+            std::string dc =
+                "dc" + std::to_string(m.first % options_.data_centres);
+            now_live.push_back({m.first, m.second->life,
+                                MvDataCentre_Hash(dc.c_str())});
         }
     }
     std::uniform_int_distribution<mv_time_t> late(0, 300 * MV_MILLISECOND);
@@ -564,12 +570,13 @@
         if (!a.key.empty()) {
             runs_[a.key]++;
         }
+        account(endpoint);
         s.running++;
         std::exponential_distribution<double> d(1.0 / options_.service_ms);
         double ms = d(random_);
-        busy_[endpoint] += ms;
         at(now_ + (mv_time_t)(ms * MV_MILLISECOND), [this, endpoint, w] {
             server &again = servers_[endpoint];
+            account(endpoint);
             again.running--;
             mv_result_t result =
                 again.broken ? MV_RESULT_BROKEN : MV_RESULT_WHOLE;
@@ -581,9 +588,27 @@
     }
 }
 
+void
+request_fleet::account(uint16_t endpoint)
+{
+    server &s = servers_[endpoint];
+    busy_[endpoint] += (double)(now_ - s.accounted) * s.running;
+    s.accounted = now_;
+}
+
+const std::vector<double> &
+request_fleet::busy()
+{
+    for (uint16_t e = 1; e <= options_.endpoints; e++) {
+        account(e);
+    }
+    return busy_;
+}
+
 void
 request_fleet::reset_busy()
 {
+    busy();
     std::fill(busy_.begin(), busy_.end(), 0.0);
 }
 
--- a/packages/core/test/request_fleet.h
+++ b/packages/core/test/request_fleet.h
@@ -93,7 +93,8 @@
     unsigned max_overrun() const { return max_overrun_; }
     uint64_t overruns() const { return overruns_; }
     std::map<std::string, unsigned> &runs() { return runs_; }
-    const std::vector<double> &busy() const { return busy_; }
+    /** Slot time used since reset_busy(), by endpoint. */
+    const std::vector<double> &busy();
     void reset_busy();
     std::vector<mv_node_id_t> live() const;
     uint64_t messages() const { return messages_; }
@@ -129,6 +130,7 @@
     void dispatch(mv_node_id_t node, uint64_t id, uint16_t endpoint);
     void arrive(mv_node_id_t node, uint64_t id, uint16_t endpoint);
     void start_next(uint16_t endpoint);
+    void account(uint16_t endpoint);
     void answered(mv_node_id_t node, uint64_t life, uint64_t id,
                   mv_result_t result);
     mv_time_t delay(mv_node_id_t a, mv_node_id_t b) const;
--- a/packages/masticvaned/src/control.c
+++ b/packages/masticvaned/src/control.c
@@ -288,6 +288,7 @@
         peers[i] = settings->peers[i].id;
     }
     mv_node_settings_t node = MvNodeSettings_Default(settings->self.id);
+    node.data_centre = MvDataCentre_Hash(settings->data_centre);
     node.peers = peers;
     node.peer_count = settings->peer_count;
     node.flow_capacity = settings->flow_capacity;
--- a/packages/net/src/codec.c
+++ b/packages/net/src/codec.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #define MESSAGE_FIELDS 13
-#define MEMBER_FIELDS 6
+#define MEMBER_FIELDS 7
 #define BUCKET_FIELDS 5
 #define LOAD_FIELDS 3
 #define SLOT_FIELDS 10
@@ -33,6 +33,7 @@
         msgpack_pack_uint32(packer, member->ready);
         msgpack_pack_uint64(packer, member->config_version);
         msgpack_pack_uint32(packer, member->life);
+        msgpack_pack_uint32(packer, member->data_centre);
     }
 }
 
@@ -205,7 +206,7 @@
                      row) ||
             row[0] >= MV_NO_NODE || row[1] > UINT32_MAX ||
             row[2] > MV_MEMBER_DEAD || row[3] > 1 ||
-            row[5] > UINT32_MAX) {
+            row[5] > UINT32_MAX || row[6] > UINT32_MAX) {
             return false;
         }
         message->members[i] =
@@ -214,7 +215,8 @@
                                  .state = (uint32_t)row[2],
                                  .ready = (uint32_t)row[3],
                                  .config_version = row[4],
-                                 .life = (uint32_t)row[5]};
+                                 .life = (uint32_t)row[5],
+                                 .data_centre = (uint32_t)row[6]};
     }
     return true;
 }
