Balance by buckets held; seconds in another data centre; copies wait for their home

Change: each endpoint has a wanted number of buckets that answers to its flows beyond a band of 4%; a copy is kept until its home's bucket is plain, so nothing is renewed; second homes and seconds of keys are in another data centre where there is one.

--- a/packages/core/src/balance.c
+++ b/packages/core/src/balance.c
@@ -5,7 +5,12 @@
 
 #define BALANCE_INTERVAL (1 * MV_SECOND)
 /* Flows below which differences are noise that no move can mend. */
-#define MIN_FLOWS_PER_ENDPOINT 100
+#define MIN_FLOWS_PER_ENDPOINT 500
+/* How strongly the buckets held answer to the flows held. */
+#define GAIN 3.0
+#define MAX_CORRECTION 0.2
+/* A move must mend at least this many buckets of surplus and lack. */
+#define MIN_GAIN_BUCKETS 2.0
 
 void
 MvBalance_Message(mv_node_t *node, const mv_message_t *message)
@@ -71,68 +76,122 @@
     }
 }
 
-/* What the assignment in force tends to: half of it counts as come true. */
-static void
-expect_load(const mv_node_service_t *state, int64_t *load, int64_t total)
+/**
+ * struct evenness - Where one service stands.
+ * @load: open flows by endpoint id
+ * @held: buckets whose new flows go to an endpoint, by endpoint id
+ * @total: open flows of the endpoints that stay
+ * @staying: endpoints that stay
+ */
+typedef struct evenness {
+    int64_t load[MV_LOAD_SLOTS];
+    uint32_t held[MV_LOAD_SLOTS];
+    int64_t total;
+    int64_t staying;
+} evenness_t;
+
+static bool
+counts(const mv_node_t *node, const mv_node_service_t *state,
+       uint16_t endpoint, mv_time_t now)
 {
-    int64_t per_bucket_milli = total * 1000 / state->count;
-    for (uint32_t b = 0; b < state->count; b++) {
-        const mv_bucket_t *bucket = &state->buckets[b];
-        bool moved = bucket->phase == MV_BUCKET_ANNOUNCED ||
-                     bucket->phase == MV_BUCKET_MIXED ||
-                     bucket->phase == MV_BUCKET_NAMED;
-        uint16_t to = MvBucket_ForNew(bucket);
-        if (moved && to < MV_LOAD_SLOTS) {
-            load[to] += per_bucket_milli / 1000;
-        }
-    }
+    return endpoint < MV_LOAD_SLOTS &&
+           MvBuckets_IsUsable(node, state, endpoint, now);
 }
 
 static void
-balance_service(mv_node_t *node, mv_time_t now, mv_node_service_t *state)
+measure(const mv_node_t *node, const mv_node_service_t *state, mv_time_t now,
+        evenness_t *out)
 {
-    int64_t load[MV_LOAD_SLOTS];
-    int64_t total = 0;
-    int64_t staying = 0;
-    uint16_t hot = MV_NO_ENDPOINT;
-    uint16_t cold = MV_NO_ENDPOINT;
-    sum_load(state, load);
-    for (uint16_t i = 0; i < state->service->endpoint_count; i++) {
-        uint16_t e = state->service->endpoints[i].id;
-        if (e < MV_LOAD_SLOTS && MvBuckets_IsUsable(node, state, e, now)) {
-            total += MAX(load[e], 0);
-            staying++;
+    memset(out, 0, sizeof(*out));
+    sum_load(state, out->load);
+    for (uint32_t b = 0; b < state->count; b++) {
+        uint16_t endpoint = MvBucket_ForNew(&state->buckets[b]);
+        if (endpoint < MV_LOAD_SLOTS) {
+            out->held[endpoint]++;
         }
     }
-    if (staying < 2 || total < staying * MIN_FLOWS_PER_ENDPOINT) {
-        return;
-    }
-    expect_load(state, load, total);
     for (uint16_t i = 0; i < state->service->endpoint_count; i++) {
-        uint16_t e = state->service->endpoints[i].id;
-        if (e >= MV_LOAD_SLOTS || !MvBuckets_IsUsable(node, state, e, now)) {
-            continue;
+        uint16_t id = state->service->endpoints[i].id;
+        if (counts(node, state, id, now)) {
+            out->total += MAX(out->load[id], 0);
+            out->staying++;
         }
-        hot = hot == MV_NO_ENDPOINT || load[e] > load[hot] ? e : hot;
-        cold = cold == MV_NO_ENDPOINT || load[e] < load[cold] ? e : cold;
-    }
-    int64_t limit = 100 + (int64_t)node->settings.balance_limit_percent;
-    if (load[hot] * staying * 100 <= total * limit) {
-        return;
     }
+}
+
+/*
+ * Buckets an endpoint should hold: fewer than the mean while its flows are
+ * more than the mean, so that its load falls back.  Within the tolerated
+ * band the mean itself is wanted.
+ */
+static double
+wanted_buckets(const mv_node_t *node, const mv_node_service_t *state,
+               const evenness_t *evenness, uint16_t endpoint)
+{
+    double mean_load = (double)evenness->total / (double)evenness->staying;
+    double mean_held = (double)state->count / (double)evenness->staying;
+    double deviation = (double)evenness->load[endpoint] / mean_load - 1;
+    double band = node->settings.balance_limit_percent / 100.0;
+    double excess = deviation > band    ? deviation - band
+                    : deviation < -band ? deviation + band
+                                        : 0;
+    excess = CLAMP(excess, -MAX_CORRECTION, MAX_CORRECTION);
+    return mean_held * (1 - GAIN * excess);
+}
+
+static bool
+move_one(mv_node_t *node, mv_time_t now, mv_node_service_t *state,
+         uint16_t from, uint16_t to)
+{
     uint32_t start = (uint32_t)g_rand_int_range(node->random, 0,
                                                 (gint32)state->count);
     for (uint32_t i = 0; i < state->count; i++) {
         uint32_t b = (start + i) & (state->count - 1);
         if (state->buckets[b].phase == MV_BUCKET_STABLE &&
-            state->buckets[b].endpoint == hot &&
+            state->buckets[b].endpoint == from &&
             MvBuckets_IsHome(node, state, b)) {
             uint64_t version = MvNode_NextVersion(node, now);
-            MvBuckets_Move(state, now, b, cold, version);
+            MvBuckets_Move(state, now, b, to, version);
             MvBuckets_Announce(node, now, state, version);
-            return;
+            return true;
         }
     }
+    return false;
+}
+
+static void
+balance_service(mv_node_t *node, mv_time_t now, mv_node_service_t *state)
+{
+    evenness_t evenness;
+    measure(node, state, now, &evenness);
+    if (evenness.staying < 2 ||
+        evenness.total < evenness.staying * MIN_FLOWS_PER_ENDPOINT) {
+        return;
+    }
+    uint16_t most = MV_NO_ENDPOINT;
+    uint16_t least = MV_NO_ENDPOINT;
+    double surplus = 0;
+    double lack = 0;
+    for (uint16_t i = 0; i < state->service->endpoint_count; i++) {
+        uint16_t id = state->service->endpoints[i].id;
+        if (!counts(node, state, id, now)) {
+            continue;
+        }
+        double over = evenness.held[id] -
+                      wanted_buckets(node, state, &evenness, id);
+        if (over > surplus) {
+            most = id;
+            surplus = over;
+        }
+        if (-over > lack) {
+            least = id;
+            lack = -over;
+        }
+    }
+    if (surplus + lack >= MIN_GAIN_BUCKETS && most != MV_NO_ENDPOINT &&
+        least != MV_NO_ENDPOINT) {
+        move_one(node, now, state, most, least);
+    }
 }
 
 void
--- a/packages/core/src/claims.c
+++ b/packages/core/src/claims.c
@@ -120,31 +120,48 @@
     return XXH3_64bits(input, sizeof(input));
 }
 
+/* Best of @members, leaving out one of them and one data centre. */
+static const mv_request_member_t *
+best_member(const mv_claims_t *claims, mv_key_hash_t key,
+            const mv_request_member_t *members, size_t count,
+            const mv_request_member_t *without, uint32_t apart)
+{
+    const mv_request_member_t *best = NULL;
+    uint64_t best_score = 0;
+    for (size_t i = 0; i < count; i++) {
+        bool leaving =
+            claims->leaving && members[i].id == claims->requests->self;
+        if (leaving || &members[i] == without ||
+            (apart && members[i].data_centre == apart)) {
+            continue;
+        }
+        uint64_t value = score(key, (mv_node_id_t)members[i].id);
+        if (!best || value > best_score) {
+            best = &members[i];
+            best_score = value;
+        }
+    }
+    return best;
+}
+
+/* Owner and second, in another data centre where there is one. */
 static void
 owners_among(const mv_claims_t *claims, mv_key_hash_t key,
              const mv_request_member_t *members, size_t count,
              mv_node_id_t out[2])
 {
-    uint64_t best[2] = {0, 0};
-    out[0] = MV_NO_NODE;
-    out[1] = MV_NO_NODE;
-    for (size_t i = 0; i < count; i++) {
-        mv_node_id_t id = (mv_node_id_t)members[i].id;
-        uint64_t value = score(key, id);
-        if (claims->leaving && id == claims->requests->self) {
-            continue;
-        }
-        if (out[0] == MV_NO_NODE || value > best[0]) {
-            best[1] = best[0];
-            out[1] = out[0];
-            best[0] = value;
-            out[0] = id;
-        }
-        else if (out[1] == MV_NO_NODE || value > best[1]) {
-            best[1] = value;
-            out[1] = id;
-        }
+    const mv_request_member_t *owner =
+        best_member(claims, key, members, count, NULL, 0);
+    const mv_request_member_t *second = NULL;
+    if (owner && owner->data_centre) {
+        second = best_member(claims, key, members, count, owner,
+                             owner->data_centre);
     }
+    if (owner && !second) {
+        second = best_member(claims, key, members, count, owner, 0);
+    }
+    out[0] = owner ? (mv_node_id_t)owner->id : MV_NO_NODE;
+    out[1] = second ? (mv_node_id_t)second->id : MV_NO_NODE;
 }
 
 static void
@@ -379,24 +396,10 @@
     return false;
 }
 
-typedef struct ranked {
-    mv_node_id_t id;
-    uint64_t score;
-    bool lost;
-} ranked_t;
-
-static int
-compare_ranked(const void *a, const void *b)
-{
-    const ranked_t *one = a;
-    const ranked_t *other = b;
-    return (one->score < other->score) - (one->score > other->score);
-}
-
 /*
- * An earlier claim of @key was kept by the two highest-ranked of the members
- * of its time.  Members that arrived since were not among them.  When both
- * of the others that rank highest were lost, so may be the claim.
+ * An earlier claim of @key was kept by an owner and a second of the members
+ * of its time.  Members that arrived since were not among them.  When the
+ * two that the others would have chosen were both lost, so may be the claim.
  */
 static bool
 may_have_lost(const mv_claims_t *claims, mv_time_t now, mv_key_hash_t key)
@@ -405,25 +408,24 @@
     if (claims->losses->len < 2) {
         return false;
     }
-    size_t most = requests->member_count + claims->losses->len;
-    ranked_t *ranked = g_new0(ranked_t, most);
-    size_t count = 0;
+    GArray *then = g_array_new(FALSE, FALSE, sizeof(mv_request_member_t));
     for (size_t i = 0; i < requests->member_count; i++) {
-        mv_node_id_t id = (mv_node_id_t)requests->members[i].id;
+        const mv_request_member_t *member = &requests->members[i];
+        mv_node_id_t id = (mv_node_id_t)member->id;
         if (!is_recent(claims, now, id) && !is_lost(claims, id)) {
-            ranked[count++] = (ranked_t){.id = id, .score = score(key, id)};
+            g_array_append_val(then, *member);
         }
     }
     for (guint i = 0; i < claims->losses->len; i++) {
-        const loss_t *loss = &g_array_index(claims->losses, loss_t, i);
-        mv_node_id_t id = (mv_node_id_t)loss->member.id;
-        ranked[count++] =
-            (ranked_t){.id = id, .score = score(key, id), .lost = true};
-    }
-    qsort(ranked, count, sizeof(ranked[0]), compare_ranked);
-    bool lost = count >= 2 && ranked[0].lost && ranked[1].lost;
-    g_free(ranked);
-    return lost;
+        g_array_append_val(
+            then, g_array_index(claims->losses, loss_t, i).member);
+    }
+    mv_node_id_t who[2];
+    owners_among(claims, key,
+                 (const mv_request_member_t *)(void *)then->data, then->len,
+                 who);
+    g_array_unref(then);
+    return is_lost(claims, who[0]) && is_lost(claims, who[1]);
 }
 
 /* Owner ------------------------------------------------------------------------------------------ */
--- a/packages/core/src/handover.c
+++ b/packages/core/src/handover.c
@@ -10,8 +10,6 @@
 #define LEAVE_GRACE (1 * MV_SECOND)
 #define FLOWS_PER_MESSAGE 2048
 #define FLOWS_PER_ROUND 8192
-/* Copies are renewed this many times within the idle limit. */
-#define REFRESHES_PER_IDLE 3
 #define CLOSED_LINGER_MS 2000
 /* Members may disagree about homes for this long after a change. */
 #define PREVIOUS_HOME_TIME (2 * MV_SECOND)
@@ -19,17 +17,21 @@
 /* Homes -------------------------------------------------------------------- */
 
 static size_t
-list_nodes(const mv_node_t *node, bool future, mv_node_id_t *out)
+list_nodes(const mv_node_t *node, bool future, mv_request_member_t *out)
 {
     size_t count = 0;
     bool self = future ? !node->stopping : node->ready && !node->left;
     if (self) {
-        out[count++] = node->settings.id;
+        out[count++] = (mv_request_member_t){
+            .id = node->settings.id,
+            .data_centre = node->settings.data_centre};
     }
     for (guint i = 0; i < node->members->len; i++) {
         const mv_member_t *member = g_ptr_array_index(node->members, i);
         if (MvMembers_IsLive(member) && (future || member->ready)) {
-            out[count++] = member->id;
+            out[count++] =
+                (mv_request_member_t){.id = member->id,
+                                      .data_centre = member->data_centre};
         }
     }
     return count;
@@ -38,6 +40,7 @@
 typedef struct remark {
     const mv_node_t *node;
     const bool *groups;
+    uint32_t now_ms;
 } remark_t;
 
 static uint32_t
@@ -62,6 +65,8 @@
     uint32_t group = group_of_entry(remark->node, entry, &service, &bucket);
     if (service && remark->groups[group]) {
         entry->flags |= MV_FLOW_UNCOPIED;
+        /* Only its home sees a flow's packets: a new one waits anew. */
+        entry->seen_ms = remark->now_ms;
     }
     return true;
 }
@@ -82,7 +87,7 @@
 void
 MvHandover_HomesChanged(mv_node_t *node, mv_time_t now)
 {
-    mv_node_id_t nodes[node->members->len + 1];
+    mv_request_member_t nodes[node->members->len + 1];
     mv_homes_t homes;
     mv_homes_t future;
     bool groups[MV_GROUPS] = {false};
@@ -99,7 +104,9 @@
     node->future = future;
     node->view_dirty = true;
     node->next_copy = now;
-    remark_t remark = {.node = node, .groups = groups};
+    remark_t remark = {.node = node,
+                       .groups = groups,
+                       .now_ms = MvNode_Milliseconds(now)};
     MvFlowTable_Sweep(node->flows, mark_uncopied, &remark);
 }
 
@@ -247,19 +254,31 @@
     mv_node_t *node;
     uint32_t now_ms;
     uint32_t idle_ms;
-    bool refresh;
 } expiry_t;
 
+/* Only the home sees packets, so only it can tell that a flow is over. */
+static bool
+is_over(const expiry_t *expiry, const mv_flow_entry_t *entry, uint32_t group)
+{
+    const mv_node_t *node = expiry->node;
+    mv_node_id_t self = node->settings.id;
+    bool keeps_copy = node->homes.home[group] != self &&
+                      (node->homes.second[group] == self ||
+                       node->future.home[group] == self ||
+                       node->future.second[group] == self);
+    uint32_t idle = expiry->now_ms - entry->seen_ms;
+    bool closed = (entry->flags & MV_FLOW_CLOSED) && idle > CLOSED_LINGER_MS;
+    return !keeps_copy && (idle > expiry->idle_ms || closed);
+}
+
 static bool
 keep_entry(void *context, mv_flow_entry_t *entry)
 {
-    expiry_t *expiry = context;
+    const expiry_t *expiry = context;
     const mv_node_service_t *service;
     uint32_t number = 0;
-    uint32_t idle = expiry->now_ms - entry->seen_ms;
-    group_of_entry(expiry->node, entry, &service, &number);
-    if (!service || idle > expiry->idle_ms ||
-        ((entry->flags & MV_FLOW_CLOSED) && idle > CLOSED_LINGER_MS)) {
+    uint32_t group = group_of_entry(expiry->node, entry, &service, &number);
+    if (!service || is_over(expiry, entry, group)) {
         return false;
     }
     mv_bucket_t *bucket = &service->buckets[number];
@@ -268,13 +287,11 @@
     if (default_covers && entry->endpoint == bucket->endpoint) {
         return false;
     }
-    if (entry->endpoint != bucket->endpoint) {
-        bucket->named++;
-    }
-    if (expiry->refresh &&
-        MvBuckets_IsHome(expiry->node, service, number)) {
-        entry->flags |= MV_FLOW_UNCOPIED;
+    if (bucket->phase == MV_BUCKET_STABLE &&
+        !MvBuckets_IsHome(expiry->node, service, number)) {
+        return false;
     }
+    bucket->named += entry->endpoint != bucket->endpoint;
     return true;
 }
 
@@ -284,15 +301,9 @@
     if (!node->deployment) {
         return;
     }
-    uint32_t idle_ms = node->deployment->flow_idle_seconds * 1000;
     expiry_t expiry = {.node = node,
                        .now_ms = MvNode_Milliseconds(now),
-                       .idle_ms = idle_ms,
-                       .refresh = now >= node->next_refresh};
-    if (expiry.refresh) {
-        node->next_refresh =
-            now + idle_ms * MV_MILLISECOND / REFRESHES_PER_IDLE;
-    }
+                       .idle_ms = node->deployment->flow_idle_seconds * 1000};
     for (guint i = 0; i < node->services->len; i++) {
         mv_node_service_t *service = g_ptr_array_index(node->services, i);
         for (uint32_t b = 0; service->moving > 0 && b < service->count; b++) {
--- a/packages/core/src/node_private.h
+++ b/packages/core/src/node_private.h
@@ -157,7 +157,6 @@
     /* Flow entries and handover. */
     mv_flow_table_t *flows;
     mv_time_t next_copy;
-    mv_time_t next_refresh;
     bool syncing;
     mv_time_t sync_started;
     mv_time_t next_sync;
--- a/packages/core/src/view.c
+++ b/packages/core/src/view.c
@@ -19,29 +19,43 @@
     return XXH3_64bits(key, sizeof(key));
 }
 
+/* Best of @nodes, leaving out node @without and data centre @apart. */
+static const mv_request_member_t *
+best_node(uint32_t group, const mv_request_member_t *nodes, size_t count,
+          const mv_request_member_t *without, uint32_t apart)
+{
+    const mv_request_member_t *best = NULL;
+    uint64_t best_score = 0;
+    for (size_t i = 0; i < count; i++) {
+        if (&nodes[i] == without ||
+            (apart && nodes[i].data_centre == apart)) {
+            continue;
+        }
+        uint64_t score = rendezvous_score(group, (mv_node_id_t)nodes[i].id);
+        if (!best || score > best_score) {
+            best = &nodes[i];
+            best_score = score;
+        }
+    }
+    return best;
+}
+
 void
-MvHomes_Compute(mv_homes_t *homes, const mv_node_id_t *nodes, size_t count)
+MvHomes_Compute(mv_homes_t *homes, const mv_request_member_t *nodes,
+                size_t count)
 {
     for (uint32_t group = 0; group < MV_GROUPS; group++) {
-        uint64_t best = 0;
-        uint64_t runner_up = 0;
-        mv_node_id_t home = MV_NO_NODE;
-        mv_node_id_t second = MV_NO_NODE;
-        for (size_t i = 0; i < count; i++) {
-            uint64_t score = rendezvous_score(group, nodes[i]);
-            if (home == MV_NO_NODE || score > best) {
-                runner_up = best;
-                second = home;
-                best = score;
-                home = nodes[i];
-            }
-            else if (second == MV_NO_NODE || score > runner_up) {
-                runner_up = score;
-                second = nodes[i];
-            }
+        const mv_request_member_t *home =
+            best_node(group, nodes, count, NULL, 0);
+        const mv_request_member_t *second = NULL;
+        if (home && home->data_centre) {
+            second = best_node(group, nodes, count, home, home->data_centre);
+        }
+        if (home && !second) {
+            second = best_node(group, nodes, count, home, 0);
         }
-        homes->home[group] = home;
-        homes->second[group] = second;
+        homes->home[group] = home ? (mv_node_id_t)home->id : MV_NO_NODE;
+        homes->second[group] = second ? (mv_node_id_t)second->id : MV_NO_NODE;
     }
 }
 
--- a/packages/core/src/view.h
+++ b/packages/core/src/view.h
@@ -83,8 +83,13 @@
 /** MvGroup_Of() - Group of a bucket. */
 uint32_t MvGroup_Of(uint16_t service, uint32_t bucket);
 
-/** MvHomes_Compute() - Choose homes over @nodes by rendezvous hashing. */
-void MvHomes_Compute(mv_homes_t *homes, const mv_node_id_t *nodes,
+/**
+ * MvHomes_Compute() - Choose homes over @nodes by rendezvous hashing.
+ *
+ * The second home is in another data centre than the home where there is
+ * one, so that a lost data centre never takes both.
+ */
+void MvHomes_Compute(mv_homes_t *homes, const mv_request_member_t *nodes,
                      size_t count);
 
 /**
--- a/packages/core/test/fleet.cc
+++ b/packages/core/test/fleet.cc
@@ -1,6 +1,8 @@
 #include "fleet.h"
 
 #include <arpa/inet.h>
+#include <array>
+#include <chrono>
 #include <cstring>
 #include <netinet/ip.h>
 #include <netinet/tcp.h>
@@ -226,6 +228,7 @@
     m->life = ++order_;
     m->started = now_;
     mv_node_settings_t settings = MvNodeSettings_Default(id);
+    settings.data_centre = 1 + id % options_.data_centres;
     settings.peers = peers.data();
     settings.peer_count = peers.size();
     settings.balance_limit_percent = options_.balance_limit_percent;
@@ -507,26 +510,60 @@
     }
 }
 
-void
-fleet::packet(flow &f, bool syn, bool fin)
+static void
+make_packet(uint8_t bytes[40], uint32_t number, uint16_t service, bool syn,
+            bool fin)
 {
-    uint8_t bytes[sizeof(struct iphdr) + sizeof(struct tcphdr)] = {0};
     struct iphdr ip = {};
     struct tcphdr tcp = {};
     ip.version = 4;
     ip.ihl = 5;
-    ip.tot_len = htons(sizeof(bytes));
+    ip.tot_len = htons(40);
     ip.protocol = IPPROTO_TCP;
-    ip.saddr = htonl(0x64000000u + f.number / 50000);
-    ip.daddr = htonl(0x0a000000u + f.service);
-    tcp.source = htons((uint16_t)(1024 + f.number % 50000));
+    ip.saddr = htonl(0x64000000u + number / 50000);
+    ip.daddr = htonl(0x0a000000u + service);
+    tcp.source = htons((uint16_t)(1024 + number % 50000));
     tcp.dest = htons(443);
     tcp.syn = syn;
     tcp.ack = !syn;
     tcp.fin = fin;
     memcpy(bytes, &ip, sizeof(ip));
     memcpy(bytes + sizeof(ip), &tcp, sizeof(tcp));
+}
 
+double
+fleet::time_lookups(unsigned count, bool moving)
+{
+    member *m = members_.begin()->second.get();
+    std::vector<std::array<uint8_t, 40>> packets;
+    for (uint32_t n = 0; packets.size() < 4096; n++) {
+        std::array<uint8_t, 40> bytes;
+        make_packet(bytes.data(), n, 1, false, false);
+        uint64_t before = MvCounters_Get(
+            &m->counters, MV_COUNTER_FLOW_ENTRIES_RECORDED);
+        MvNode_Packet(m->node, m->reader, now_, bytes.data(), 40, 0);
+        bool recorded = MvCounters_Get(&m->counters,
+                                       MV_COUNTER_FLOW_ENTRIES_RECORDED) >
+                        before;
+        if (recorded == moving) {
+            packets.push_back(bytes);
+        }
+    }
+    auto began = std::chrono::steady_clock::now();
+    for (unsigned i = 0; i < count; i++) {
+        MvNode_Packet(m->node, m->reader, now_, packets[i % 4096].data(), 40,
+                      0);
+    }
+    std::chrono::duration<double, std::nano> took =
+        std::chrono::steady_clock::now() - began;
+    return took.count() / count;
+}
+
+void
+fleet::packet(flow &f, bool syn, bool fin)
+{
+    uint8_t bytes[40];
+    make_packet(bytes, f.number, f.service, syn, fin);
     std::vector<member *> ready;
     for (auto &m : members_) {
         if (m.second->alive && m.second->in_fabric) {
--- a/packages/core/test/fleet.h
+++ b/packages/core/test/fleet.h
@@ -24,12 +24,13 @@
     unsigned endpoints = 14;
     unsigned endpoints_docs = 4;
     uint32_t idle_seconds = 20;
+    unsigned data_centres = 3;
     uint64_t seed = 1;
     double loss = 0;
     mv_time_t delay_low = 200;
     mv_time_t delay_high = 1500;
     mv_time_t store_delay = 300 * MV_MILLISECOND;
-    uint32_t balance_limit_percent = 1000;
+    uint32_t balance_limit_percent = 4;
     /* Streams to a node that has just started are lost for this long. */
     mv_time_t stream_loss_at_start = 150 * MV_MILLISECOND;
     /* Its first datagrams are lost for this long. */
@@ -99,6 +100,8 @@
     size_t open_flows() const;
     mv_time_t last_new_flow(uint16_t service, uint16_t endpoint) const;
     size_t entries() const;
+    /** Nanoseconds of real time a decision at node 1. */
+    double time_lookups(unsigned count, bool moving);
 
     std::function<void(const flow &, const std::string &)> on_broken;
     size_t (*encoded_size)(const mv_message_t *) = nullptr;
