--- a/bench/src/flows_bench.cc
+++ b/bench/src/flows_bench.cc
@@ -29,8 +29,7 @@
 };
 
 const event_case kEvents[] = {
-    {"configuration change", true,
-     [](fleet &f) { f.accept(f.make()); }},
+    {"configuration change", true, [](fleet &f) { f.accept(f.make()); }},
     {"endpoint drain", true, [](fleet &f) { f.drain(1, 3); }},
     {"endpoint join", true, [](fleet &f) { f.add_endpoint(1); }},
     {"balancer drain", true, [](fleet &f) { f.stop_node(3); }},
@@ -128,8 +127,8 @@
         }
         bool drains = std::string(e.name).find("endpoint drain") == 0;
         bool uneven = std::string(e.name).find("half") != std::string::npos;
-        report.row(e.name, e.planned ? "0" : "< 0.001",
-                   e.planned ? 0 : 0.001, broken / opened,
+        report.row(e.name, e.planned ? "0" : "< 0.001", e.planned ? 0 : 0.001,
+                   broken / opened,
                    plain_table_broken(drains, uneven,
                                       !strcmp(e.name, "endpoint join")));
         if (wrong) {
@@ -159,9 +158,8 @@
                 f.run_for(5 * MV_SECOND);
                 figure[balanced] += f.imbalance(1) / 180;
             }
-            relayed[balanced] +=
-                (double)(f.seen().relays - relays) /
-                (double)(f.seen().packets - packets) / 3;
+            relayed[balanced] += (double)(f.seen().relays - relays) /
+                                 (double)(f.seen().packets - packets) / 3;
             if (balanced) {
                 f.add_endpoint(1);
                 f.run_for(5 * MV_SECOND);
@@ -206,8 +204,8 @@
     f.drain(1, 3);
     f.run_for(3 * MV_SECOND);
     double drain = share(60 * MV_SECOND, &drain_bytes);
-    report.row("relayed share while one of 14 endpoints drains", "0.10",
-               0.10, drain, 6.0 / 7);
+    report.row("relayed share while one of 14 endpoints drains", "0.10", 0.10,
+               drain, 6.0 / 7);
     report.row("control bytes/s a node while draining", "3000", 3000,
                drain_bytes, 5000.0 / 7 * 12 * 6);
     report.note("open flows", (double)f.open_flows());
--- a/bench/src/report.cc
+++ b/bench/src/report.cc
@@ -30,8 +30,7 @@
 
 void
 bench_report::row(const std::string &name, const std::string &target,
-                  double bound, double figure, double baseline,
-                  bool at_least)
+                  double bound, double figure, double baseline, bool at_least)
 {
     bool good = at_least ? figure >= bound : figure <= bound;
     misses_ += !good;
--- a/bench/src/report.h
+++ b/bench/src/report.h
@@ -27,17 +27,16 @@
 };
 
 class bench_report {
-public:
+  public:
     void section(const std::string &title);
-    void row(const std::string &name, const std::string &target,
-             double bound, double figure, double baseline = -1,
-             bool at_least = false);
+    void row(const std::string &name, const std::string &target, double bound,
+             double figure, double baseline = -1, bool at_least = false);
     void note(const std::string &name, double figure, double baseline = -1);
     void text(const std::string &line);
     /** Write Markdown to @path as well; returns the number of misses. */
     int finish(const std::string &path);
 
-private:
+  private:
     std::string out_;
     int misses_ = 0;
 };
--- a/bench/src/requests_bench.cc
+++ b/bench/src/requests_bench.cc
@@ -110,8 +110,9 @@
     request_fleet f(options);
     f.encoded_size = bench_frame_size;
     mv_time_t from = f.now() + 3 * MV_SECOND;
-    f.load(load * kCapacity, 0, [] { return std::string(); },
-           30 * MV_SECOND, f.now() + 93 * MV_SECOND);
+    f.load(
+        load * kCapacity, 0, [] { return std::string(); }, 30 * MV_SECOND,
+        f.now() + 93 * MV_SECOND);
     f.run_for(3 * MV_SECOND);
     f.reset_busy();
     uint64_t before = f.bytes();
@@ -175,8 +176,8 @@
                        1.5 * central.mean, ours.mean, central.mean);
             report.row(at + "p99 wait", "1.5 x central queue",
                        1.5 * central.p99, ours.p99, central.p99);
-            report.row(at + "work over endpoints, max/mean over 10 s",
-                       "1.03", 1.03, imbalance);
+            report.row(at + "work over endpoints, max/mean over 10 s", "1.03",
+                       1.03, imbalance);
         }
         else {
             report.note(at + "mean wait", ours.mean, central.mean);
@@ -281,7 +282,8 @@
     for (int m = 0; m < 4; m++) {
         std::string name = "member-" + std::to_string(m);
         double rate = kCapacity * (m == 0 ? 4.0 : m == 1 ? 1.5 : 0.6);
-        f.load(rate, 0, [name] { return name; }, MV_SECOND, end);
+        f.load(
+            rate, 0, [name] { return name; }, MV_SECOND, end);
     }
     f.run_for(22 * MV_SECOND);
     double got[4] = {0};
@@ -310,8 +312,9 @@
     options.works = {{"reservation", "/reservations", 0, 50, true}};
     for (int deaths = 0; deaths <= 2; deaths++) {
         request_fleet f(options);
-        f.load(200, 0, [] { return std::string(); }, 5 * MV_SECOND,
-               f.now() + 20 * MV_SECOND, true);
+        f.load(
+            200, 0, [] { return std::string(); }, 5 * MV_SECOND,
+            f.now() + 20 * MV_SECOND, true);
         f.run_for(5 * MV_SECOND);
         for (int d = 0; d < deaths; d++) {
             f.kill(f.live()[0]);
--- a/bench/src/state_bench.cc
+++ b/bench/src/state_bench.cc
@@ -1,2 +1,158 @@
+/* Configuration in force, failures known, false deaths, control bytes. */
+#include "fleet.h"
 #include "report.h"
-void bench_state(bench_report &) {}
+
+#include <algorithm>
+
+namespace {
+
+fleet_options
+options_for(unsigned nodes, double loss)
+{
+    fleet_options options;
+    options.nodes = nodes;
+    options.loss = loss;
+    options.flow_capacity = 1024;
+    return options;
+}
+
+std::string
+label(unsigned nodes, double loss, bool restarts)
+{
+    return std::to_string(nodes) + " nodes, " +
+           std::to_string((int)(loss * 100)) + "% loss" +
+           (restarts ? ", 10% restarting" : "");
+}
+
+/* Seconds until every live node has the newest configuration. */
+void
+bench_in_force(bench_report &report, unsigned nodes, double loss,
+               bool restarts)
+{
+    fleet f(options_for(nodes, loss));
+    f.run_for(8 * MV_SECOND);
+    std::vector<double> took;
+    unsigned changes = nodes > 100 ? 2 : 10;
+    for (unsigned c = 0; c < changes; c++) {
+        if (restarts) {
+            for (unsigned i = 0; i < (nodes + 9) / 10; i++) {
+                auto live = f.live();
+                mv_node_id_t id = live[f.random()() % live.size()];
+                f.kill_node(id);
+                f.start_node(id);
+            }
+        }
+        f.accept(f.make());
+        uint64_t version = f.accepted()->version;
+        mv_time_t from = f.now();
+        std::set<mv_node_id_t> waiting;
+        for (auto id : f.live()) {
+            waiting.insert(id);
+        }
+        while (!waiting.empty() && f.now() - from < 60 * MV_SECOND) {
+            f.run_for(20 * MV_MILLISECOND);
+            for (auto it = waiting.begin(); it != waiting.end();) {
+                mv_deployment_t *d = MvNode_Deployment(f.node(*it));
+                if (d && d->version >= version) {
+                    took.push_back((double)(f.now() - from) / MV_SECOND);
+                    it = waiting.erase(it);
+                }
+                else {
+                    ++it;
+                }
+            }
+        }
+        for (size_t i = 0; i < waiting.size(); i++) {
+            took.push_back(60);
+        }
+        f.run_for(2 * MV_SECOND);
+    }
+    std::sort(took.begin(), took.end());
+    std::string at = label(nodes, loss, restarts);
+    report.note(at + ": p50 s", took[took.size() / 2]);
+    report.note(at + ": p99 s", took[took.size() * 99 / 100]);
+    report.row(at + ": max s", "12 at 3,000 nodes", 12, took.back());
+}
+
+/* Seconds until every live node believes a killed one dead. */
+void
+bench_death(bench_report &report, unsigned nodes)
+{
+    fleet f(options_for(nodes, 0));
+    f.run_for(8 * MV_SECOND);
+    mv_node_id_t victim = 3;
+    f.kill_node(victim);
+    mv_time_t from = f.now();
+    bool all = false;
+    while (!all && f.now() - from < 60 * MV_SECOND) {
+        f.run_for(50 * MV_MILLISECOND);
+        all = true;
+        for (auto id : f.live()) {
+            all = all && !MvNode_IsAlive(f.node(id), victim);
+        }
+    }
+    double seconds = (double)(f.now() - from) / MV_SECOND;
+    std::string at = std::to_string(nodes) + " nodes: death known to all, s";
+    if (nodes <= 8) {
+        report.row(at, "5", 5, seconds);
+    }
+    else {
+        report.note(at, seconds);
+    }
+}
+
+void
+bench_false_deaths(bench_report &report)
+{
+    fleet f(options_for(8, 0.10));
+    f.run_for(8 * MV_SECOND);
+    unsigned deaths = 0;
+    for (int second = 0; second < 3600; second++) {
+        f.run_for(MV_SECOND);
+        for (auto id : f.live()) {
+            for (auto other : f.live()) {
+                deaths += !MvNode_IsAlive(f.node(id), other);
+            }
+        }
+    }
+    report.row("8 nodes, 10% loss, 1 h: false deaths", "0", 0, deaths);
+}
+
+void
+bench_bytes(bench_report &report, unsigned nodes)
+{
+    fleet f(options_for(nodes, 0));
+    f.run_for(15 * MV_SECOND);
+    f.encoded_size = bench_frame_size;
+    mv_time_t duration = nodes > 100 ? 4 * MV_SECOND : 20 * MV_SECOND;
+    uint64_t before = f.seen().control_bytes;
+    uint64_t messages = f.seen().messages;
+    f.run_for(duration);
+    double seconds = (double)duration / MV_SECOND;
+    std::string at = std::to_string(nodes) + " nodes, quiet: ";
+    report.row(at + "control bytes/s a node", "6000", 6000,
+               (double)(f.seen().control_bytes - before) / seconds / nodes);
+    report.note(at + "messages/s a node",
+                (double)(f.seen().messages - messages) / seconds / nodes);
+}
+
+} // namespace
+
+void
+bench_state(bench_report &report)
+{
+    report.section("State: an accepted configuration in force");
+    for (unsigned nodes : {8u, 32u, 100u}) {
+        bench_in_force(report, nodes, 0, false);
+        bench_in_force(report, nodes, 0.05, false);
+        bench_in_force(report, nodes, 0.05, true);
+    }
+    report.section("State: members");
+    for (unsigned nodes : {8u, 32u, 100u}) {
+        bench_death(report, nodes);
+    }
+    bench_false_deaths(report);
+    for (unsigned nodes : {8u, 32u, 100u}) {
+        bench_bytes(report, nodes);
+    }
+}
--- a/packages/base/include/masticvane/base.h
+++ b/packages/base/include/masticvane/base.h
@@ -256,8 +256,7 @@
 mv_ini_entry_t *MvIni_At(mv_ini_t *ini, size_t index);
 
 /** MvIni_Get() - Entry by name, marked as used; NULL when absent. */
-mv_ini_entry_t *MvIni_Get(mv_ini_t *ini, const char *section,
-                          const char *key);
+mv_ini_entry_t *MvIni_Get(mv_ini_t *ini, const char *section, const char *key);
 
 /**
  * MvIni_Sections() - Names of all sections that start with @prefix.
@@ -316,8 +315,7 @@
  *
  * Return: the log, to be freed with MvLog_Destroy(); NULL with @error set.
  */
-mv_log_t *MvLog_Create(const char *path, mv_log_level_t level,
-                       GError **error);
+mv_log_t *MvLog_Create(const char *path, mv_log_level_t level, GError **error);
 
 /** MvLog_Destroy() - Close the log; NULL is accepted. */
 void MvLog_Destroy(mv_log_t *log);
--- a/packages/base/src/histogram.c
+++ b/packages/base/src/histogram.c
@@ -65,10 +65,10 @@
 json_t *
 MvHistogram_ToJson(const mv_histogram_t *histogram)
 {
-    return json_pack(
-        "{s:I,s:f,s:I,s:I,s:I}", "count", (json_int_t)histogram->count,
-        "mean", MvHistogram_Mean(histogram), "p50",
-        (json_int_t)MvHistogram_Quantile(histogram, 0.5), "p99",
-        (json_int_t)MvHistogram_Quantile(histogram, 0.99), "max",
-        (json_int_t)histogram->max);
+    return json_pack("{s:I,s:f,s:I,s:I,s:I}", "count",
+                     (json_int_t)histogram->count, "mean",
+                     MvHistogram_Mean(histogram), "p50",
+                     (json_int_t)MvHistogram_Quantile(histogram, 0.5), "p99",
+                     (json_int_t)MvHistogram_Quantile(histogram, 0.99), "max",
+                     (json_int_t)histogram->max);
 }
--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -22,8 +22,7 @@
 #undef MV_EVENT
 };
 
-static const char *const level_names[] = {"debug", "info", "warning",
-                                          "error"};
+static const char *const level_names[] = {"debug", "info", "warning", "error"};
 
 mv_log_t *
 MvLog_Create(const char *path, mv_log_level_t level, GError **error)
--- a/packages/config/include/masticvane/config.h
+++ b/packages/config/include/masticvane/config.h
@@ -91,8 +91,7 @@
  *
  * Return: text, to be freed with free().
  */
-char *MvDeployment_EncodeService(const mv_service_t *service,
-                                 char digest[33]);
+char *MvDeployment_EncodeService(const mv_service_t *service, char digest[33]);
 
 /**
  * MvDeployment_EncodeRoot() - JSON document that names all services.
--- a/packages/config/src/answers.c
+++ b/packages/config/src/answers.c
@@ -26,8 +26,7 @@
 {
     char *where = g_strdup_printf("%s.%s", section, key);
     mv_ini_entry_t *entry = MvIni_Get(reading->ini, section, key);
-    int line = entry ? entry->line
-                     : MvIni_SectionLine(reading->ini, section);
+    int line = entry ? entry->line : MvIni_SectionLine(reading->ini, section);
     MvFindings_Add(reading->findings, MvIni_File(reading->ini), line, where,
                    "%s", what);
     g_free(where);
@@ -37,8 +36,7 @@
 text(const reading_t *reading, const char *section, const char *key,
      const char *fallback)
 {
-    return MvIni_Text(reading->ini, section, key, fallback,
-                      reading->findings);
+    return MvIni_Text(reading->ini, section, key, fallback, reading->findings);
 }
 
 static int64_t
@@ -128,7 +126,8 @@
     return !strcmp(value, "yes");
 }
 
-/* "work SERVICE NAME" and "endpoint SERVICE NAME" --------------------------- */
+/* "work SERVICE NAME" and "endpoint SERVICE NAME" ---------------------------
+ */
 
 static void
 read_match(const reading_t *reading, const char *section, mv_work_t *work)
@@ -168,19 +167,18 @@
     mv_endpoint_t endpoint = {.id = 0};
     copy_name(reading, section, name, endpoint.name);
     const char *where = text(reading, section, "data_centre", NULL);
-    if (*where && !g_strv_contains((const char *const *)reading->data_centres,
-                                   where)) {
+    if (*where &&
+        !g_strv_contains((const char *const *)reading->data_centres, where)) {
         add_finding(reading, section, "data_centre",
                     "not among deployment.data_centres");
     }
     g_strlcpy(endpoint.data_centre, where, MV_NAME_MAX);
     endpoint.address = read_address(reading, section);
-    endpoint.packet_port = (uint16_t)number(
-        reading, section, "packet_port", 1, MAX_PORT, DEFAULT_PACKET_PORT);
+    endpoint.packet_port = (uint16_t)number(reading, section, "packet_port", 1,
+                                            MAX_PORT, DEFAULT_PACKET_PORT);
     endpoint.request_port = (uint16_t)number(
         reading, section, "request_port", 1, MAX_PORT, DEFAULT_REQUEST_PORT);
-    int64_t slots =
-        number(reading, service_section, "slots", 1, MAX_SLOTS, 1);
+    int64_t slots = number(reading, service_section, "slots", 1, MAX_SLOTS, 1);
     endpoint.slots =
         (uint16_t)number(reading, section, "slots", 1, MAX_SLOTS, slots);
     endpoint.connection_limit = (uint32_t)number(
@@ -220,14 +218,13 @@
     unsigned shares = 0;
     for (guint i = 0; i < works->len; i++) {
         const char *name = g_ptr_array_index(works, i);
-        service->work[i] =
-            read_work(reading, name, strrchr(name, ' ') + 1);
+        service->work[i] = read_work(reading, name, strrchr(name, ' ') + 1);
         shares += service->work[i].share;
     }
     for (guint i = 0; i < endpoints->len; i++) {
         const char *name = g_ptr_array_index(endpoints, i);
-        service->endpoints[i] = read_endpoint(
-            reading, name, strrchr(name, ' ') + 1, section);
+        service->endpoints[i] =
+            read_endpoint(reading, name, strrchr(name, ' ') + 1, section);
     }
     service->work_count = (uint16_t)works->len;
     service->endpoint_count = (uint16_t)endpoints->len;
@@ -270,8 +267,7 @@
     for (guint i = 0; i < sections->len; i++) {
         const char *section = g_ptr_array_index(sections, i);
         mv_member_weight_t *member = &deployment->members[i];
-        copy_name(reading, section, section + strlen("member "),
-                  member->name);
+        copy_name(reading, section, section + strlen("member "), member->name);
         member->weight =
             (uint16_t)number(reading, section, "weight", 1, MAX_WEIGHT, 1);
     }
@@ -283,8 +279,8 @@
 {
     mv_deployment_t *deployment = g_new0(mv_deployment_t, 1);
     deployment->references = 1;
-    copy_name(reading, "deployment",
-              text(reading, "deployment", "name", NULL), deployment->name);
+    copy_name(reading, "deployment", text(reading, "deployment", "name", NULL),
+              deployment->name);
     deployment->flow_idle_seconds =
         (uint32_t)number(reading, "deployment", "flow_idle_seconds", 1,
                          MAX_IDLE_SECONDS, DEFAULT_IDLE_SECONDS);
--- a/packages/config/src/codec.c
+++ b/packages/config/src/codec.c
@@ -6,7 +6,8 @@
 #define DIGEST_BYTES 16
 #define MAX_ENDPOINT_ID 65534
 
-/* Encoding ------------------------------------------------------------------- */
+/* Encoding -------------------------------------------------------------------
+ */
 
 static json_t *
 encode_buckets(const uint16_t *buckets, uint16_t count)
@@ -25,18 +26,17 @@
         "{s:i,s:s,s:s,s:I,s:i,s:i,s:i,s:I,s:I,s:I}", "id", endpoint->id,
         "name", endpoint->name, "data_centre", endpoint->data_centre,
         "address", (json_int_t)endpoint->address, "packet_port",
-        endpoint->packet_port, "request_port", endpoint->request_port,
-        "slots", endpoint->slots, "connections",
-        (json_int_t)endpoint->connection_limit, "leaves_at",
-        (json_int_t)endpoint->leaves_at, "ends_at",
+        endpoint->packet_port, "request_port", endpoint->request_port, "slots",
+        endpoint->slots, "connections", (json_int_t)endpoint->connection_limit,
+        "leaves_at", (json_int_t)endpoint->leaves_at, "ends_at",
         (json_int_t)endpoint->ends_at);
 }
 
 static json_t *
 encode_work(const mv_work_t *work)
 {
-    return json_pack("{s:s,s:s,s:s,s:i,s:i,s:b}", "name", work->name,
-                     "method", work->method, "path", work->path, "urgency",
+    return json_pack("{s:s,s:s,s:s,s:i,s:i,s:b}", "name", work->name, "method",
+                     work->method, "path", work->path, "urgency",
                      work->urgency, "share", work->share, "non_idempotent",
                      (int)work->non_idempotent);
 }
@@ -54,9 +54,9 @@
         json_array_append_new(works, encode_work(&service->work[i]));
     }
     json_t *document = json_pack(
-        "{s:i,s:s,s:I,s:i,s:I,s:i,s:o,s:o,s:o,s:o}", "id", service->id,
-        "name", service->name, "address", (json_int_t)service->address,
-        "port", service->port, "ends_at", (json_int_t)service->ends_at,
+        "{s:i,s:s,s:I,s:i,s:I,s:i,s:o,s:o,s:o,s:o}", "id", service->id, "name",
+        service->name, "address", (json_int_t)service->address, "port",
+        service->port, "ends_at", (json_int_t)service->ends_at,
         "last_endpoint_id", service->last_endpoint_id, "endpoints", endpoints,
         "work", works, "before",
         encode_buckets(service->before, service->bucket_count), "target",
@@ -77,10 +77,9 @@
     for (uint16_t i = 0; i < deployment->service_count; i++) {
         char digest[2 * DIGEST_BYTES + 1];
         free(MvDeployment_EncodeService(&deployment->services[i], digest));
-        json_array_append_new(services,
-                              json_pack("{s:s,s:s}", "name",
-                                        deployment->services[i].name,
-                                        "digest", digest));
+        json_array_append_new(services, json_pack("{s:s,s:s}", "name",
+                                                  deployment->services[i].name,
+                                                  "digest", digest));
     }
     json_t *members = json_array();
     for (uint16_t i = 0; i < deployment->member_count; i++) {
@@ -95,14 +94,14 @@
         deployment->change_id, "accepted_at",
         (json_int_t)deployment->accepted_at, "flow_idle_seconds",
         (json_int_t)deployment->flow_idle_seconds, "last_service_id",
-        deployment->last_service_id, "services", services, "members",
-        members);
+        deployment->last_service_id, "services", services, "members", members);
     char *text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
     json_decref(root);
     return text;
 }
 
-/* Decoding ------------------------------------------------------------------- */
+/* Decoding -------------------------------------------------------------------
+ */
 
 static json_t *
 load(const char *bytes, size_t length, GError **error)
@@ -224,8 +223,7 @@
     json_t *services = json_object_get(root, "services");
     for (size_t i = 0; i < json_array_size(services); i++) {
         const json_t *service = json_array_get(services, i);
-        const char *name =
-            json_string_value(json_object_get(service, "name"));
+        const char *name = json_string_value(json_object_get(service, "name"));
         const char *digest =
             json_string_value(json_object_get(service, "digest"));
         g_ptr_array_add(pairs, g_strdup(name ? name : ""));
@@ -265,8 +263,7 @@
         const json_t *member = json_array_get(members, i);
         string(member, "name", deployment->members[i].name, MV_NAME_MAX);
         int64_t weight = integer(member, "weight");
-        deployment->members[i].weight =
-            (uint16_t)CLAMP(weight, 1, UINT16_MAX);
+        deployment->members[i].weight = (uint16_t)CLAMP(weight, 1, UINT16_MAX);
     }
 }
 
@@ -344,8 +341,8 @@
         services[i] =
             MvDeployment_EncodeService(&deployment->services[i], digest);
     }
-    char *bundle = MvDeployment_Bundle(root, services,
-                                       deployment->service_count, NULL);
+    char *bundle =
+        MvDeployment_Bundle(root, services, deployment->service_count, NULL);
     for (uint16_t i = 0; i < deployment->service_count; i++) {
         free(services[i]);
     }
--- a/packages/config/src/explain.c
+++ b/packages/config/src/explain.c
@@ -33,8 +33,8 @@
 warn(explanation_t *out, mv_danger_t danger, const char *what)
 {
     out->dangers |= danger;
-    g_string_append_printf(out->text, "DANGER %s: %s\n",
-                           MvDanger_Word(danger), what);
+    g_string_append_printf(out->text, "DANGER %s: %s\n", MvDanger_Word(danger),
+                           what);
 }
 
 static char *
@@ -173,9 +173,8 @@
         g_free(what);
     }
     else if (old && slots * 2 < staying_slots(old)) {
-        char *what = g_strdup_printf("%s keeps %u of %u slots",
-                                     service->name, slots,
-                                     staying_slots(old));
+        char *what = g_strdup_printf("%s keeps %u of %u slots", service->name,
+                                     slots, staying_slots(old));
         warn(out, MV_DANGER_CAPACITY, what);
         g_free(what);
     }
--- a/packages/core/include/masticvane/core.h
+++ b/packages/core/include/masticvane/core.h
@@ -546,9 +546,8 @@
  * @length: its bytes
  * @hops: relays it has taken, 0 when it comes from the fabric
  */
-mv_verdict_t MvNode_Packet(mv_node_t *node, mv_reader_t *reader,
-                           mv_time_t now, const uint8_t *packet,
-                           size_t length, uint8_t hops);
+mv_verdict_t MvNode_Packet(mv_node_t *node, mv_reader_t *reader, mv_time_t now,
+                           const uint8_t *packet, size_t length, uint8_t hops);
 
 /** MvNode_Message() - Take in a message that passed the frame checks. */
 void MvNode_Message(mv_node_t *node, mv_time_t now,
@@ -611,6 +610,14 @@
 size_t MvNode_RequestMembers(const mv_node_t *node, mv_request_member_t *out,
                              size_t capacity);
 
+/**
+ * MvNode_IsWatcher() - True when this node should watch the platform's store.
+ *
+ * Two of the nodes that believe each other alive do; the others learn of
+ * changes from them.
+ */
+bool MvNode_IsWatcher(const mv_node_t *node);
+
 /** MvNode_LiveMembers() - Members believed alive, this node included. */
 size_t MvNode_LiveMembers(const mv_node_t *node);
 
--- a/packages/core/src/balance.c
+++ b/packages/core/src/balance.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #define BALANCE_INTERVAL (1 * MV_SECOND)
+/* Members that a load message goes to in one round. */
+#define LOAD_FANOUT 8
 /* Flows below which differences are noise that no move can mend. */
 #define MIN_FLOWS_PER_ENDPOINT 500
 /* How strongly the buckets held answer to the flows held. */
@@ -54,8 +56,19 @@
                             .load_count = records->len,
                             .loads =
                                 (mv_load_record_t *)(void *)records->data};
-    if (records->len > 0) {
-        MvNode_SendLive(node, &message);
+    /* A few members a round: the cost does not grow with the members. */
+    guint total = node->members->len;
+    unsigned sent = 0;
+    for (guint i = 0; i < total && records->len > 0; i++) {
+        node->load_position = (node->load_position + 1) % total;
+        mv_member_t *member =
+            g_ptr_array_index(node->members, node->load_position);
+        if (MvMembers_IsLive(member) && sent++ < LOAD_FANOUT) {
+            MvNode_Send(node, member->id, &message);
+        }
+        if (sent >= LOAD_FANOUT) {
+            break;
+        }
     }
     g_array_unref(records);
 }
@@ -143,8 +156,8 @@
 move_one(mv_node_t *node, mv_time_t now, mv_node_service_t *state,
          uint16_t from, uint16_t to)
 {
-    uint32_t start = (uint32_t)g_rand_int_range(node->random, 0,
-                                                (gint32)state->count);
+    uint32_t start =
+        (uint32_t)g_rand_int_range(node->random, 0, (gint32)state->count);
     for (uint32_t i = 0; i < state->count; i++) {
         uint32_t b = (start + i) & (state->count - 1);
         if (state->buckets[b].phase == MV_BUCKET_STABLE &&
@@ -177,8 +190,8 @@
         if (!counts(node, state, id, now)) {
             continue;
         }
-        double over = evenness.held[id] -
-                      wanted_buckets(node, state, &evenness, id);
+        double over =
+            evenness.held[id] - wanted_buckets(node, state, &evenness, id);
         if (over > surplus) {
             most = id;
             surplus = over;
--- a/packages/core/src/buckets.c
+++ b/packages/core/src/buckets.c
@@ -45,7 +45,8 @@
 MvBuckets_IsUsable(const mv_node_t *node, const mv_node_service_t *service,
                    uint16_t endpoint, mv_time_t now)
 {
-    const mv_endpoint_t *known = MvService_Endpoint(service->service, endpoint);
+    const mv_endpoint_t *known =
+        MvService_Endpoint(service->service, endpoint);
     mv_time_t wall = now + node->wall_offset;
     return known &&
            (known->leaves_at == 0 || known->leaves_at * MV_SECOND > wall);
@@ -149,7 +150,8 @@
     g_ptr_array_unref(old);
 }
 
-/* Announcements ------------------------------------------------------------ */
+/* Announcements ------------------------------------------------------------
+ */
 
 static mv_batch_t *
 find_batch(mv_node_t *node, uint16_t service, uint64_t version)
@@ -297,14 +299,14 @@
     }
 }
 
-/* Messages ------------------------------------------------------------------ */
+/* Messages ------------------------------------------------------------------
+ */
 
 static void
 apply_update(mv_node_t *node, mv_time_t now, mv_node_service_t *service,
              const mv_bucket_update_t *update)
 {
-    if (update->bucket >= service->count ||
-        update->phase > MV_BUCKET_NAMED) {
+    if (update->bucket >= service->count || update->phase > MV_BUCKET_NAMED) {
         return;
     }
     mv_bucket_t *bucket = &service->buckets[update->bucket];
@@ -322,8 +324,7 @@
     bucket->next = (uint16_t)update->next;
     bucket->named = UINT32_MAX;
     set_phase(service, bucket, (uint8_t)update->phase);
-    if (MvBucket_ForNew(bucket) ==
-        service->service->target[update->bucket]) {
+    if (MvBucket_ForNew(bucket) == service->service->target[update->bucket]) {
         set_due(service, bucket, false);
     }
 }
@@ -354,15 +355,16 @@
         take_updates(node, now, message);
     }
     if (message->kind == MV_MESSAGE_BUCKETS_ACK) {
-        mv_batch_t *batch = find_batch(node, (uint16_t)message->service,
-                                       message->version);
+        mv_batch_t *batch =
+            find_batch(node, (uint16_t)message->service, message->version);
         if (batch) {
             g_hash_table_add(batch->acked, GUINT_TO_POINTER(message->from));
         }
     }
 }
 
-/* Transitions of the buckets this node is home of ---------------------------- */
+/* Transitions of the buckets this node is home of ----------------------------
+ */
 
 /* New home without the batch: announce again to learn who knows. */
 static bool
--- a/packages/core/src/claims.c
+++ b/packages/core/src/claims.c
@@ -84,8 +84,8 @@
     claims->requests = requests;
     claims->claims =
         g_hash_table_new_full(key_hash, key_equal, NULL, free_claim);
-    claims->synced = g_hash_table_new_full(g_direct_hash, g_direct_equal,
-                                           NULL, g_free);
+    claims->synced =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     claims->handed_over = g_hash_table_new(g_direct_hash, g_direct_equal);
     claims->losses = g_array_new(FALSE, FALSE, sizeof(loss_t));
     claims->views = g_ptr_array_new_with_free_func(free_view);
@@ -111,7 +111,8 @@
     return g_hash_table_size(claims->claims);
 }
 
-/* Who owns a key ---------------------------------------------------------------------- */
+/* Who owns a key
+ * ---------------------------------------------------------------------- */
 
 static uint64_t
 score(mv_key_hash_t key, mv_node_id_t node)
@@ -171,7 +172,9 @@
     owners_among(claims, key, requests->members, requests->member_count, out);
 }
 
-/* Messages out ---------------------------------------------------------------------------- */
+/* Messages out
+ * ----------------------------------------------------------------------------
+ */
 
 static void take_record(mv_claims_t *claims, mv_time_t now, mv_node_id_t from,
                         const mv_claim_record_t *record, uint64_t epoch);
@@ -209,7 +212,9 @@
     };
 }
 
-/* The table ---------------------------------------------------------------------------------- */
+/* The table
+ * ----------------------------------------------------------------------------------
+ */
 
 static claim_t *
 find(const mv_claims_t *claims, mv_key_hash_t key)
@@ -278,17 +283,17 @@
     mv_key_hash_t key = {.high = record->key_high, .low = record->key_low};
     claim_t *claim = find(claims, key);
     if (!claim) {
-        claim = add(claims, now, key, (mv_node_id_t)record->node,
-                    record->request);
+        claim =
+            add(claims, now, key, (mv_node_id_t)record->node, record->request);
         claim->since = now - record->age_ms * MV_MILLISECOND;
         claim->state = record->state;
         keep_bytes(claim, record->bytes, record->length);
         return;
     }
-    bool open = claim->state == MV_CLAIMED ||
-                claim->state == MV_CLAIM_OUTCOME_UNKNOWN;
-    bool settles = is_same_claim(claim, record) && open &&
-                   record->state != MV_CLAIMED;
+    bool open =
+        claim->state == MV_CLAIMED || claim->state == MV_CLAIM_OUTCOME_UNKNOWN;
+    bool settles =
+        is_same_claim(claim, record) && open && record->state != MV_CLAIMED;
     if (settles || strength(record->state) > strength(claim->state)) {
         claim->node = (mv_node_id_t)record->node;
         claim->request = record->request;
@@ -298,7 +303,8 @@
     }
 }
 
-/* Is the evidence complete? -------------------------------------------------------------------- */
+/* Is the evidence complete?
+ * -------------------------------------------------------------------- */
 
 static uint64_t
 epoch_of(const mv_requests_t *requests)
@@ -417,18 +423,19 @@
         }
     }
     for (guint i = 0; i < claims->losses->len; i++) {
-        g_array_append_val(
-            then, g_array_index(claims->losses, loss_t, i).member);
+        g_array_append_val(then,
+                           g_array_index(claims->losses, loss_t, i).member);
     }
     mv_node_id_t who[2];
-    owners_among(claims, key,
-                 (const mv_request_member_t *)(void *)then->data, then->len,
-                 who);
+    owners_among(claims, key, (const mv_request_member_t *)(void *)then->data,
+                 then->len, who);
     g_array_unref(then);
     return is_lost(claims, who[0]) && is_lost(claims, who[1]);
 }
 
-/* Owner ------------------------------------------------------------------------------------------ */
+/* Owner
+ * ------------------------------------------------------------------------------------------
+ */
 
 static void
 answer_state(mv_claims_t *claims, mv_time_t now, mv_node_id_t to,
@@ -477,8 +484,8 @@
         g_hash_table_remove(claims->claims, &key);
         claim = NULL;
     }
-    bool again = claim && claim->state == MV_CLAIMED &&
-                 claim->node == from && claim->request == record->request;
+    bool again = claim && claim->state == MV_CLAIMED && claim->node == from &&
+                 claim->request == record->request;
     if (claim && !again && claim->state != MV_CLAIM_NOT_RUN) {
         MvCounters_Add(requests->counters, MV_COUNTER_CLAIMS_DUPLICATE, 1);
         answer_state(claims, now, from, record->request, claim);
@@ -547,7 +554,9 @@
     send(claims, now, from, reply);
 }
 
-/* Asker ----------------------------------------------------------------------------------------- */
+/* Asker
+ * -----------------------------------------------------------------------------------------
+ */
 
 void
 MvClaims_Ask(mv_claims_t *claims, mv_time_t now, mv_request_t *request)
@@ -568,8 +577,7 @@
 static mv_request_t *
 find_asking(mv_claims_t *claims, const mv_claim_record_t *record)
 {
-    mv_request_t *request =
-        MvRequests_Find(claims->requests, record->request);
+    mv_request_t *request = MvRequests_Find(claims->requests, record->request);
     bool asking = request && request->state == MV_REQUEST_CLAIMING &&
                   !request->abandoned &&
                   request->key.high == record->key_high &&
@@ -600,8 +608,7 @@
 }
 
 static void
-take_state(mv_claims_t *claims, mv_time_t now,
-           const mv_claim_record_t *record)
+take_state(mv_claims_t *claims, mv_time_t now, const mv_claim_record_t *record)
 {
     mv_requests_t *requests = claims->requests;
     mv_request_t *request = find_asking(claims, record);
@@ -630,8 +637,7 @@
 }
 
 static void
-take_lost(mv_claims_t *claims, mv_time_t now,
-          const mv_claim_record_t *record)
+take_lost(mv_claims_t *claims, mv_time_t now, const mv_claim_record_t *record)
 {
     mv_request_t *request = find_asking(claims, record);
     if (request) {
@@ -653,8 +659,8 @@
         .op = MV_CLAIM_SETTLE,
         .key_high = key.high,
         .key_low = key.low,
-        .state = state == MV_CLAIM_DONE && !kept ? MV_CLAIM_DONE_UNRETAINED
-                                                 : state,
+        .state =
+            state == MV_CLAIM_DONE && !kept ? MV_CLAIM_DONE_UNRETAINED : state,
         .node = self,
         .request = id,
         .bytes = kept ? (char *)bytes : NULL,
@@ -685,7 +691,8 @@
     }
 }
 
-/* Members change: everyone tells the new owners what it knows. ------------------------------------- */
+/* Members change: everyone tells the new owners what it knows.
+ * ------------------------------------- */
 
 static void
 send_sync_end(mv_claims_t *claims, mv_time_t now, mv_node_id_t to)
@@ -742,15 +749,15 @@
 }
 
 static void
-note_losses(mv_claims_t *claims, mv_time_t now,
-            const mv_request_member_t *old, size_t old_count)
+note_losses(mv_claims_t *claims, mv_time_t now, const mv_request_member_t *old,
+            size_t old_count)
 {
     const mv_requests_t *requests = claims->requests;
     for (size_t i = 0; i < old_count; i++) {
         bool there = false;
         for (size_t j = 0; j < requests->member_count; j++) {
-            there = there || !memcmp(&old[i], &requests->members[j],
-                                     sizeof(old[i]));
+            there = there ||
+                    !memcmp(&old[i], &requests->members[j], sizeof(old[i]));
         }
         gpointer life = GUINT_TO_POINTER(old[i].life ^ old[i].id);
         if (there || g_hash_table_contains(claims->handed_over, life) ||
@@ -847,7 +854,9 @@
     }
 }
 
-/* Messages in ----------------------------------------------------------------------------------------- */
+/* Messages in
+ * -----------------------------------------------------------------------------------------
+ */
 
 static void
 take_record(mv_claims_t *claims, mv_time_t now, mv_node_id_t from,
--- a/packages/core/src/deployment.c
+++ b/packages/core/src/deployment.c
@@ -125,9 +125,9 @@
     }
     for (uint32_t b = 0; b < service->bucket_count; b++) {
         uint16_t index = index_of(service, service->before[b]);
-        bool keep = index != MV_NO_ENDPOINT &&
-                    (staying == 0 ||
-                     is_staying(&service->endpoints[index], now));
+        bool keep =
+            index != MV_NO_ENDPOINT &&
+            (staying == 0 || is_staying(&service->endpoints[index], now));
         service->target[b] = keep ? service->before[b] : MV_NO_ENDPOINT;
         held[keep ? index : service->endpoint_count] += keep;
     }
--- a/packages/core/src/dispatcher.c
+++ b/packages/core/src/dispatcher.c
@@ -22,7 +22,8 @@
 #define SAME_NODE_LOOK_AHEAD 128
 #define MAX_WAITING 65536
 #define HELD_WEIGHT 0.02
-/* A request should be able to take this many mean times before its deadline. */
+/* A request should be able to take this many mean times before its deadline.
+ */
 #define FINISH_MARGIN 6.0
 
 typedef struct slot slot_t;
@@ -115,7 +116,9 @@
     double held;
 };
 
-/* Helpers -------------------------------------------------------------------------- */
+/* Helpers
+ * --------------------------------------------------------------------------
+ */
 
 static guint
 waiter_hash(gconstpointer pointer)
@@ -181,7 +184,8 @@
     return slots;
 }
 
-/* Creation and configuration ---------------------------------------------------------- */
+/* Creation and configuration
+ * ---------------------------------------------------------- */
 
 mv_dispatcher_t *
 MvDispatcher_Create(uint16_t service, uint32_t first_number,
@@ -193,8 +197,7 @@
     dispatcher->ops = ops;
     dispatcher->context = context;
     dispatcher->waiters = g_hash_table_new(waiter_hash, waiter_equal);
-    dispatcher->data_centres =
-        g_hash_table_new(g_direct_hash, g_direct_equal);
+    dispatcher->data_centres = g_hash_table_new(g_direct_hash, g_direct_equal);
     dispatcher->hinted = UINT32_MAX;
     return dispatcher;
 }
@@ -295,8 +298,8 @@
         const mv_endpoint_t *endpoint =
             MvService_Endpoint(dispatcher->service, server->id);
         server->leaving =
-            !endpoint || (endpoint->leaves_at &&
-                          endpoint->leaves_at * MV_SECOND <= wall);
+            !endpoint ||
+            (endpoint->leaves_at && endpoint->leaves_at * MV_SECOND <= wall);
     }
 }
 
@@ -334,8 +337,8 @@
 static uint32_t
 data_centre_of(const mv_dispatcher_t *dispatcher, mv_node_id_t node)
 {
-    return GPOINTER_TO_UINT(g_hash_table_lookup(dispatcher->data_centres,
-                                                GUINT_TO_POINTER(node)));
+    return GPOINTER_TO_UINT(
+        g_hash_table_lookup(dispatcher->data_centres, GUINT_TO_POINTER(node)));
 }
 
 bool
@@ -346,7 +349,9 @@
            dispatcher->work_count == service->work_count + 1u;
 }
 
-/* The waiting ------------------------------------------------------------------------------ */
+/* The waiting
+ * ------------------------------------------------------------------------------
+ */
 
 static uint32_t
 weight_of(const mv_dispatcher_t *dispatcher, uint32_t member)
@@ -470,8 +475,8 @@
     if (rate <= 0) {
         return ahead < usable_slots(dispatcher);
     }
-    double part = (double)turn->weight /
-                  MAX(active_weight(&dispatcher->works[work]), 1);
+    double part =
+        (double)turn->weight / MAX(active_weight(&dispatcher->works[work]), 1);
     double wait = (double)ahead / (rate * part) * MV_SECOND;
     return wait + (double)finish_margin(dispatcher) < (double)left;
 }
@@ -510,7 +515,8 @@
     dispatcher->waiting++;
 }
 
-/* Policy: whose turn is it? ------------------------------------------------------------------- */
+/* Policy: whose turn is it?
+ * ------------------------------------------------------------------- */
 
 static work_queue_t *
 choose_work(mv_dispatcher_t *dispatcher)
@@ -521,8 +527,7 @@
     uint32_t urgent_urgency = UINT32_MAX;
     for (size_t i = 0; i < dispatcher->work_count; i++) {
         work_queue_t *work = &dispatcher->works[i];
-        work->credit = MIN(work->credit + share_of(dispatcher, i),
-                           MAX_CREDIT);
+        work->credit = MIN(work->credit + share_of(dispatcher, i), MAX_CREDIT);
         if (work->waiting == 0) {
             continue;
         }
@@ -574,8 +579,7 @@
             return waiter;
         }
         bool close = looked < LOOK_AHEAD && !near;
-        if (close &&
-            data_centre_of(dispatcher, waiter->node) == data_centre) {
+        if (close && data_centre_of(dispatcher, waiter->node) == data_centre) {
             near = waiter;
         }
         if (++looked >= most) {
@@ -587,8 +591,7 @@
 
 /* Take the next request off the queue, preferably at @node or near it. */
 static waiter_t *
-take_next(mv_dispatcher_t *dispatcher, mv_node_id_t node,
-          uint32_t data_centre)
+take_next(mv_dispatcher_t *dispatcher, mv_node_id_t node, uint32_t data_centre)
 {
     work_queue_t *work = choose_work(dispatcher);
     if (!work) {
@@ -620,7 +623,9 @@
     dispatcher->assigned--;
 }
 
-/* Slots ------------------------------------------------------------------------------------------ */
+/* Slots
+ * ------------------------------------------------------------------------------------------
+ */
 
 static void
 update_busy(server_t *server, mv_time_t now)
@@ -642,8 +647,7 @@
 }
 
 static server_t *
-choose_server(mv_dispatcher_t *dispatcher, mv_time_t now,
-              uint32_t data_centre)
+choose_server(mv_dispatcher_t *dispatcher, mv_time_t now, uint32_t data_centre)
 {
     server_t *best = NULL;
     double best_score = 0;
@@ -778,8 +782,7 @@
             mv_node_id_t from, const mv_slot_record_t *record)
 {
     slot_t *slot = server ? find_slot(server, record->slot) : NULL;
-    if (!slot ||
-        (slot->node == from && slot->request == record->request)) {
+    if (!slot || (slot->node == from && slot->request == record->request)) {
         return slot;
     }
     waiter_t *next = slot->next;
@@ -803,9 +806,9 @@
         server->next_ramp = now + RAMP_INTERVAL;
     }
     if (flag == MV_RETURN_FAILED) {
-        server->suspension =
-            server->suspension ? MIN(2 * server->suspension, MAX_SUSPENSION)
-                               : FIRST_SUSPENSION;
+        server->suspension = server->suspension
+                                 ? MIN(2 * server->suspension, MAX_SUSPENSION)
+                                 : FIRST_SUSPENSION;
         server->suspended_until = now + server->suspension;
         server->limit = 1;
         server->next_ramp = server->suspended_until + RAMP_INTERVAL;
@@ -839,9 +842,8 @@
 {
     server_t *server = find_server(dispatcher, record->endpoint);
     slot_t *slot = settle_slot(dispatcher, now, server, from, record);
-    mv_node_id_t to = record->op == MV_SLOT_PASSED
-                          ? (mv_node_id_t)record->node
-                          : from;
+    mv_node_id_t to =
+        record->op == MV_SLOT_PASSED ? (mv_node_id_t)record->node : from;
     waiter_t probe = {.node = to, .request = record->other};
     waiter_t *waiter = g_hash_table_lookup(dispatcher->waiters, &probe);
     if (!slot) {
@@ -876,7 +878,8 @@
     }
 }
 
-/* Reconciliation with what nodes say they hold --------------------------------------------------- */
+/* Reconciliation with what nodes say they hold
+ * --------------------------------------------------- */
 
 static void
 take_holding(mv_dispatcher_t *dispatcher, mv_time_t now, mv_node_id_t from,
@@ -888,8 +891,7 @@
     }
     slot_t *slot = find_slot(server, record->slot);
     if (!slot) {
-        add_slot(dispatcher, server, from, record->request, record->slot,
-                 now);
+        add_slot(dispatcher, server, from, record->request, record->slot, now);
         slot = find_slot(server, record->slot);
     }
     slot->reported = true;
@@ -984,7 +986,9 @@
     g_list_free(waiters);
 }
 
-/* Timer ------------------------------------------------------------------------------------------ */
+/* Timer
+ * ------------------------------------------------------------------------------------------
+ */
 
 static void
 expire_slots(mv_dispatcher_t *dispatcher, server_t *server, mv_time_t now)
@@ -1082,8 +1086,7 @@
                 send(dispatcher, slot->node,
                      (mv_slot_record_t){.op = MV_SLOT_HINT,
                                         .work = urgency,
-                                        .left_ms =
-                                            deep ? MV_HINT_DEEP : 0});
+                                        .left_ms = deep ? MV_HINT_DEEP : 0});
             }
         }
     }
@@ -1091,8 +1094,7 @@
 }
 
 void
-MvDispatcher_Timer(mv_dispatcher_t *dispatcher, mv_time_t now,
-                   mv_time_t wall)
+MvDispatcher_Timer(mv_dispatcher_t *dispatcher, mv_time_t now, mv_time_t wall)
 {
     update_leaving(dispatcher, wall);
     for (size_t i = 0; i < dispatcher->server_count; i++) {
--- a/packages/core/src/filters.c
+++ b/packages/core/src/filters.c
@@ -113,15 +113,13 @@
     if (request->has_key) {
         XXH128_hash_t hash = XXH3_128bits_withSeed(
             info->key, strlen(info->key), request->service);
-        request->key = (mv_key_hash_t){.high = hash.high64,
-                                       .low = hash.low64};
+        request->key = (mv_key_hash_t){.high = hash.high64, .low = hash.low64};
     }
     return pass();
 }
 
 static const filter_t chain[] = {
-    filter_running, filter_service,  filter_work,
-    filter_deadline, filter_key,
+    filter_running, filter_service, filter_work, filter_deadline, filter_key,
 };
 
 mv_request_t *
--- a/packages/core/src/flow_table.c
+++ b/packages/core/src/flow_table.c
@@ -196,8 +196,7 @@
 }
 
 void
-MvFlowTable_Sweep(mv_flow_table_t *table, mv_flow_visit_t visit,
-                  void *context)
+MvFlowTable_Sweep(mv_flow_table_t *table, mv_flow_visit_t visit, void *context)
 {
     for (unsigned i = 0; i < SHARDS; i++) {
         shard_t *shard = &table->shards[i];
--- a/packages/core/src/handover.c
+++ b/packages/core/src/handover.c
@@ -14,7 +14,8 @@
 /* Members may disagree about homes for this long after a change. */
 #define PREVIOUS_HOME_TIME (2 * MV_SECOND)
 
-/* Homes -------------------------------------------------------------------- */
+/* Homes --------------------------------------------------------------------
+ */
 
 static size_t
 list_nodes(const mv_node_t *node, bool future, mv_request_member_t *out)
@@ -22,16 +23,15 @@
     size_t count = 0;
     bool self = future ? !node->stopping : node->ready && !node->left;
     if (self) {
-        out[count++] = (mv_request_member_t){
-            .id = node->settings.id,
-            .data_centre = node->settings.data_centre};
+        out[count++] =
+            (mv_request_member_t){.id = node->settings.id,
+                                  .data_centre = node->settings.data_centre};
     }
     for (guint i = 0; i < node->members->len; i++) {
         const mv_member_t *member = g_ptr_array_index(node->members, i);
         if (MvMembers_IsLive(member) && (future || member->ready)) {
-            out[count++] =
-                (mv_request_member_t){.id = member->id,
-                                      .data_centre = member->data_centre};
+            out[count++] = (mv_request_member_t){
+                .id = member->id, .data_centre = member->data_centre};
         }
     }
     return count;
@@ -51,8 +51,8 @@
     if (!*service) {
         return 0;
     }
-    *bucket = MvFlowHash_Bucket(MvFlowKey_Hash(entry->key),
-                                (*service)->count - 1);
+    *bucket =
+        MvFlowHash_Bucket(MvFlowKey_Hash(entry->key), (*service)->count - 1);
     return MvGroup_Of(entry->key.service, *bucket);
 }
 
@@ -84,9 +84,27 @@
     return any;
 }
 
+/* Only the next sweep can tell how many flows of a bucket are named here. */
+static void
+forget_named(mv_node_t *node, const bool *groups)
+{
+    for (guint i = 0; i < node->services->len; i++) {
+        mv_node_service_t *service = g_ptr_array_index(node->services, i);
+        for (uint32_t b = 0; b < service->count; b++) {
+            if (groups[MvGroup_Of(service->service->id, b)]) {
+                service->buckets[b].named = UINT32_MAX;
+            }
+        }
+    }
+}
+
 void
 MvHandover_HomesChanged(mv_node_t *node, mv_time_t now)
 {
+    if (!node->members_changed) {
+        return;
+    }
+    node->members_changed = false;
     mv_request_member_t nodes[node->members->len + 1];
     mv_homes_t homes;
     mv_homes_t future;
@@ -104,13 +122,14 @@
     node->future = future;
     node->view_dirty = true;
     node->next_copy = now;
-    remark_t remark = {.node = node,
-                       .groups = groups,
-                       .now_ms = MvNode_Milliseconds(now)};
+    forget_named(node, groups);
+    remark_t remark = {
+        .node = node, .groups = groups, .now_ms = MvNode_Milliseconds(now)};
     MvFlowTable_Sweep(node->flows, mark_uncopied, &remark);
 }
 
-/* Copies --------------------------------------------------------------------- */
+/* Copies ---------------------------------------------------------------------
+ */
 
 /**
  * struct copy_round - Collection of flow records by receiver.
@@ -146,8 +165,7 @@
 {
     const mv_node_t *node = round->node;
     mv_node_id_t to[] = {node->homes.home[group], node->homes.second[group],
-                         node->future.home[group],
-                         node->future.second[group]};
+                         node->future.home[group], node->future.second[group]};
     for (size_t i = 0; i < G_N_ELEMENTS(to); i++) {
         bool repeated = false;
         for (size_t j = 0; j < i; j++) {
@@ -248,7 +266,8 @@
     }
 }
 
-/* Expiry ---------------------------------------------------------------------- */
+/* Expiry
+ * ---------------------------------------------------------------------- */
 
 typedef struct expiry {
     mv_node_t *node;
@@ -282,8 +301,8 @@
         return false;
     }
     mv_bucket_t *bucket = &service->buckets[number];
-    bool default_covers = bucket->phase == MV_BUCKET_NAMED ||
-                          bucket->phase == MV_BUCKET_STABLE;
+    bool default_covers =
+        bucket->phase == MV_BUCKET_NAMED || bucket->phase == MV_BUCKET_STABLE;
     if (default_covers && entry->endpoint == bucket->endpoint) {
         return false;
     }
@@ -313,7 +332,8 @@
     MvFlowTable_Sweep(node->flows, keep_entry, &expiry);
 }
 
-/* Joining and resync ------------------------------------------------------------ */
+/* Joining and resync
+ * ------------------------------------------------------------ */
 
 static void
 ask_unsynced(mv_node_t *node, mv_time_t now)
@@ -356,17 +376,19 @@
         mv_message_t config = {.kind = MV_MESSAGE_CONFIG,
                                .version = node->deployment->version,
                                .blob = node->deployment->source,
-                               .blob_length =
-                                   node->deployment->source_length};
+                               .blob_length = node->deployment->source_length};
         MvNode_Send(node, to, &config);
     }
     MvBuckets_SendAll(node, to);
     MvHandover_HomesChanged(node, now);
     copy_flows(node, now, to);
+    /* The asker must know who is ready before it takes homes over. */
+    mv_member_update_t self = MvMembers_OwnUpdate(node);
     mv_message_t done = {.kind = MV_MESSAGE_SYNC_DONE,
-                         .version = node->deployment
-                                        ? node->deployment->version
-                                        : 0};
+                         .version =
+                             node->deployment ? node->deployment->version : 0,
+                         .member_count = 1,
+                         .members = &self};
     MvNode_Send(node, to, &done);
 }
 
@@ -404,7 +426,8 @@
     }
 }
 
-/* Leaving ------------------------------------------------------------------------ */
+/* Leaving
+ * ------------------------------------------------------------------------ */
 
 void
 MvNode_Stop(mv_node_t *node, mv_time_t now)
@@ -413,6 +436,7 @@
         return;
     }
     node->stopping = true;
+    node->members_changed = true;
     node->stop_started = now;
     MvHandover_HomesChanged(node, now);
 }
@@ -433,8 +457,8 @@
     }
     for (guint i = 0; i < node->members->len; i++) {
         const mv_member_t *member = g_ptr_array_index(node->members, i);
-        waiting = waiting || (member->state == MV_MEMBER_ALIVE &&
-                              !member->handed_over);
+        waiting = waiting ||
+                  (member->state == MV_MEMBER_ALIVE && !member->handed_over);
     }
     if (!waiting || now - node->stop_started > HANDOVER_TIMEOUT) {
         node->stop_started = now;
@@ -445,11 +469,11 @@
 bool
 MvNode_Stopped(const mv_node_t *node)
 {
-    return node->left &&
-           node->last_timer - node->stop_started > LEAVE_GRACE;
+    return node->left && node->last_timer - node->stop_started > LEAVE_GRACE;
 }
 
-/* -------------------------------------------------------------------------------- */
+/* --------------------------------------------------------------------------------
+ */
 
 void
 MvHandover_Message(mv_node_t *node, mv_time_t now, const mv_message_t *message)
--- a/packages/core/src/members.c
+++ b/packages/core/src/members.c
@@ -66,6 +66,7 @@
     }
     member->state = state;
     member->state_since = now;
+    node->members_changed = true;
     spread_again(node, member);
     node->effects->ops->event(node->effects, event_of(state), member->id,
                               member->incarnation);
@@ -110,7 +111,13 @@
         }
         return;
     }
+    if (member->life != update->life) {
+        /* A new process knows nothing of what the former one had. */
+        member->config_version = 0;
+    }
     member->incarnation = update->incarnation;
+    node->members_changed |= member->ready != update->ready;
+    node->members_changed |= member->data_centre != update->data_centre;
     member->ready = update->ready;
     member->life = update->life;
     member->data_centre = update->data_centre;
@@ -159,9 +166,8 @@
         updates[count++] = update_of(receiver);
     }
     guint total = node->members->len;
-    guint start = total ? (guint)g_rand_int_range(node->random, 0,
-                                                  (gint32)total)
-                        : 0;
+    guint start =
+        total ? (guint)g_rand_int_range(node->random, 0, (gint32)total) : 0;
     for (guint i = 0; i < total && count < UPDATES_PER_MESSAGE; i++) {
         mv_member_t *member =
             g_ptr_array_index(node->members, (start + i) % total);
@@ -192,8 +198,7 @@
 void
 MvMembers_Heard(mv_node_t *node, mv_time_t now, const mv_message_t *message)
 {
-    mv_member_t *member =
-        MvMembers_Add(node, (mv_node_id_t)message->from);
+    mv_member_t *member = MvMembers_Add(node, (mv_node_id_t)message->from);
     if (!member) {
         return;
     }
@@ -347,6 +352,7 @@
 MvMembers_AnnounceReady(mv_node_t *node)
 {
     node->ready = true;
+    node->members_changed = true;
     node->incarnation++;
     tell_all(node);
 }
@@ -355,6 +361,7 @@
 MvMembers_AnnounceLeft(mv_node_t *node)
 {
     node->left = true;
+    node->members_changed = true;
     node->incarnation++;
     tell_all(node);
 }
--- a/packages/core/src/node.c
+++ b/packages/core/src/node.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #define TIMER_INTERVAL (50 * MV_MILLISECOND)
+/* Nodes that watch the platform's store for all of them. */
+#define WATCHERS 2
 
 mv_node_settings_t
 MvNodeSettings_Default(mv_node_id_t id)
@@ -46,6 +48,7 @@
     node->random = random;
     node->wall_offset = wall - now;
     node->started = now;
+    node->members_changed = true;
     node->fresh_at = now;
     node->last_timer = now;
     node->incarnation = (uint32_t)(wall / MV_SECOND);
@@ -114,7 +117,8 @@
     g_free(node);
 }
 
-/* Publication --------------------------------------------------------------- */
+/* Publication ---------------------------------------------------------------
+ */
 
 mv_reader_t *
 MvNode_AddReader(mv_node_t *node)
@@ -130,8 +134,8 @@
 static void
 build_service_view(mv_node_t *node, mv_node_service_t *state)
 {
-    state->view = MvViewService_Create(node->deployment, state->service,
-                                       state->open);
+    state->view =
+        MvViewService_Create(node->deployment, state->service, state->open);
     for (uint32_t b = 0; b < state->count; b++) {
         state->view->buckets[b] = (mv_view_bucket_t){
             .endpoint = state->buckets[b].endpoint,
@@ -149,7 +153,9 @@
     mv_node_id_t home = node->homes.home[group];
     mv_node_id_t future = node->future.home[group];
     mv_node_id_t previous = node->previous.home[group];
-    if (future != home && future != self && future != MV_NO_NODE) {
+    const mv_member_t *coming =
+        future != MV_NO_NODE ? MvMembers_Find(node, future) : NULL;
+    if (future != home && coming && coming->config_version > 0) {
         return future;
     }
     bool recent = node->previous_until > 0 && previous != MV_NO_NODE;
@@ -224,15 +230,15 @@
     mv_verdict_t verdict =
         MvSteer_Packet(node, view, now, packet, length, hops);
     __atomic_store_n(&reader->epoch, 0, __ATOMIC_RELEASE);
-    MvCounters_Add(node->counters,
-                   hops ? MV_COUNTER_PACKETS_RELAYED_IN
-                        : MV_COUNTER_PACKETS_IN,
-                   1);
+    MvCounters_Add(
+        node->counters,
+        hops ? MV_COUNTER_PACKETS_RELAYED_IN : MV_COUNTER_PACKETS_IN, 1);
     MvCounters_Add(node->counters, counter_of(&verdict), 1);
     return verdict;
 }
 
-/* Inputs --------------------------------------------------------------------- */
+/* Inputs ---------------------------------------------------------------------
+ */
 
 void
 MvNode_Send(mv_node_t *node, mv_node_id_t to, mv_message_t *message)
@@ -290,7 +296,8 @@
     return now + TIMER_INTERVAL;
 }
 
-/* Reports ---------------------------------------------------------------------- */
+/* Reports
+ * ---------------------------------------------------------------------- */
 
 mv_deployment_t *
 MvNode_Deployment(const mv_node_t *node)
@@ -336,18 +343,18 @@
 {
     size_t count = 0;
     if (node->ready && !node->left && capacity > 0) {
-        out[count++] = (mv_request_member_t){.id = node->settings.id,
-                                             .life = node->life,
-                                             .data_centre =
-                                                 node->settings.data_centre};
+        out[count++] =
+            (mv_request_member_t){.id = node->settings.id,
+                                  .life = node->life,
+                                  .data_centre = node->settings.data_centre};
     }
     for (guint i = 0; i < node->members->len && count < capacity; i++) {
         const mv_member_t *member = g_ptr_array_index(node->members, i);
         if (MvMembers_IsLive(member) && member->ready) {
-            out[count++] = (mv_request_member_t){.id = member->id,
-                                                 .life = member->life,
-                                                 .data_centre =
-                                                     member->data_centre};
+            out[count++] =
+                (mv_request_member_t){.id = member->id,
+                                      .life = member->life,
+                                      .data_centre = member->data_centre};
         }
     }
     qsort(out, count, sizeof(out[0]), compare_members);
@@ -382,6 +389,20 @@
     return names[state];
 }
 
+bool
+MvNode_IsWatcher(const mv_node_t *node)
+{
+    unsigned before = 0;
+    uint64_t own =
+        g_int_hash(&(gint){node->settings.id}) * 0x9e3779b97f4a7c15u;
+    for (guint i = 0; i < node->members->len; i++) {
+        const mv_member_t *member = g_ptr_array_index(node->members, i);
+        uint64_t other = g_int_hash(&(gint){member->id}) * 0x9e3779b97f4a7c15u;
+        before += member->state == MV_MEMBER_ALIVE && other < own;
+    }
+    return !node->left && before < WATCHERS;
+}
+
 static json_t *
 dump_members(const mv_node_t *node, mv_time_t now)
 {
@@ -410,22 +431,19 @@
             const mv_endpoint_t *endpoint = &state->service->endpoints[e];
             uint32_t buckets = 0;
             for (uint32_t b = 0; b < state->count; b++) {
-                buckets +=
-                    MvBucket_ForNew(&state->buckets[b]) == endpoint->id;
+                buckets += MvBucket_ForNew(&state->buckets[b]) == endpoint->id;
             }
             json_array_append_new(
-                endpoints,
-                json_pack("{s:s,s:i,s:i}", "name", endpoint->name, "buckets",
-                          (int)buckets, "open_here",
-                          endpoint->id < MV_LOAD_SLOTS
-                              ? state->open[endpoint->id]
-                              : 0));
+                endpoints, json_pack("{s:s,s:i,s:i}", "name", endpoint->name,
+                                     "buckets", (int)buckets, "open_here",
+                                     endpoint->id < MV_LOAD_SLOTS
+                                         ? state->open[endpoint->id]
+                                         : 0));
         }
         json_array_append_new(
-            array,
-            json_pack("{s:s,s:i,s:i,s:o}", "name", state->service->name,
-                      "buckets", (int)state->count, "moving",
-                      (int)state->moving, "endpoints", endpoints));
+            array, json_pack("{s:s,s:i,s:i,s:o}", "name", state->service->name,
+                             "buckets", (int)state->count, "moving",
+                             (int)state->moving, "endpoints", endpoints));
     }
     return array;
 }
@@ -440,7 +458,7 @@
         "change_id", node->deployment ? node->deployment->change_id : "",
         "ready", (int)node->ready, "syncing", (int)node->syncing, "stopping",
         (int)node->stopping, "flow_entries",
-        (json_int_t)MvNode_FlowCount(node), "members",
-        dump_members(node, now), "services", dump_services(node), "counters",
+        (json_int_t)MvNode_FlowCount(node), "members", dump_members(node, now),
+        "services", dump_services(node), "counters",
         MvCounters_ToJson(node->counters));
 }
--- a/packages/core/src/node_private.h
+++ b/packages/core/src/node_private.h
@@ -144,6 +144,7 @@
 
     /* Buckets. */
     GPtrArray *services;
+    bool members_changed;
     mv_homes_t homes;
     mv_homes_t future;
     mv_homes_t previous;
@@ -151,6 +152,7 @@
     uint64_t last_version;
     mv_list_t batches;
     mv_time_t next_load;
+    size_t load_position;
     mv_time_t next_sweep;
     mv_time_t next_balance;
 
@@ -204,8 +206,9 @@
                     uint16_t to, uint64_t version);
 void MvBuckets_Announce(mv_node_t *node, mv_time_t now,
                         mv_node_service_t *service, uint64_t version);
-bool MvBuckets_IsUsable(const mv_node_t *node, const mv_node_service_t *service,
-                        uint16_t endpoint, mv_time_t now);
+bool MvBuckets_IsUsable(const mv_node_t *node,
+                        const mv_node_service_t *service, uint16_t endpoint,
+                        mv_time_t now);
 static inline uint16_t
 MvBucket_ForNew(const mv_bucket_t *bucket)
 {
--- a/packages/core/src/requests.c
+++ b/packages/core/src/requests.c
@@ -41,8 +41,8 @@
     requests->counters = counters;
     requests->random = random;
     requests->wall_offset = wall - now;
-    requests->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-                                               NULL, g_free);
+    requests->requests =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     requests->claims = MvClaims_Create(requests);
     requests->slots = MvSlots_Create(requests);
     return requests;
@@ -79,7 +79,9 @@
     return false;
 }
 
-/* Ends ---------------------------------------------------------------------------- */
+/* Ends
+ * ----------------------------------------------------------------------------
+ */
 
 void
 MvRequests_Close(mv_requests_t *requests, mv_request_t *request)
@@ -148,8 +150,7 @@
     request->slot = slot;
     request->attempts++;
     if (!known) {
-        MvRequests_Answered(requests, now, id, MV_RESULT_UNREACHABLE, NULL,
-                            0);
+        MvRequests_Answered(requests, now, id, MV_RESULT_UNREACHABLE, NULL, 0);
         return;
     }
     MvHistogram_Add(&requests->waits, now - request->arrived);
@@ -160,7 +161,9 @@
     requests->effects->ops->dispatch(requests->effects, id, service, known);
 }
 
-/* Inputs ---------------------------------------------------------------------------- */
+/* Inputs
+ * ----------------------------------------------------------------------------
+ */
 
 void
 MvRequests_View(mv_requests_t *requests, mv_time_t now,
@@ -171,8 +174,8 @@
     mv_request_member_t *old_members = requests->members;
     size_t old_count = requests->member_count;
     bool same = old == deployment && old_count == count &&
-                (count == 0 || !memcmp(old_members, members,
-                                       count * sizeof(*members)));
+                (count == 0 ||
+                 !memcmp(old_members, members, count * sizeof(*members)));
     if (same) {
         return;
     }
@@ -246,9 +249,8 @@
 }
 
 bool
-MvRequests_Answered(mv_requests_t *requests, mv_time_t now,
-                    mv_request_id_t id, mv_result_t result, const char *bytes,
-                    size_t length)
+MvRequests_Answered(mv_requests_t *requests, mv_time_t now, mv_request_id_t id,
+                    mv_result_t result, const char *bytes, size_t length)
 {
     mv_request_t *request = MvRequests_Find(requests, id);
     bool give = false;
@@ -263,10 +265,9 @@
         /* Also when late: a repeated key then gets the real answer. */
         settle_claim(requests, now, request, MV_CLAIM_DONE, bytes, length);
         give = !request->abandoned;
-        MvCounters_Add(requests->counters,
-                       give ? MV_COUNTER_REQUESTS_ANSWERED
-                            : MV_COUNTER_ANSWERS_LATE,
-                       1);
+        MvCounters_Add(
+            requests->counters,
+            give ? MV_COUNTER_REQUESTS_ANSWERED : MV_COUNTER_ANSWERS_LATE, 1);
         MvRequests_Close(requests, request);
     }
     else if (request->abandoned) {
@@ -394,6 +395,6 @@
     return json_pack("{s:I,s:I,s:o,s:o,s:o}", "open",
                      (json_int_t)requests->open, "claims",
                      (json_int_t)MvClaims_Count(requests->claims), "wait_us",
-                     MvHistogram_ToJson(&requests->waits), "outcomes",
-                     reasons, "services", MvSlots_Dump(requests->slots));
+                     MvHistogram_ToJson(&requests->waits), "outcomes", reasons,
+                     "services", MvSlots_Dump(requests->slots));
 }
--- a/packages/core/src/requests_private.h
+++ b/packages/core/src/requests_private.h
@@ -148,12 +148,10 @@
 mv_slots_t *MvSlots_Create(mv_requests_t *requests);
 void MvSlots_Destroy(mv_slots_t *slots);
 void MvSlots_View(mv_slots_t *slots, mv_time_t now);
-void MvSlots_Enqueue(mv_slots_t *slots, mv_time_t now,
-                     mv_request_t *request);
-void MvSlots_Withdraw(mv_slots_t *slots, mv_time_t now,
-                      mv_request_t *request);
-void MvSlots_Released(mv_slots_t *slots, mv_time_t now, uint16_t service,
-                      uint16_t endpoint, uint32_t slot, mv_request_id_t id,
+void MvSlots_Enqueue(mv_slots_t *slots, mv_time_t now, mv_request_t *request);
+void MvSlots_Withdraw(mv_slots_t *slots, mv_time_t now, mv_request_t *request);
+void MvSlots_Released(mv_slots_t *slots, mv_time_t now, uint16_t id,
+                      uint16_t endpoint, uint32_t slot, mv_request_id_t holder,
                       uint32_t flag);
 void MvSlots_Message(mv_slots_t *slots, mv_time_t now,
                      const mv_message_t *message);
--- a/packages/core/src/slots.c
+++ b/packages/core/src/slots.c
@@ -58,15 +58,16 @@
 }
 
 static void
-dispatcher_send(void *context, mv_node_id_t to,
-                const mv_slot_record_t *record)
+dispatcher_send(void *context, mv_node_id_t to, const mv_slot_record_t *record)
 {
     post(context, to, *record);
 }
 
 static const mv_dispatcher_ops_t dispatcher_ops = {.send = dispatcher_send};
 
-/* Services ---------------------------------------------------------------------------- */
+/* Services
+ * ----------------------------------------------------------------------------
+ */
 
 static void
 free_service(gpointer pointer)
@@ -96,8 +97,8 @@
     service->owner = MV_NO_NODE;
     service->lost_owner = MV_NO_NODE;
     MvList_Init(&service->waiting);
-    service->nexts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-                                           g_free);
+    service->nexts =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     service->reported = g_hash_table_new(g_direct_hash, g_direct_equal);
     g_hash_table_insert(slots->services, GUINT_TO_POINTER(id), service);
     return service;
@@ -138,7 +139,8 @@
     return owner;
 }
 
-/* What is held and what waits, for an owner that may not know. ----------------------------- */
+/* What is held and what waits, for an owner that may not know.
+ * ----------------------------- */
 
 static void
 post_holdings(mv_slots_t *slots, service_t *service)
@@ -188,7 +190,9 @@
     }
 }
 
-/* Ownership ------------------------------------------------------------------------------------- */
+/* Ownership
+ * -------------------------------------------------------------------------------------
+ */
 
 static void
 become_owner(mv_slots_t *slots, mv_time_t now, service_t *service)
@@ -264,8 +268,7 @@
                                requests->deployment);
         for (size_t i = 0; i < requests->member_count; i++) {
             const mv_request_member_t *member = &requests->members[i];
-            MvDispatcher_SetNode(service->dispatcher,
-                                 (mv_node_id_t)member->id,
+            MvDispatcher_SetNode(service->dispatcher, (mv_node_id_t)member->id,
                                  member->data_centre);
         }
     }
@@ -306,7 +309,9 @@
     }
 }
 
-/* Requests -------------------------------------------------------------------------------------- */
+/* Requests
+ * --------------------------------------------------------------------------------------
+ */
 
 void
 MvSlots_Enqueue(mv_slots_t *slots, mv_time_t now, mv_request_t *request)
@@ -341,9 +346,8 @@
         MvDeployment_Find(requests->deployment, service);
     const mv_endpoint_t *known =
         config ? MvService_Endpoint(config, endpoint) : NULL;
-    return known &&
-           (known->leaves_at == 0 ||
-            known->leaves_at * MV_SECOND > now + requests->wall_offset);
+    return known && (known->leaves_at == 0 || known->leaves_at * MV_SECOND >
+                                                  now + requests->wall_offset);
 }
 
 /* The most urgent and then oldest request that waits here. */
@@ -434,8 +438,7 @@
         pass_on(slots, now, service, endpoint, slot, &next);
         return;
     }
-    mv_request_t *candidate =
-        good ? may_reuse(slots, now, service) : NULL;
+    mv_request_t *candidate = good ? may_reuse(slots, now, service) : NULL;
     if (candidate) {
         next = (next_t){.holder = holder,
                         .other = candidate->id,
@@ -452,7 +455,8 @@
                             .left_ms = flag});
 }
 
-/* Records from owners and other nodes ------------------------------------------------------------ */
+/* Records from owners and other nodes
+ * ------------------------------------------------------------ */
 
 static void
 take_grant(mv_slots_t *slots, mv_time_t now, service_t *service,
@@ -465,8 +469,8 @@
     bool usable = is_endpoint_usable(requests, service->id,
                                      (uint16_t)record->endpoint, now);
     if (waits && usable) {
-        MvRequests_Dispatch(requests, now, request,
-                            (uint16_t)record->endpoint, record->slot);
+        MvRequests_Dispatch(requests, now, request, (uint16_t)record->endpoint,
+                            record->slot);
         return;
     }
     bool running = request && request->state == MV_REQUEST_DISPATCHED &&
@@ -496,8 +500,7 @@
 }
 
 static void
-take_refusal(mv_slots_t *slots, mv_time_t now,
-             const mv_slot_record_t *record)
+take_refusal(mv_slots_t *slots, mv_time_t now, const mv_slot_record_t *record)
 {
     mv_requests_t *requests = slots->requests;
     mv_request_t *request = MvRequests_Find(requests, record->request);
@@ -561,8 +564,7 @@
 }
 
 void
-MvSlots_Message(mv_slots_t *slots, mv_time_t now,
-                const mv_message_t *message)
+MvSlots_Message(mv_slots_t *slots, mv_time_t now, const mv_message_t *message)
 {
     for (size_t i = 0; i < message->slot_count; i++) {
         take_record(slots, now, (mv_node_id_t)message->from,
@@ -589,11 +591,11 @@
                 sent[j] = true;
             }
         }
-        mv_message_t message = {
-            .kind = MV_MESSAGE_SLOTS,
-            .from = requests->self,
-            .slot_count = records->len,
-            .slots = (mv_slot_record_t *)(void *)records->data};
+        mv_message_t message = {.kind = MV_MESSAGE_SLOTS,
+                                .from = requests->self,
+                                .slot_count = records->len,
+                                .slots =
+                                    (mv_slot_record_t *)(void *)records->data};
         requests->effects->ops->send(requests->effects, first->to, &message);
         g_array_unref(records);
     }
@@ -658,8 +660,8 @@
         json_array_append_new(
             array,
             json_pack("{s:i,s:i,s:b,s:I,s:I}", "service", (int)service->id,
-                      "owner", (int)service->owner, "open",
-                      (int)service->open, "waiting_here_as_owner",
+                      "owner", (int)service->owner, "open", (int)service->open,
+                      "waiting_here_as_owner",
                       (json_int_t)(owned ? MvDispatcher_Waiting(owned) : 0),
                       "slots_in_use_as_owner",
                       (json_int_t)(owned ? MvDispatcher_InUse(owned) : 0)));
--- a/packages/core/src/spread.c
+++ b/packages/core/src/spread.c
@@ -35,8 +35,7 @@
 bool
 MvNode_Config(mv_node_t *node, mv_time_t now, mv_deployment_t *deployment)
 {
-    if (node->deployment &&
-        deployment->version <= node->deployment->version) {
+    if (node->deployment && deployment->version <= node->deployment->version) {
         return false;
     }
     mv_deployment_t *old = node->deployment;
--- a/packages/core/src/steer.c
+++ b/packages/core/src/steer.c
@@ -14,8 +14,7 @@
 count_open(const mv_view_service_t *service, uint16_t endpoint, int32_t change)
 {
     if (endpoint < MV_LOAD_SLOTS) {
-        __atomic_fetch_add(&service->open[endpoint], change,
-                           __ATOMIC_RELAXED);
+        __atomic_fetch_add(&service->open[endpoint], change, __ATOMIC_RELAXED);
     }
 }
 
@@ -104,9 +103,8 @@
         return drop(MV_COUNTER_PACKETS_NO_SERVICE);
     }
     uint16_t id = service->service->id;
-    mv_flow_key_t key = {.address = packet.source,
-                         .port = packet.source_port,
-                         .service = id};
+    mv_flow_key_t key = {
+        .address = packet.source, .port = packet.source_port, .service = id};
     uint64_t hash = MvFlowKey_Hash(key);
     uint32_t number = MvFlowHash_Bucket(hash, service->mask);
     const mv_view_bucket_t *bucket = &service->buckets[number];
@@ -123,9 +121,8 @@
     uint16_t endpoint =
         MvFlowTable_Touch(node->flows, key, now_ms, packet.is_close);
     mv_node_id_t other = view->other[MvGroup_Of(id, number)];
-    if (endpoint == MV_NO_ENDPOINT && other != MV_NO_NODE &&
-        !packet.is_syn && hops < MV_MAX_HOPS &&
-        bucket->phase != MV_BUCKET_STABLE) {
+    if (endpoint == MV_NO_ENDPOINT && other != MV_NO_NODE && !packet.is_syn &&
+        hops < MV_MAX_HOPS && bucket->phase != MV_BUCKET_STABLE) {
         return relay(id, other, hops);
     }
     if (endpoint == MV_NO_ENDPOINT) {
--- a/packages/core/src/view.c
+++ b/packages/core/src/view.c
@@ -27,8 +27,7 @@
     const mv_request_member_t *best = NULL;
     uint64_t best_score = 0;
     for (size_t i = 0; i < count; i++) {
-        if (&nodes[i] == without ||
-            (apart && nodes[i].data_centre == apart)) {
+        if (&nodes[i] == without || (apart && nodes[i].data_centre == apart)) {
             continue;
         }
         uint64_t score = rendezvous_score(group, (mv_node_id_t)nodes[i].id);
@@ -63,9 +62,8 @@
 MvViewService_Create(mv_deployment_t *deployment, const mv_service_t *service,
                      int32_t *open)
 {
-    mv_view_service_t *view =
-        g_malloc0(sizeof(*view) +
-                  service->bucket_count * sizeof(view->buckets[0]));
+    mv_view_service_t *view = g_malloc0(
+        sizeof(*view) + service->bucket_count * sizeof(view->buckets[0]));
     view->references = 1;
     view->deployment = MvDeployment_Ref(deployment);
     view->service = service;
--- a/packages/core/test/fleet.cc
+++ b/packages/core/test/fleet.cc
@@ -24,8 +24,7 @@
         g_memdup2(m->flows, m->flow_count * sizeof(*m->flows)));
     copy->loads = static_cast<mv_load_record_t *>(
         g_memdup2(m->loads, m->load_count * sizeof(*m->loads)));
-    copy->blob =
-        static_cast<char *>(g_memdup2(m->blob, m->blob_length));
+    copy->blob = static_cast<char *>(g_memdup2(m->blob, m->blob_length));
     return {copy, [](mv_message_t *p) {
                 g_free(p->members);
                 g_free(p->buckets);
@@ -52,7 +51,10 @@
     mv_time_t config_delay = 0;
     mv_time_t started = 0;
     std::map<mv_node_id_t, mv_time_t> last_arrival;
-    ~member() { MvNode_Destroy(node); }
+    ~member()
+    {
+        MvNode_Destroy(node);
+    }
 };
 
 fleet::fleet(const fleet_options &options)
@@ -74,7 +76,8 @@
     g_rand_free(grand_);
 }
 
-/* Deployments ------------------------------------------------------------------ */
+/* Deployments
+ * ------------------------------------------------------------------ */
 
 static void
 fill_service(mv_service_t *service, uint16_t id, unsigned endpoints,
@@ -135,8 +138,7 @@
 fleet::accept(mv_deployment_t *d)
 {
     for (int s = 0; s < d->service_count; s++) {
-        MvService_Rebalance(&d->services[s],
-                            (now_ + kWallStart) / MV_SECOND);
+        MvService_Rebalance(&d->services[s], (now_ + kWallStart) / MV_SECOND);
         if (!accepted_) {
             memcpy(d->services[s].before, d->services[s].target,
                    d->services[s].bucket_count * sizeof(uint16_t));
@@ -179,7 +181,8 @@
     accept(make(0, 1));
 }
 
-/* Nodes ------------------------------------------------------------------------- */
+/* Nodes
+ * ------------------------------------------------------------------------- */
 
 void
 fleet::effect_send(mv_effects_t *effects, mv_node_id_t to,
@@ -236,8 +239,8 @@
     uint64_t life = m->life;
     member *raw = m.get();
     members_[id] = std::move(m);
-    raw->node = MvNode_Create(&settings, &raw->effects, &raw->counters,
-                              grand_, now_ + kWallStart, now_);
+    raw->node = MvNode_Create(&settings, &raw->effects, &raw->counters, grand_,
+                              now_ + kWallStart, now_);
     raw->reader = MvNode_AddReader(raw->node);
     raw->in_fabric = now_ == 0;
     at(now_ + options_.store_delay, [this, id, life] {
@@ -341,7 +344,8 @@
     dead_endpoints_.insert({service, endpoint});
 }
 
-/* Network ------------------------------------------------------------------------- */
+/* Network
+ * ------------------------------------------------------------------------- */
 
 mv_time_t
 fleet::delay()
@@ -373,8 +377,7 @@
     auto copy = copy_message(message);
     if (datagram && now_ > 0 && members_.count(from) &&
         members_.at(from)->started > 0 &&
-        now_ - members_.at(from)->started <
-            options_.datagram_loss_at_start) {
+        now_ - members_.at(from)->started < options_.datagram_loss_at_start) {
         return;
     }
     mv_time_t arrival = now_ + delay();
@@ -434,7 +437,9 @@
     run_until(now_ + duration);
 }
 
-/* Flows ----------------------------------------------------------------------------- */
+/* Flows
+ * -----------------------------------------------------------------------------
+ */
 
 void
 fleet::traffic(double rate, double seconds, mv_time_t packet_gap)
@@ -471,8 +476,7 @@
     totals_.opened++;
     packet(f, true, false);
     at(now_ + 10 * MV_MILLISECOND, [this, number] { step_flow(number); });
-    at(now_ + (mv_time_t)(gap(random_) * MV_SECOND),
-       [this] { open_flow(); });
+    at(now_ + (mv_time_t)(gap(random_) * MV_SECOND), [this] { open_flow(); });
 }
 
 void
@@ -539,12 +543,12 @@
     for (uint32_t n = 0; packets.size() < 4096; n++) {
         std::array<uint8_t, 40> bytes;
         make_packet(bytes.data(), n, 1, false, false);
-        uint64_t before = MvCounters_Get(
-            &m->counters, MV_COUNTER_FLOW_ENTRIES_RECORDED);
+        uint64_t before =
+            MvCounters_Get(&m->counters, MV_COUNTER_FLOW_ENTRIES_RECORDED);
         MvNode_Packet(m->node, m->reader, now_, bytes.data(), 40, 0);
-        bool recorded = MvCounters_Get(&m->counters,
-                                       MV_COUNTER_FLOW_ENTRIES_RECORDED) >
-                        before;
+        bool recorded =
+            MvCounters_Get(&m->counters, MV_COUNTER_FLOW_ENTRIES_RECORDED) >
+            before;
         if (recorded == moving) {
             packets.push_back(bytes);
         }
--- a/packages/core/test/fleet.h
+++ b/packages/core/test/fleet.h
@@ -40,7 +40,7 @@
 };
 
 class fleet {
-public:
+  public:
     struct flow {
         uint32_t number = 0;
         uint16_t service = 0;
@@ -70,15 +70,27 @@
     void run_until(mv_time_t until);
     void run_for(mv_time_t duration);
 
-    mv_time_t now() const { return now_; }
-    std::mt19937_64 &random() { return random_; }
+    mv_time_t
+    now() const
+    {
+        return now_;
+    }
+    std::mt19937_64 &
+    random()
+    {
+        return random_;
+    }
 
     /** Deployments. */
     mv_deployment_t *make(unsigned leaving = 0, unsigned extra = 0);
     void accept(mv_deployment_t *deployment);
     void drain(uint16_t service, uint16_t endpoint);
     void add_endpoint(uint16_t service);
-    mv_deployment_t *accepted() { return accepted_; }
+    mv_deployment_t *
+    accepted()
+    {
+        return accepted_;
+    }
 
     /** Nodes. */
     void start_node(mv_node_id_t id);
@@ -94,7 +106,11 @@
     /** Flows: @rate a second, each living @seconds on average. */
     void traffic(double rate, double seconds, mv_time_t packet_gap);
     void stop_traffic();
-    totals &seen() { return totals_; }
+    totals &
+    seen()
+    {
+        return totals_;
+    }
     std::vector<int64_t> open_by_endpoint(uint16_t service) const;
     double imbalance(uint16_t service) const;
     size_t open_flows() const;
@@ -106,13 +122,14 @@
     std::function<void(const flow &, const std::string &)> on_broken;
     size_t (*encoded_size)(const mv_message_t *) = nullptr;
 
-private:
+  private:
     struct member;
     struct event {
         mv_time_t at;
         uint64_t order;
         std::function<void()> run;
-        bool operator>(const event &other) const
+        bool
+        operator>(const event &other) const
         {
             return at != other.at ? at > other.at : order > other.order;
         }
@@ -120,8 +137,7 @@
 
     void at(mv_time_t when, std::function<void()> run);
     void tick(mv_node_id_t id, uint64_t life);
-    void send(mv_node_id_t from, mv_node_id_t to,
-              const mv_message_t *message);
+    void send(mv_node_id_t from, mv_node_id_t to, const mv_message_t *message);
     void deliver(mv_node_id_t to, std::shared_ptr<mv_message_t> message);
     void packet(flow &f, bool syn, bool fin);
     void step_flow(uint32_t number);
--- a/packages/core/test/flows_test.cc
+++ b/packages/core/test/flows_test.cc
@@ -96,6 +96,29 @@
                          testing::Combine(testing::Values(1, 2, 3),
                                           testing::Values(0.0, 0.1)));
 
+/* Old flows of a drained endpoint are known by name, and their home goes. */
+TEST(Flows, NamedFlowsSurviveTheirHome)
+{
+    for (uint64_t seed = 1; seed <= 3; seed++) {
+        fleet_options options;
+        options.seed = seed;
+        options.idle_seconds = 5;
+        fleet f(options);
+        f.run_for(4 * MV_SECOND);
+        f.traffic(60, 60, 2 * MV_SECOND);
+        f.run_for(30 * MV_SECOND);
+        f.drain(1, 3);
+        f.run_for(12 * MV_SECOND);
+        for (mv_node_id_t id = 1; id <= 6; id++) {
+            f.stop_node(id);
+            f.run_for(4 * MV_SECOND);
+            f.start_node(id);
+            f.run_for(6 * MV_SECOND);
+        }
+        EXPECT_EQ(f.seen().broken_flows, 0u) << seed;
+    }
+}
+
 TEST(Flows, LeavingEndpointGetsNoNewFlowAfterThreeSeconds)
 {
     for (uint64_t seed = 1; seed <= 5; seed++) {
--- a/packages/core/test/request_fleet.cc
+++ b/packages/core/test/request_fleet.cc
@@ -45,7 +45,10 @@
     mv_time_t paused_until = 0;
     std::vector<mv_request_member_t> believes;
     std::map<mv_node_id_t, mv_time_t> last_arrival;
-    ~member() { MvRequests_Destroy(requests); }
+    ~member()
+    {
+        MvRequests_Destroy(requests);
+    }
 };
 
 struct request_fleet::server {
@@ -159,7 +162,8 @@
     return d;
 }
 
-/* Time and network -------------------------------------------------------------- */
+/* Time and network
+ * -------------------------------------------------------------- */
 
 void
 request_fleet::at(mv_time_t when, std::function<void()> run)
@@ -194,8 +198,7 @@
 }
 
 void
-request_fleet::send(mv_node_id_t from, mv_node_id_t to,
-                    const mv_message_t *m)
+request_fleet::send(mv_node_id_t from, mv_node_id_t to, const mv_message_t *m)
 {
     messages_++;
     if (encoded_size) {
@@ -226,7 +229,9 @@
     MvRequests_Message(m.requests, now_, message.get());
 }
 
-/* Members -------------------------------------------------------------------------- */
+/* Members
+ * --------------------------------------------------------------------------
+ */
 
 void
 request_fleet::start_member(mv_node_id_t id)
@@ -266,16 +271,15 @@
     std::vector<mv_request_member_t> now_live;
     mv_deployment_t *d = deployments_.back();
     for (auto &m : members_) {
-        bool known_dead = !m.second->alive &&
-                          now_ - m.second->died >= options_.detect;
-        bool seen_paused = m.second->paused_until > now_ &&
-                           m.second->died &&
+        bool known_dead =
+            !m.second->alive && now_ - m.second->died >= options_.detect;
+        bool seen_paused = m.second->paused_until > now_ && m.second->died &&
                            now_ - m.second->died >= options_.detect;
         if (!known_dead && !seen_paused && !m.second->leaving) {
             std::string dc =
                 "dc" + std::to_string(m.first % options_.data_centres);
-            now_live.push_back({m.first, m.second->life,
-                                MvDataCentre_Hash(dc.c_str())});
+            now_live.push_back(
+                {m.first, m.second->life, MvDataCentre_Hash(dc.c_str())});
         }
     }
     std::uniform_int_distribution<mv_time_t> late(0, 300 * MV_MILLISECOND);
@@ -306,8 +310,7 @@
     members_.at(node)->alive = false;
     members_.at(node)->died = now_;
     for (auto &a : attempts_) {
-        if (a.second.node == node &&
-            a.second.outcome == outcome_kind::none) {
+        if (a.second.node == node && a.second.outcome == outcome_kind::none) {
             /* Its caller sees the connection break. */
             a.second.outcome = outcome_kind::unknown;
             a.second.ended = now_;
@@ -360,8 +363,8 @@
 request_fleet::drain(uint16_t endpoint)
 {
     leaving_.insert(endpoint);
-    deployments_.push_back(make(plant_ignore_drain ? std::set<uint16_t>{}
-                                                   : leaving_));
+    deployments_.push_back(
+        make(plant_ignore_drain ? std::set<uint16_t>{} : leaving_));
     views();
 }
 
@@ -383,12 +386,13 @@
     return ids;
 }
 
-/* Callers ----------------------------------------------------------------------------- */
+/* Callers
+ * -----------------------------------------------------------------------------
+ */
 
 uint64_t
-request_fleet::submit(mv_node_id_t node, unsigned work,
-                      const std::string &who, const std::string &key,
-                      mv_time_t patience)
+request_fleet::submit(mv_node_id_t node, unsigned work, const std::string &who,
+                      const std::string &key, mv_time_t patience)
 {
     member &m = *members_.at(node);
     const work_spec &spec = options_.works[work];
@@ -436,8 +440,7 @@
 {
     attempt &a = attempts_.at(id);
     member &m = *members_.at(a.node);
-    if (a.outcome != outcome_kind::none || !m.alive ||
-        now_ < m.paused_until) {
+    if (a.outcome != outcome_kind::none || !m.alive || now_ < m.paused_until) {
         return;
     }
     a.outcome = outcome_kind::unknown;
@@ -466,7 +469,8 @@
     });
 }
 
-/* Backend servers ------------------------------------------------------------------------ */
+/* Backend servers
+ * ------------------------------------------------------------------------ */
 
 void
 request_fleet::dispatch(mv_node_id_t node, uint64_t id, uint16_t endpoint)
@@ -510,13 +514,13 @@
         return;
     }
     attempt &a = attempts_[id];
-    std::string text = "answer-" + (a.key.empty() ? std::to_string(id)
-                                                  : a.key);
+    std::string text =
+        "answer-" + (a.key.empty() ? std::to_string(id) : a.key);
     if (plant_wrong_answer && id % 50 == 0) {
         text = "answer-of-another";
     }
-    bool give = MvRequests_Answered(m.requests, now_, id, result,
-                                    text.data(), text.size());
+    bool give = MvRequests_Answered(m.requests, now_, id, result, text.data(),
+                                    text.size());
     if (give) {
         a.outcome = outcome_kind::answer;
         a.answer = text;
@@ -533,8 +537,8 @@
     server &s = servers_[endpoint];
     uint32_t life = members_.at(node)->life;
     if (s.broken) {
-        mv_result_t result = random_() % 2 ? MV_RESULT_NOT_PROCESSED
-                                           : MV_RESULT_UNREACHABLE;
+        mv_result_t result =
+            random_() % 2 ? MV_RESULT_NOT_PROCESSED : MV_RESULT_UNREACHABLE;
         at(now_ + backend_delay(node, endpoint),
            [this, node, life, id, result] {
                answered(node, life, id, result);
@@ -580,9 +584,8 @@
             again.running--;
             mv_result_t result =
                 again.broken ? MV_RESULT_BROKEN : MV_RESULT_WHOLE;
-            at(now_ + backend_delay(w.node, endpoint), [this, w, result] {
-                answered(w.node, w.life, w.id, result);
-            });
+            at(now_ + backend_delay(w.node, endpoint),
+               [this, w, result] { answered(w.node, w.life, w.id, result); });
             start_next(endpoint);
         });
     }
@@ -618,7 +621,9 @@
     return servers_[endpoint].last_start;
 }
 
-/* The checker -------------------------------------------------------------------------------- */
+/* The checker
+ * --------------------------------------------------------------------------------
+ */
 
 std::vector<std::string>
 check_history(request_fleet &fleet, bool members_agreed)
--- a/packages/core/test/request_fleet.h
+++ b/packages/core/test/request_fleet.h
@@ -62,13 +62,21 @@
 };
 
 class request_fleet {
-public:
+  public:
     explicit request_fleet(const request_options &options);
     ~request_fleet();
 
     void run_for(mv_time_t duration);
-    mv_time_t now() const { return now_; }
-    std::mt19937_64 &random() { return random_; }
+    mv_time_t
+    now() const
+    {
+        return now_;
+    }
+    std::mt19937_64 &
+    random()
+    {
+        return random_;
+    }
 
     /** Submit an attempt at @node; returns its id. */
     uint64_t submit(mv_node_id_t node, unsigned work,
@@ -89,16 +97,40 @@
     void mend_endpoint(uint16_t endpoint);
     void cut(std::function<bool(mv_node_id_t, mv_node_id_t)> is_cut);
 
-    std::map<uint64_t, attempt> &attempts() { return attempts_; }
-    unsigned max_overrun() const { return max_overrun_; }
-    uint64_t overruns() const { return overruns_; }
-    std::map<std::string, unsigned> &runs() { return runs_; }
+    std::map<uint64_t, attempt> &
+    attempts()
+    {
+        return attempts_;
+    }
+    unsigned
+    max_overrun() const
+    {
+        return max_overrun_;
+    }
+    uint64_t
+    overruns() const
+    {
+        return overruns_;
+    }
+    std::map<std::string, unsigned> &
+    runs()
+    {
+        return runs_;
+    }
     /** Slot time used since reset_busy(), by endpoint. */
     const std::vector<double> &busy();
     void reset_busy();
     std::vector<mv_node_id_t> live() const;
-    uint64_t messages() const { return messages_; }
-    uint64_t bytes() const { return bytes_; }
+    uint64_t
+    messages() const
+    {
+        return messages_;
+    }
+    uint64_t
+    bytes() const
+    {
+        return bytes_;
+    }
     mv_time_t last_start(uint16_t endpoint) const;
     size_t (*encoded_size)(const mv_message_t *) = nullptr;
 
@@ -109,14 +141,15 @@
     bool plant_overrun = false;
     bool plant_ignore_drain = false;
 
-private:
+  private:
     struct member;
     struct server;
     struct event {
         mv_time_t at;
         uint64_t order;
         std::function<void()> run;
-        bool operator>(const event &other) const
+        bool
+        operator>(const event &other) const
         {
             return at != other.at ? at > other.at : order > other.order;
         }
--- a/packages/core/test/requests_test.cc
+++ b/packages/core/test/requests_test.cc
@@ -166,7 +166,8 @@
     }
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, RequestFaults, testing::Range<uint64_t>(1, 21));
+INSTANTIATE_TEST_SUITE_P(Seeds, RequestFaults,
+                         testing::Range<uint64_t>(1, 21));
 
 struct plant_case {
     const char *name;
--- a/packages/masticvane/src/change.c
+++ b/packages/masticvane/src/change.c
@@ -35,8 +35,7 @@
     }
     json_t *array = json_array();
     for (size_t i = 0; i < MvFindings_Count(findings); i++) {
-        json_array_append_new(array,
-                              json_string(MvFindings_Get(findings, i)));
+        json_array_append_new(array, json_string(MvFindings_Get(findings, i)));
     }
     json_dumpf(array, stdout, JSON_INDENT(2));
     (void)fputs("\n", stdout);
@@ -160,9 +159,9 @@
             continue;
         }
         const char *word = MvDanger_Word((mv_danger_t)danger);
-        bool given = options->accept &&
-                     g_strv_contains((const char *const *)options->accept,
-                                     word);
+        bool given =
+            options->accept &&
+            g_strv_contains((const char *const *)options->accept, word);
         if (!given) {
             (void)fprintf(stderr,
                           "masticvane: nothing changed; to go on, add "
@@ -227,11 +226,10 @@
         return status;
     }
     (void)fprintf(options->json ? stdout : stderr,
-                  options->json
-                      ? "{\"version\":%" G_GUINT64_FORMAT
-                        ",\"change_id\":\"%s\"}\n"
-                      : "accepted as version %" G_GUINT64_FORMAT
-                        ", change %s\n",
+                  options->json ? "{\"version\":%" G_GUINT64_FORMAT
+                                  ",\"change_id\":\"%s\"}\n"
+                                : "accepted as version %" G_GUINT64_FORMAT
+                                  ", change %s\n",
                   change->next->version, change->next->change_id);
     return options->wait_seconds > 0 ? wait_in_force(options, change->next)
                                      : MV_EXIT_OK;
--- a/packages/masticvane/src/nodes.c
+++ b/packages/masticvane/src/nodes.c
@@ -34,8 +34,8 @@
         address_t one = {
             .id = (mv_node_id_t)g_ascii_strtoull(section + strlen("peer "),
                                                  NULL, 10),
-            .host = g_strdup(
-                MvIni_Text(ini, section, "address", NULL, findings)),
+            .host =
+                g_strdup(MvIni_Text(ini, section, "address", NULL, findings)),
             .port = (uint16_t)MvIni_Number(ini, section, "control_port", 1,
                                            65535, 7400, findings),
         };
@@ -66,8 +66,8 @@
     mv_keyring_t *keyring = NULL;
     if (options->key_file &&
         g_file_get_contents(options->key_file, &text, NULL, NULL)) {
-        keyring = MvKeyring_Parse(options->key_file, text, deployment,
-                                  findings);
+        keyring =
+            MvKeyring_Parse(options->key_file, text, deployment, findings);
     }
     else {
         (void)fprintf(stderr, "masticvane: --key-file FILE is required and "
@@ -113,8 +113,8 @@
     apr_sockaddr_t *where = NULL;
     apr_socket_t *socket = NULL;
     char *answer = NULL;
-    if (apr_sockaddr_info_get(&where, to->host, APR_INET, to->port, 0,
-                              pool) != APR_SUCCESS ||
+    if (apr_sockaddr_info_get(&where, to->host, APR_INET, to->port, 0, pool) !=
+            APR_SUCCESS ||
         apr_socket_create(&socket, APR_INET, SOCK_STREAM, 0, pool) !=
             APR_SUCCESS) {
         return NULL;
@@ -139,12 +139,10 @@
 }
 
 mv_node_status_t *
-MvNodes_Ask(const mv_options_t *options, const char *deployment,
-            size_t *count)
+MvNodes_Ask(const mv_options_t *options, const char *deployment, size_t *count)
 {
     GArray *addresses = read_nodes(options);
-    mv_keyring_t *keyring =
-        addresses ? read_keys(options, deployment) : NULL;
+    mv_keyring_t *keyring = addresses ? read_keys(options, deployment) : NULL;
     mv_node_status_t *nodes = NULL;
     apr_pool_t *pool = NULL;
     apr_pool_create(&pool, NULL);
@@ -202,8 +200,7 @@
         remark = "  LAGGING";
     }
     (void)printf("node %-5u version %" G_GUINT64_FORMAT
-                 "  change %s  flow entries %" G_GINT64_FORMAT
-                 "%s%s\n",
+                 "  change %s  flow entries %" G_GINT64_FORMAT "%s%s\n",
                  node->id, node->version,
                  json_string_value(json_object_get(node->state, "change_id")),
                  (gint64)json_integer_value(
@@ -278,8 +275,7 @@
         }
     }
     if (status != MV_EXIT_OK) {
-        (void)fprintf(stderr, "masticvane: node %s did not answer\n",
-                      argv[0]);
+        (void)fprintf(stderr, "masticvane: node %s did not answer\n", argv[0]);
     }
     MvNodes_Free(nodes, count);
     return status;
--- a/packages/masticvane/src/retire.c
+++ b/packages/masticvane/src/retire.c
@@ -48,8 +48,8 @@
         if (*lines[i] == '[') {
             inside = is_section(lines[i], section);
         }
-        if (inside && (starts_key(lines[i], "leaves") ||
-                       starts_key(lines[i], "ends"))) {
+        if (inside &&
+            (starts_key(lines[i], "leaves") || starts_key(lines[i], "ends"))) {
             continue;
         }
         g_string_append_printf(out, "%s%s", lines[i],
@@ -110,8 +110,8 @@
         (void)fprintf(stderr,
                       "%s: %s endpoint %s leaves %s%s%s; now plan and "
                       "confirm\n",
-                      argv[0], argv[1], argv[2], leaves,
-                      ends ? ", ends " : "", ends ? ends : "");
+                      argv[0], argv[1], argv[2], leaves, ends ? ", ends " : "",
+                      ends ? ends : "");
         status = MV_EXIT_OK;
     }
     g_free(edited);
@@ -125,12 +125,10 @@
 {
     bool good = true;
     if (argc != 3) {
-        (void)fprintf(stderr,
-                      "masticvane: retire ANSWERS SERVICE ENDPOINT\n");
+        (void)fprintf(stderr, "masticvane: retire ANSWERS SERVICE ENDPOINT\n");
         return MV_EXIT_USAGE;
     }
-    char *leaves =
-        read_time("--at", options->at ? options->at : "now", &good);
+    char *leaves = read_time("--at", options->at ? options->at : "now", &good);
     char *ends = read_time("--until", options->until, &good);
     int status = good ? write_retirement(argv, leaves, ends) : MV_EXIT_USAGE;
     g_free(leaves);
--- a/packages/masticvaned/src/control.c
+++ b/packages/masticvaned/src/control.c
@@ -40,7 +40,8 @@
     }
 }
 
-/* Actions of the node ------------------------------------------------------------- */
+/* Actions of the node
+ * ------------------------------------------------------------- */
 
 static void
 effect_send(mv_effects_t *effects, mv_node_id_t to,
@@ -79,7 +80,9 @@
     .event = effect_event,
 };
 
-/* State dump -------------------------------------------------------------------------- */
+/* State dump
+ * --------------------------------------------------------------------------
+ */
 
 static char *
 dump_state(control_t *control)
@@ -118,7 +121,8 @@
     free(text);
 }
 
-/* Messages and commands ------------------------------------------------------------------ */
+/* Messages and commands
+ * ------------------------------------------------------------------ */
 
 static void
 take_message(void *context, const mv_message_t *message)
@@ -155,7 +159,9 @@
     MvNode_Config(control->daemon->node, g_get_monotonic_time(), deployment);
 }
 
-/* Loop ---------------------------------------------------------------------------------------- */
+/* Loop
+ * ----------------------------------------------------------------------------------------
+ */
 
 static void
 publish_members(control_t *control, mv_time_t now)
@@ -166,29 +172,29 @@
         return;
     }
     control->next_view = now + VIEW_INTERVAL;
-    mv_members_view_t *view =
-        g_malloc0(sizeof(*view) +
-                  (settings->peer_count + 1) * sizeof(view->members[0]));
+    mv_members_view_t *view = g_malloc0(
+        sizeof(*view) + (settings->peer_count + 1) * sizeof(view->members[0]));
     mv_deployment_t *deployment = MvNode_Deployment(daemon->node);
     view->deployment = deployment ? MvDeployment_Ref(deployment) : NULL;
     view->count = MvNode_RequestMembers(daemon->node, view->members,
                                         settings->peer_count + 1);
-    MvMembersView_Free(__atomic_exchange_n(&daemon->members_view, view,
-                                           __ATOMIC_ACQ_REL));
+    MvMembersView_Free(
+        __atomic_exchange_n(&daemon->members_view, view, __ATOMIC_ACQ_REL));
 }
 
 static void
 watch_store(control_t *control, mv_time_t now)
 {
-    MvAcceptedWatch_Timer(control->watch, now, true);
+    const mv_node_t *node = control->daemon->node;
+    bool active = !MvNode_Deployment(node) || MvNode_IsWatcher(node);
+    MvAcceptedWatch_Timer(control->watch, now, active);
     MvStore_Poll(control->store, 0);
     bool reachable = MvAcceptedWatch_IsReachable(control->watch);
     if (reachable != control->was_reachable) {
-        MvLog_Write(control->daemon->log,
-                    reachable ? MV_EVENT_STORE_REACHABLE
-                              : MV_EVENT_STORE_UNREACHABLE,
-                    "addresses=\"%s\"",
-                    control->daemon->settings->store_addresses);
+        MvLog_Write(
+            control->daemon->log,
+            reachable ? MV_EVENT_STORE_REACHABLE : MV_EVENT_STORE_UNREACHABLE,
+            "addresses=\"%s\"", control->daemon->settings->store_addresses);
         control->was_reachable = reachable;
     }
 }
@@ -266,9 +272,8 @@
                         settings->peers[i].address,
                         settings->peers[i].control_port);
     }
-    control->store = MvStore_CreateHttp(settings->store_addresses,
-                                        STORE_TIMEOUT, &daemon->counters,
-                                        error);
+    control->store = MvStore_CreateHttp(
+        settings->store_addresses, STORE_TIMEOUT, &daemon->counters, error);
     if (!control->store) {
         return false;
     }
@@ -342,9 +347,9 @@
     MvFlag_Set(&daemon->finished);
     MvProxy_Join(proxy);
     MvPackets_Join(packets);
-    MvLog_Write(daemon->log, good ? MV_EVENT_NODE_STOPPED
-                                  : MV_EVENT_NODE_FAILED,
-                "node=%u", daemon->settings->self.id);
+    MvLog_Write(daemon->log,
+                good ? MV_EVENT_NODE_STOPPED : MV_EVENT_NODE_FAILED, "node=%u",
+                daemon->settings->self.id);
     close_all(&control);
     return good ? 0 : 1;
 }
--- a/packages/masticvaned/src/packets.c
+++ b/packages/masticvaned/src/packets.c
@@ -46,8 +46,8 @@
 
 /* @frame has room for a relay header in front of the packet. */
 static void
-carry_out(packet_thread_t *thread, const mv_verdict_t *verdict,
-          uint8_t *frame, size_t length)
+carry_out(packet_thread_t *thread, const mv_verdict_t *verdict, uint8_t *frame,
+          size_t length)
 {
     mv_daemon_t *daemon = thread->packets->daemon;
     uint8_t *packet = frame + MV_RELAY_HEADER_BYTES;
@@ -78,15 +78,14 @@
     uint8_t frame[MV_RELAY_HEADER_BYTES + PACKET_MAX];
     (void)events;
     for (int i = 0; i < BURST; i++) {
-        ssize_t length = recv(thread->fabric_fd,
-                              frame + MV_RELAY_HEADER_BYTES, PACKET_MAX,
-                              MSG_DONTWAIT);
+        ssize_t length = recv(thread->fabric_fd, frame + MV_RELAY_HEADER_BYTES,
+                              PACKET_MAX, MSG_DONTWAIT);
         if (length < 0) {
             return;
         }
-        mv_verdict_t verdict = MvNode_Packet(
-            daemon->node, thread->reader, g_get_monotonic_time(),
-            frame + MV_RELAY_HEADER_BYTES, (size_t)length, 0);
+        mv_verdict_t verdict =
+            MvNode_Packet(daemon->node, thread->reader, g_get_monotonic_time(),
+                          frame + MV_RELAY_HEADER_BYTES, (size_t)length, 0);
         carry_out(thread, &verdict, frame, (size_t)length);
     }
 }
@@ -112,9 +111,9 @@
             continue;
         }
         size_t inner = (size_t)length - MV_RELAY_HEADER_BYTES;
-        mv_verdict_t verdict = MvNode_Packet(
-            daemon->node, thread->reader, g_get_monotonic_time(),
-            frame + MV_RELAY_HEADER_BYTES, inner, hops);
+        mv_verdict_t verdict =
+            MvNode_Packet(daemon->node, thread->reader, g_get_monotonic_time(),
+                          frame + MV_RELAY_HEADER_BYTES, inner, hops);
         carry_out(thread, &verdict, frame, inner);
     }
 }
@@ -166,8 +165,7 @@
                  APR_POLLIN);
     MvLoop_Watch(thread->loop, &thread->relay_watch, thread->relay,
                  APR_POLLIN);
-    thread->started =
-        pthread_create(&thread->thread, NULL, run, thread) == 0;
+    thread->started = pthread_create(&thread->thread, NULL, run, thread) == 0;
     return thread->started;
 }
 
--- a/packages/masticvaned/src/proxy.c
+++ b/packages/masticvaned/src/proxy.c
@@ -72,7 +72,8 @@
     return g_get_monotonic_time();
 }
 
-/* Callers ----------------------------------------------------------------------- */
+/* Callers
+ * ----------------------------------------------------------------------- */
 
 static exchange_t *
 find_by_caller(mv_proxy_t *proxy, const caller_t *caller, int32_t stream)
@@ -82,8 +83,7 @@
     g_hash_table_iter_init(&iter, proxy->exchanges);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         exchange_t *exchange = value;
-        if (exchange->caller == caller &&
-            exchange->caller_stream == stream) {
+        if (exchange->caller == caller && exchange->caller_stream == stream) {
             return exchange;
         }
     }
@@ -198,8 +198,7 @@
         if (apr_pool_create(&pool, proxy->pool) != APR_SUCCESS) {
             return;
         }
-        if (apr_socket_accept(&socket, proxy->listener, pool) !=
-            APR_SUCCESS) {
+        if (apr_socket_accept(&socket, proxy->listener, pool) != APR_SUCCESS) {
             apr_pool_destroy(pool);
             return;
         }
@@ -239,8 +238,7 @@
         status = "410";
     }
     MvHttpMessage_Add(answer, ":status", status);
-    MvHttpMessage_Add(answer, HEADER_OUTCOME,
-                      not_run ? "not-run" : "unknown");
+    MvHttpMessage_Add(answer, HEADER_OUTCOME, not_run ? "not-run" : "unknown");
     MvHttpMessage_Add(answer, HEADER_REASON, MvReason_Name(reason));
     if (not_run && overload) {
         MvHttpMessage_Add(answer, "retry-after", "1");
@@ -249,7 +247,8 @@
     MvHttpMessage_Destroy(answer);
 }
 
-/* Backend servers -------------------------------------------------------------------- */
+/* Backend servers
+ * -------------------------------------------------------------------- */
 
 static void
 settle(backend_t *backend, int32_t stream, mv_result_t result,
@@ -345,7 +344,8 @@
     return backend;
 }
 
-/* Actions of the decisions ----------------------------------------------------------------- */
+/* Actions of the decisions
+ * ----------------------------------------------------------------- */
 
 static mv_http_message_t *
 onward_request(const exchange_t *exchange, mv_time_t now)
@@ -451,7 +451,9 @@
     .send = effect_send,
 };
 
-/* The thread ------------------------------------------------------------------------------------ */
+/* The thread
+ * ------------------------------------------------------------------------------------
+ */
 
 static void
 peer_message(void *context, const mv_message_t *message)
@@ -488,8 +490,8 @@
 static void
 take_members(mv_proxy_t *proxy)
 {
-    mv_members_view_t *view = __atomic_exchange_n(
-        &proxy->daemon->members_view, NULL, __ATOMIC_ACQ_REL);
+    mv_members_view_t *view = __atomic_exchange_n(&proxy->daemon->members_view,
+                                                  NULL, __ATOMIC_ACQ_REL);
     if (view) {
         MvRequests_View(proxy->requests, monotonic(), view->deployment,
                         view->members, view->count);
@@ -633,15 +635,14 @@
     apr_pool_create(&proxy->pool, NULL);
     proxy->loop = MvLoop_Create(proxy->pool, MAX_DESCRIPTORS);
     proxy->random = g_rand_new();
-    proxy->exchanges = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-                                             NULL, free_exchange);
+    proxy->exchanges = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                             free_exchange);
     proxy->backends = g_hash_table_new(g_int64_hash, g_int64_equal);
     proxy->requests = MvRequests_Create(
         daemon->settings->self.id, &proxy->effects, &daemon->counters,
         proxy->random, g_get_real_time(), monotonic());
     if (open_ports(proxy, error)) {
-        proxy->started =
-            pthread_create(&proxy->thread, NULL, run, proxy) == 0;
+        proxy->started = pthread_create(&proxy->thread, NULL, run, proxy) == 0;
     }
     if (!proxy->started) {
         MvProxy_Join(proxy);
--- a/packages/masticvaned/src/settings.c
+++ b/packages/masticvaned/src/settings.c
@@ -45,8 +45,8 @@
            mv_peer_settings_t *where)
 {
     struct in_addr parsed;
-    const char *address = MvIni_Text(reading->ini, section, "address", NULL,
-                                     reading->findings);
+    const char *address =
+        MvIni_Text(reading->ini, section, "address", NULL, reading->findings);
     if (*address && inet_pton(AF_INET, address, &parsed) != 1) {
         add_finding(reading, section, "address",
                     "not an IPv4 address; write a.b.c.d");
@@ -77,8 +77,8 @@
 static void
 read_keys(const reading_t *reading, mv_settings_t *settings)
 {
-    const char *path = MvIni_Text(reading->ini, "node", "key_file", NULL,
-                                  reading->findings);
+    const char *path =
+        MvIni_Text(reading->ini, "node", "key_file", NULL, reading->findings);
     char *text = NULL;
     if (!*path) {
         return;
@@ -87,8 +87,8 @@
         add_finding(reading, "node", "key_file", "cannot be read");
         return;
     }
-    settings->keyring = MvKeyring_Parse(path, text, settings->deployment,
-                                        reading->findings);
+    settings->keyring =
+        MvKeyring_Parse(path, text, settings->deployment, reading->findings);
     g_free(text);
 }
 
@@ -100,8 +100,7 @@
     for (guint i = 0; i < sections->len; i++) {
         const char *section = g_ptr_array_index(sections, i);
         char *end = NULL;
-        guint64 id =
-            g_ascii_strtoull(section + strlen("peer "), &end, 10);
+        guint64 id = g_ascii_strtoull(section + strlen("peer "), &end, 10);
         if (*end || id > MAX_NODE) {
             add_finding(reading, section, "id",
                         "write [peer N] with N from 0 to 65534");
@@ -136,8 +135,8 @@
               MV_NAME_MAX);
     settings->packet_port = port(reading, "node", "packet_port", 5555);
     settings->request_port = port(reading, "node", "request_port", 8080);
-    settings->packet_threads = (unsigned)number(
-        reading, "node", "packet_threads", 1, MAX_THREADS, 1);
+    settings->packet_threads =
+        (unsigned)number(reading, "node", "packet_threads", 1, MAX_THREADS, 1);
     settings->stop_limit =
         number(reading, "limits", "stop_seconds", 1, MAX_SECONDS, 60) *
         MV_SECOND;
--- a/packages/net/include/masticvane/net.h
+++ b/packages/net/include/masticvane/net.h
@@ -17,7 +17,8 @@
 extern "C" {
 #endif
 
-/* Message codec -------------------------------------------------------------- */
+/* Message codec --------------------------------------------------------------
+ */
 
 /**
  * MvMessage_Encode() - Append the msgpack form of @message to @out.
@@ -37,7 +38,8 @@
 /** MvMessage_Free() - Free a decoded message; NULL is accepted. */
 void MvMessage_Free(mv_message_t *message);
 
-/* Frames ---------------------------------------------------------------------- */
+/* Frames
+ * ---------------------------------------------------------------------- */
 
 /** Longest frame body accepted. */
 #define MV_FRAME_MAX (8u << 20)
@@ -88,8 +90,7 @@
  * with MvKeyring_Destroy(); NULL when there are findings.
  */
 mv_keyring_t *MvKeyring_Parse(const char *file, const char *text,
-                              const char *deployment,
-                              mv_findings_t *findings);
+                              const char *deployment, mv_findings_t *findings);
 
 /** MvKeyring_Destroy() - Wipe and free; NULL is accepted. */
 void MvKeyring_Destroy(mv_keyring_t *keyring);
@@ -108,8 +109,8 @@
 void MvSealer_Destroy(mv_sealer_t *sealer);
 
 /** MvSealer_Seal() - Append a whole frame around @body to @out. */
-bool MvSealer_Seal(mv_sealer_t *sealer, mv_frame_type_t type,
-                   const void *body, size_t length, mv_buffer_t *out);
+bool MvSealer_Seal(mv_sealer_t *sealer, mv_frame_type_t type, const void *body,
+                   size_t length, mv_buffer_t *out);
 
 /**
  * struct mv_frame - A checked frame; points into the bytes it came from.
@@ -143,7 +144,8 @@
 mv_frame_check_t MvSealer_Open(mv_sealer_t *sealer, const uint8_t *data,
                                size_t length, mv_frame_t *frame);
 
-/* Relayed packets ---------------------------------------------------------------- */
+/* Relayed packets
+ * ---------------------------------------------------------------- */
 
 #define MV_RELAY_HEADER_BYTES 16
 
@@ -160,7 +162,8 @@
 bool MvRelay_Read(const mv_keyring_t *keyring, const uint8_t *data,
                   size_t length, uint8_t *hops);
 
-/* Event loop ---------------------------------------------------------------------- */
+/* Event loop
+ * ---------------------------------------------------------------------- */
 
 /** typedef mv_loop_t - One thread's descriptors. */
 typedef struct mv_loop mv_loop_t;
@@ -205,7 +208,9 @@
 apr_socket_t *MvNet_Connect(apr_pool_t *pool, const char *address,
                             uint16_t port);
 
-/* Links ------------------------------------------------------------------------------ */
+/* Links
+ * ------------------------------------------------------------------------------
+ */
 
 /** typedef mv_links_t - Frames to and from the other entry VMs. */
 typedef struct mv_links mv_links_t;
@@ -266,7 +271,9 @@
 /** MvReply_Send() - Answer a command, at most once. */
 void MvReply_Send(mv_reply_t *reply, const char *text, size_t length);
 
-/* HTTP/2 --------------------------------------------------------------------------------- */
+/* HTTP/2
+ * ---------------------------------------------------------------------------------
+ */
 
 /**
  * struct mv_http_field - One header field.
@@ -338,8 +345,7 @@
 int32_t MvH2_Request(mv_h2_t *h2, const mv_http_message_t *request);
 
 /** MvH2_Answer() - Send an answer, server side; false when it is too late. */
-bool MvH2_Answer(mv_h2_t *h2, int32_t stream,
-                 const mv_http_message_t *answer);
+bool MvH2_Answer(mv_h2_t *h2, int32_t stream, const mv_http_message_t *answer);
 
 /** MvH2_Reset() - End a stream; @refused says it was not processed. */
 void MvH2_Reset(mv_h2_t *h2, int32_t stream, bool refused);
--- a/packages/net/src/codec.c
+++ b/packages/net/src/codec.c
@@ -162,7 +162,8 @@
     return out->length > before;
 }
 
-/* Decoding -------------------------------------------------------------------- */
+/* Decoding
+ * -------------------------------------------------------------------- */
 
 static bool
 get_uint(const msgpack_object *object, uint64_t limit, uint64_t *out)
@@ -205,8 +206,8 @@
         if (!get_row(&object->via.array.ptr[i], MEMBER_FIELDS, UINT64_MAX,
                      row) ||
             row[0] >= MV_NO_NODE || row[1] > UINT32_MAX ||
-            row[2] > MV_MEMBER_DEAD || row[3] > 1 ||
-            row[5] > UINT32_MAX || row[6] > UINT32_MAX) {
+            row[2] > MV_MEMBER_DEAD || row[3] > 1 || row[5] > UINT32_MAX ||
+            row[6] > UINT32_MAX) {
             return false;
         }
         message->members[i] =
@@ -238,8 +239,7 @@
             return false;
         }
         message->buckets[i] =
-            (mv_bucket_update_t){.version = row[0] ? row[0]
-                                                   : message->version,
+            (mv_bucket_update_t){.version = row[0] ? row[0] : message->version,
                                  .bucket = (uint32_t)row[1],
                                  .endpoint = (uint32_t)row[2],
                                  .next = (uint32_t)row[3],
@@ -296,8 +296,7 @@
         }
         message->loads[i] = (mv_load_record_t){.service = (uint32_t)service,
                                                .endpoint = (uint32_t)endpoint,
-                                               .open =
-                                                   (int32_t)open->via.i64};
+                                               .open = (int32_t)open->via.i64};
     }
     return true;
 }
@@ -314,11 +313,10 @@
         uint64_t row[SLOT_FIELDS];
         if (!get_row(&object->via.array.ptr[i], SLOT_FIELDS, UINT64_MAX,
                      row) ||
-            row[0] == 0 || row[0] >= MV_SLOT_OP_COUNT ||
-            row[3] > UINT16_MAX || row[4] > UINT16_MAX ||
-            row[5] > UINT16_MAX || row[6] > MV_NO_NODE ||
-            row[7] > UINT32_MAX || row[8] > UINT32_MAX ||
-            row[9] > UINT32_MAX) {
+            row[0] == 0 || row[0] >= MV_SLOT_OP_COUNT || row[3] > UINT16_MAX ||
+            row[4] > UINT16_MAX || row[5] > UINT16_MAX ||
+            row[6] > MV_NO_NODE || row[7] > UINT32_MAX ||
+            row[8] > UINT32_MAX || row[9] > UINT32_MAX) {
             return false;
         }
         message->slots[i] = (mv_slot_record_t){.op = (uint32_t)row[0],
--- a/packages/net/src/h2.c
+++ b/packages/net/src/h2.c
@@ -40,7 +40,8 @@
     size_t out_position;
 } stream_t;
 
-/* Messages ---------------------------------------------------------------------- */
+/* Messages
+ * ---------------------------------------------------------------------- */
 
 mv_http_message_t *
 MvHttpMessage_Create(void)
@@ -99,7 +100,8 @@
     return NULL;
 }
 
-/* Streams ------------------------------------------------------------------------- */
+/* Streams
+ * ------------------------------------------------------------------------- */
 
 static stream_t *
 add_stream(mv_h2_t *h2, int32_t id)
@@ -128,7 +130,8 @@
     return nghttp2_session_get_stream_user_data(h2->session, id);
 }
 
-/* Callbacks from nghttp2 ------------------------------------------------------------ */
+/* Callbacks from nghttp2
+ * ------------------------------------------------------------ */
 
 static int
 on_begin_headers(nghttp2_session *session, const nghttp2_frame *frame,
@@ -241,7 +244,9 @@
     return (ssize_t)part;
 }
 
-/* Socket ------------------------------------------------------------------------------ */
+/* Socket
+ * ------------------------------------------------------------------------------
+ */
 
 static void
 update_watch(mv_h2_t *h2)
@@ -266,8 +271,8 @@
         apr_size_t done = 0;
         while (done < (apr_size_t)length) {
             apr_size_t part = (apr_size_t)length - done;
-            apr_status_t status = apr_socket_send(
-                h2->socket, (const char *)data + done, &part);
+            apr_status_t status =
+                apr_socket_send(h2->socket, (const char *)data + done, &part);
             done += part;
             if (APR_STATUS_IS_EAGAIN(status)) {
                 /* Wait for room: a frame must go out in one piece. */
@@ -319,8 +324,8 @@
         stream_t *stream = MV_CONTAINER_OF(item, stream_t, link);
         bool finished = !h2->is_server && stream->complete;
         if (!finished) {
-            bool above = !h2->is_server && (stream->id > h2->goaway_last ||
-                                            !h2->connected);
+            bool above = !h2->is_server &&
+                         (stream->id > h2->goaway_last || !h2->connected);
             h2->ops->closed(h2, stream->id, above);
         }
         free_stream(h2, stream);
@@ -371,7 +376,9 @@
     }
 }
 
-/* Public -------------------------------------------------------------------------------- */
+/* Public
+ * --------------------------------------------------------------------------------
+ */
 
 static bool
 open_session(mv_h2_t *h2)
@@ -388,10 +395,9 @@
     nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, on_frame);
     nghttp2_session_callbacks_set_on_stream_close_callback(callbacks,
                                                            on_stream_close);
-    int result =
-        h2->is_server
-            ? nghttp2_session_server_new(&h2->session, callbacks, h2)
-            : nghttp2_session_client_new(&h2->session, callbacks, h2);
+    int result = h2->is_server
+                     ? nghttp2_session_server_new(&h2->session, callbacks, h2)
+                     : nghttp2_session_client_new(&h2->session, callbacks, h2);
     nghttp2_session_callbacks_del(callbacks);
     if (result != 0) {
         return false;
@@ -408,8 +414,8 @@
 }
 
 static mv_h2_t *
-create(mv_loop_t *loop, apr_socket_t *socket, apr_pool_t *pool,
-       bool is_server, const mv_h2_ops_t *ops, void *context)
+create(mv_loop_t *loop, apr_socket_t *socket, apr_pool_t *pool, bool is_server,
+       const mv_h2_ops_t *ops, void *context)
 {
     mv_h2_t *h2 = g_new0(mv_h2_t, 1);
     h2->watch.ready = h2_ready;
@@ -493,9 +499,8 @@
     MvBuffer_Append(&stream->out, request->body.data, request->body.length);
     nghttp2_nv *fields = make_fields(request);
     int32_t id =
-        nghttp2_submit_request(h2->session, NULL, fields,
-                               request->fields->len, body ? &provider : NULL,
-                               stream);
+        nghttp2_submit_request(h2->session, NULL, fields, request->fields->len,
+                               body ? &provider : NULL, stream);
     g_free(fields);
     if (id < 0) {
         free_stream(h2, stream);
@@ -518,9 +523,8 @@
     bool body = answer->body.length > 0;
     MvBuffer_Append(&stream->out, answer->body.data, answer->body.length);
     nghttp2_nv *fields = make_fields(answer);
-    int result = nghttp2_submit_response(h2->session, id, fields,
-                                         answer->fields->len,
-                                         body ? &provider : NULL);
+    int result = nghttp2_submit_response(
+        h2->session, id, fields, answer->fields->len, body ? &provider : NULL);
     g_free(fields);
     stream->sent = result == 0;
     wake(h2);
--- a/packages/net/src/links.c
+++ b/packages/net/src/links.c
@@ -102,7 +102,8 @@
     MvMessage_Free(message);
 }
 
-/* Connections ------------------------------------------------------------------ */
+/* Connections
+ * ------------------------------------------------------------------ */
 
 static void
 free_connection(connection_t *connection)
@@ -129,9 +130,8 @@
 {
     while (connection->out.length > 0) {
         apr_size_t length = connection->out.length;
-        apr_status_t status =
-            apr_socket_send(connection->socket,
-                            (const char *)connection->out.data, &length);
+        apr_status_t status = apr_socket_send(
+            connection->socket, (const char *)connection->out.data, &length);
         MvBuffer_Consume(&connection->out, length);
         connection->was_open = connection->was_open || length > 0;
         if (APR_STATUS_IS_EAGAIN(status) ||
@@ -198,8 +198,7 @@
         apr_size_t length = sizeof(bytes);
         apr_status_t status =
             apr_socket_recv(connection->socket, bytes, &length);
-        if (length > 0 &&
-            !MvBuffer_Append(&connection->in, bytes, length)) {
+        if (length > 0 && !MvBuffer_Append(&connection->in, bytes, length)) {
             connection->failed = true;
         }
         if (APR_STATUS_IS_EAGAIN(status)) {
@@ -252,8 +251,7 @@
         if (apr_pool_create(&pool, MvLoop_Pool(links->loop)) != APR_SUCCESS) {
             return;
         }
-        if (apr_socket_accept(&socket, links->listener, pool) !=
-            APR_SUCCESS) {
+        if (apr_socket_accept(&socket, links->listener, pool) != APR_SUCCESS) {
             apr_pool_destroy(pool);
             return;
         }
@@ -278,8 +276,7 @@
     for (;;) {
         char bytes[READ_BYTES];
         apr_size_t length = sizeof(bytes);
-        if (apr_socket_recv(links->datagram, bytes, &length) !=
-            APR_SUCCESS) {
+        if (apr_socket_recv(links->datagram, bytes, &length) != APR_SUCCESS) {
             return;
         }
         mv_frame_t frame;
@@ -293,7 +290,9 @@
     }
 }
 
-/* Public ----------------------------------------------------------------------------- */
+/* Public
+ * -----------------------------------------------------------------------------
+ */
 
 static void
 free_peer(gpointer pointer)
@@ -321,18 +320,17 @@
     MvList_Init(&links->connections);
     links->peers =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_peer);
-    links->sealer = MvSealer_Create(settings->keyring, settings->id,
-                                    settings->channel,
-                                    settings->first_sequence);
-    links->datagram_sealer = MvSealer_Create(
-        settings->keyring, settings->id, settings->channel + 1u,
-        settings->first_sequence);
+    links->sealer =
+        MvSealer_Create(settings->keyring, settings->id, settings->channel,
+                        settings->first_sequence);
+    links->datagram_sealer =
+        MvSealer_Create(settings->keyring, settings->id,
+                        settings->channel + 1u, settings->first_sequence);
     links->listener = MvNet_Listen(pool, settings->address, settings->port,
                                    SOCK_STREAM, false, error);
     if (links->listener) {
-        links->datagram = MvNet_Listen(pool, settings->address,
-                                       settings->port, SOCK_DGRAM, false,
-                                       error);
+        links->datagram = MvNet_Listen(pool, settings->address, settings->port,
+                                       SOCK_DGRAM, false, error);
     }
     if (!links->listener || !links->datagram) {
         MvLinks_Destroy(links);
--- a/packages/net/src/loop.c
+++ b/packages/net/src/loop.c
@@ -16,8 +16,7 @@
 {
     mv_loop_t *loop = apr_pcalloc(pool, sizeof(*loop));
     loop->pool = pool;
-    if (apr_pollset_create(&loop->pollset, capacity, pool, 0) !=
-        APR_SUCCESS) {
+    if (apr_pollset_create(&loop->pollset, capacity, pool, 0) != APR_SUCCESS) {
         return NULL;
     }
     return loop;
@@ -42,8 +41,7 @@
                                .reqevents = (apr_int16_t)events,
                                .desc.s = socket,
                                .client_data = watch};
-    watch->active =
-        apr_pollset_add(loop->pollset, &watch->fd) == APR_SUCCESS;
+    watch->active = apr_pollset_add(loop->pollset, &watch->fd) == APR_SUCCESS;
     return watch->active;
 }
 
@@ -122,8 +120,8 @@
     if (status == APR_SUCCESS) {
         return socket;
     }
-    g_set_error(error, MV_ERROR, MV_ERROR_IO, "cannot use %s:%u: %s",
-                address, port, apr_strerror(status, text, sizeof(text)));
+    g_set_error(error, MV_ERROR, MV_ERROR_IO, "cannot use %s:%u: %s", address,
+                port, apr_strerror(status, text, sizeof(text)));
     if (socket) {
         apr_socket_close(socket);
     }
--- a/packages/net/src/relay.c
+++ b/packages/net/src/relay.c
@@ -25,8 +25,8 @@
 
 static void
 compute_mac(const mv_keyring_t *keyring, const mv_key_t *key,
-            const relay_header_t *header, const uint8_t *packet,
-            size_t length, uint8_t *mac)
+            const relay_header_t *header, const uint8_t *packet, size_t length,
+            uint8_t *mac)
 {
     uint8_t input[sizeof(keyring->deployment) + 8 + SIGNED_PACKET_BYTES];
     size_t part = MIN(length, SIGNED_PACKET_BYTES);
--- a/packages/net/test/net_test.cc
+++ b/packages/net/test/net_test.cc
@@ -72,10 +72,8 @@
         {"flipped bit", kKey, "d", [](bytes_t &b) { b[25] ^= 1; },
          MV_FRAME_BAD},
         {"version", kKey, "d", [](bytes_t &b) { b[4] = 9; }, MV_FRAME_BAD},
-        {"unknown key", kKey, "d", [](bytes_t &b) { b[6] = 7; },
-         MV_FRAME_BAD},
-        {"too long", kKey, "d", [](bytes_t &b) { b[0] = 0x7f; },
-         MV_FRAME_BAD},
+        {"unknown key", kKey, "d", [](bytes_t &b) { b[6] = 7; }, MV_FRAME_BAD},
+        {"too long", kKey, "d", [](bytes_t &b) { b[0] = 0x7f; }, MV_FRAME_BAD},
         {"truncated", kKey, "d", [](bytes_t &b) { b.resize(b.size() - 1); },
          MV_FRAME_INCOMPLETE},
     };
--- a/packages/platform/include/masticvane/platform.h
+++ b/packages/platform/include/masticvane/platform.h
@@ -122,7 +122,8 @@
                                const char *value, size_t length,
                                uint64_t index);
 
-/* Accepted configuration --------------------------------------------------- */
+/* Accepted configuration ---------------------------------------------------
+ */
 
 /**
  * MvAccepted_Load() - Read the accepted configuration and wait for it.
@@ -154,19 +155,16 @@
 typedef struct mv_accepted_watch mv_accepted_watch_t;
 
 /** typedef mv_accepted_seen_t - Receives each newly seen configuration. */
-typedef void (*mv_accepted_seen_t)(void *context,
-                                   mv_deployment_t *deployment);
+typedef void (*mv_accepted_seen_t)(void *context, mv_deployment_t *deployment);
 
 /**
  * MvAcceptedWatch_Create() - Watch of one deployment, not yet started.
  *
  * Return: to be freed with MvAcceptedWatch_Destroy() before the store.
  */
-mv_accepted_watch_t *MvAcceptedWatch_Create(mv_store_t *store,
-                                            const char *deployment,
-                                            GRand *random,
-                                            mv_accepted_seen_t seen,
-                                            void *context);
+mv_accepted_watch_t *
+MvAcceptedWatch_Create(mv_store_t *store, const char *deployment,
+                       GRand *random, mv_accepted_seen_t seen, void *context);
 
 /** MvAcceptedWatch_Destroy() - Free; NULL is accepted. */
 void MvAcceptedWatch_Destroy(mv_accepted_watch_t *watch);
--- a/packages/platform/src/accepted.c
+++ b/packages/platform/src/accepted.c
@@ -22,7 +22,8 @@
                            digest);
 }
 
-/* Waiting calls, for the command line ------------------------------------------ */
+/* Waiting calls, for the command line
+ * ------------------------------------------ */
 
 static mv_deployment_t *
 load_services(mv_store_t *store, const char *deployment, const char *root,
@@ -135,8 +136,8 @@
         bool known = problem == NULL;
         g_clear_error(&problem);
         if (known) {
-            bool ours = current && !strcmp(current->change_id,
-                                           next->change_id);
+            bool ours =
+                current && !strcmp(current->change_id, next->change_id);
             if (!ours && seen == index) {
                 g_set_error(error, MV_ERROR, MV_ERROR_UNAVAILABLE,
                             "the change did not take effect; nothing "
@@ -186,7 +187,8 @@
     }
 }
 
-/* The watch, for the daemon ------------------------------------------------------ */
+/* The watch, for the daemon
+ * ------------------------------------------------------ */
 
 struct mv_accepted_watch {
     mv_store_t *store;
@@ -264,8 +266,8 @@
 static void
 finish_reading(mv_accepted_watch_t *watch)
 {
-    char *bundle = MvDeployment_Bundle(watch->root, watch->documents,
-                                       watch->got, NULL);
+    char *bundle =
+        MvDeployment_Bundle(watch->root, watch->documents, watch->got, NULL);
     mv_deployment_t *deployment =
         bundle ? MvDeployment_Decode(bundle, strlen(bundle), NULL) : NULL;
     free(bundle);
@@ -297,9 +299,9 @@
         finish_reading(watch);
         return;
     }
-    char *key = service_key(watch->deployment,
-                            watch->pairs->pdata[2 * watch->got],
-                            watch->pairs->pdata[2 * watch->got + 1]);
+    char *key =
+        service_key(watch->deployment, watch->pairs->pdata[2 * watch->got],
+                    watch->pairs->pdata[2 * watch->got + 1]);
     MvStore_Get(watch->store, key, 0, 0, take_service, watch);
     g_free(key);
 }
@@ -341,8 +343,7 @@
     }
     watch->busy = true;
     char *key = root_key(watch->deployment);
-    MvStore_Get(watch->store, key, watch->index, WATCH_WAIT, take_root,
-                watch);
+    MvStore_Get(watch->store, key, watch->index, WATCH_WAIT, take_root, watch);
     g_free(key);
 }
 
--- a/packages/platform/src/store.c
+++ b/packages/platform/src/store.c
@@ -11,16 +11,15 @@
 }
 
 void
-MvStore_Get(mv_store_t *store, const char *key, uint64_t index,
-            mv_time_t wait, mv_store_done_t done, void *context)
+MvStore_Get(mv_store_t *store, const char *key, uint64_t index, mv_time_t wait,
+            mv_store_done_t done, void *context)
 {
     store->ops->get(store, key, index, wait, done, context);
 }
 
 void
 MvStore_Put(mv_store_t *store, const char *key, const char *value,
-            size_t length, uint64_t index, mv_store_done_t done,
-            void *context)
+            size_t length, uint64_t index, mv_store_done_t done, void *context)
 {
     store->ops->put(store, key, value, length, index, done, context);
 }
--- a/packages/platform/src/store_http.c
+++ b/packages/platform/src/store_http.c
@@ -42,19 +42,19 @@
 }
 
 static size_t
-take_body(char *data, size_t size, size_t count_, void *user)
+take_body(char *data, size_t size, size_t items, void *user)
 {
     call_t *call = user;
-    return MvBuffer_Append(&call->answer, data, size * count_) ? size * count_
-                                                               : 0;
+    return MvBuffer_Append(&call->answer, data, size * items) ? size * items
+                                                              : 0;
 }
 
 static size_t
-take_header(char *data, size_t size, size_t count_, void *user)
+take_header(char *data, size_t size, size_t items, void *user)
 {
     call_t *call = user;
     const char name[] = "X-Consul-Index:";
-    size_t length = size * count_;
+    size_t length = size * items;
     if (length > sizeof(name) && !strncasecmp(data, name, sizeof(name) - 1)) {
         call->index = g_ascii_strtoull(data + sizeof(name) - 1, NULL, 10);
     }
@@ -117,8 +117,8 @@
         timeout = wait + WATCH_SLACK;
     }
     call_t *call = start_call(store, path, timeout, done, context);
-    count(store, index > 0 ? MV_COUNTER_STORE_WATCHES
-                           : MV_COUNTER_STORE_READS);
+    count(store,
+          index > 0 ? MV_COUNTER_STORE_WATCHES : MV_COUNTER_STORE_READS);
     curl_multi_add_handle(store->multi, call->easy);
 }
 
@@ -156,8 +156,7 @@
     json_t *answer = json_loadb((const char *)call->answer.data,
                                 call->answer.length, 0, NULL);
     const json_t *entry = json_array_get(answer, 0);
-    const char *value =
-        json_string_value(json_object_get(entry, "Value"));
+    const char *value = json_string_value(json_object_get(entry, "Value"));
     reply->index =
         (uint64_t)json_integer_value(json_object_get(entry, "ModifyIndex"));
     if (value) {
@@ -190,8 +189,8 @@
         reply.outcome = call->is_write ? MV_STORE_UNKNOWN : MV_STORE_NOT_SENT;
     }
     else if (call->is_write) {
-        bool accepted = call->answer.length >= 4 &&
-                        !memcmp(call->answer.data, "true", 4);
+        bool accepted =
+            call->answer.length >= 4 && !memcmp(call->answer.data, "true", 4);
         reply.outcome = accepted ? MV_STORE_DONE : MV_STORE_REFUSED;
     }
     else if (!parse_value(call, &reply, &decoded)) {
@@ -201,9 +200,8 @@
     if (reply.outcome == MV_STORE_NOT_SENT ||
         reply.outcome == MV_STORE_UNKNOWN) {
         count(store, MV_COUNTER_STORE_FAILURES);
-        store->position = store->addresses[store->position + 1]
-                              ? store->position + 1
-                              : 0;
+        store->position =
+            store->addresses[store->position + 1] ? store->position + 1 : 0;
     }
     mv_store_done_t done = call->done;
     void *context = call->context;
--- a/standins/src/backends.c
+++ b/standins/src/backends.c
@@ -73,7 +73,8 @@
     ended = 1;
 }
 
-/* Packets ------------------------------------------------------------------------- */
+/* Packets
+ * ------------------------------------------------------------------------- */
 
 static void
 take_packet(backend_t *backend, const uint8_t *data, size_t length)
@@ -123,7 +124,9 @@
     }
 }
 
-/* Requests --------------------------------------------------------------------------- */
+/* Requests
+ * ---------------------------------------------------------------------------
+ */
 
 static void
 begin(run_t *run)
@@ -135,15 +138,14 @@
     run->backend->runs++;
     world->runs++;
     if (key) {
-        guint before =
-            GPOINTER_TO_UINT(g_hash_table_lookup(world->keys, key));
+        guint before = GPOINTER_TO_UINT(g_hash_table_lookup(world->keys, key));
         world->doubled += before > 0;
         g_hash_table_insert(world->keys, g_strdup(key),
                             GUINT_TO_POINTER(before + 1));
     }
-    run->ends = g_get_monotonic_time() +
-                (mv_time_t)(-log(uniform) * world->service_ms *
-                            MV_MILLISECOND);
+    run->ends =
+        g_get_monotonic_time() +
+        (mv_time_t)(-log(uniform) * world->service_ms * MV_MILLISECOND);
     MvList_Append(&world->running, &run->link);
 }
 
@@ -155,9 +157,9 @@
     const char *path = MvHttpMessage_Get(run->request, ":path");
     const char *key = MvHttpMessage_Get(run->request, "idempotency-key");
     memset(body, '.', sizeof(body));
-    int used = snprintf(body, sizeof(body), "%s %s %s\n",
-                        run->backend->service->name, path ? path : "",
-                        key ? key : "");
+    int used =
+        snprintf(body, sizeof(body), "%s %s %s\n", run->backend->service->name,
+                 path ? path : "", key ? key : "");
     body[MIN(used, ANSWER_BYTES)] = '\n';
     MvHttpMessage_Add(reply, ":status", "200");
     MvHttpMessage_Add(reply, "backend", run->backend->endpoint->name);
@@ -215,9 +217,8 @@
     run->h2 = h2;
     run->stream = stream;
     run->request = request;
-    if (!authority ||
-        strncmp(authority, backend->service->name,
-                strlen(backend->service->name)) != 0) {
+    if (!authority || strncmp(authority, backend->service->name,
+                              strlen(backend->service->name)) != 0) {
         backend->world->wrong_service++;
     }
     if (backend->running >= backend->endpoint->slots) {
@@ -286,7 +287,9 @@
     }
 }
 
-/* Setting up ------------------------------------------------------------------------------ */
+/* Setting up
+ * ------------------------------------------------------------------------------
+ */
 
 static bool
 open_backend(world_t *world, const mv_service_t *service,
@@ -336,9 +339,8 @@
     for (size_t i = 0; i < count; i++) {
         json_array_append_new(
             list,
-            json_pack("{s:s,s:I,s:I,s:I}", "name",
-                      backends[i]->endpoint->name, "flows",
-                      (json_int_t)backends[i]->flow_count, "runs",
+            json_pack("{s:s,s:I,s:I,s:I}", "name", backends[i]->endpoint->name,
+                      "flows", (json_int_t)backends[i]->flow_count, "runs",
                       (json_int_t)backends[i]->runs, "last_new_flow_us",
                       (json_int_t)backends[i]->last_new_flow));
     }
@@ -348,8 +350,8 @@
         "broken_flow_packets", (json_int_t)world->broken, "wrong_service",
         (json_int_t)world->wrong_service, "runs", (json_int_t)world->runs,
         "doubled_runs", (json_int_t)world->doubled, "slot_overruns",
-        (json_int_t)world->overruns, "cancelled",
-        (json_int_t)world->cancelled, "backends", list);
+        (json_int_t)world->overruns, "cancelled", (json_int_t)world->cancelled,
+        "backends", list);
     json_dumpf(all, stdout, JSON_INDENT(1));
     (void)fputs("\n", stdout);
     json_decref(all);
@@ -383,8 +385,7 @@
     apr_pool_create(&world.pool, NULL);
     world.loop = MvLoop_Create(world.pool, MAX_DESCRIPTORS);
     world.random = g_rand_new_with_seed(1);
-    world.keys =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    world.keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     MvList_Init(&world.running);
     world.answers = argc > 1 ? read_answers(argv[1]) : NULL;
     if (!world.answers) {
@@ -393,8 +394,8 @@
     }
     for (uint16_t s = 0; s < world.answers->service_count; s++) {
         const mv_service_t *service = &world.answers->services[s];
-        backends = g_renew(backend_t *, backends,
-                           count + service->endpoint_count);
+        backends =
+            g_renew(backend_t *, backends, count + service->endpoint_count);
         for (uint16_t e = 0; e < service->endpoint_count; e++) {
             backends[count] = g_new0(backend_t, 1);
             if (!open_backend(&world, service, &service->endpoints[e],
--- a/standins/src/callers.c
+++ b/standins/src/callers.c
@@ -100,7 +100,8 @@
     return NULL;
 }
 
-/* The platform's VM list ------------------------------------------------------------ */
+/* The platform's VM list
+ * ------------------------------------------------------------ */
 
 static void
 take_vms(void *context, const mv_store_reply_t *reply)
@@ -127,12 +128,10 @@
 static void
 read_vms(callers_t *callers, mv_time_t now)
 {
-    if (callers->store && !callers->reading_vms &&
-        now >= callers->next_vms) {
+    if (callers->store && !callers->reading_vms && now >= callers->next_vms) {
         callers->reading_vms = true;
         callers->next_vms = now + VM_LIST_INTERVAL;
-        char *key = g_strdup_printf("platform/%s/vms",
-                                    callers->answers->name);
+        char *key = g_strdup_printf("platform/%s/vms", callers->answers->name);
         MvStore_Get(callers->store, key, 0, 0, take_vms, callers);
         g_free(key);
     }
@@ -141,7 +140,9 @@
     }
 }
 
-/* Flows --------------------------------------------------------------------------------- */
+/* Flows
+ * ---------------------------------------------------------------------------------
+ */
 
 static void
 send_packet(callers_t *callers, const flow_t *flow, bool syn, bool fin)
@@ -208,7 +209,9 @@
     }
 }
 
-/* Requests -------------------------------------------------------------------------------- */
+/* Requests
+ * --------------------------------------------------------------------------------
+ */
 
 static void send_request(callers_t *callers, request_t *request);
 
@@ -248,14 +251,13 @@
     }
     char *wanted = g_strdup_printf("%s /", request->service->name);
     char *number = g_strdup_printf("/%u ", request->number);
-    char *body = g_strndup((const char *)answer->body.data,
-                           answer->body.length);
+    char *body =
+        g_strndup((const char *)answer->body.data, answer->body.length);
     bool good = g_str_has_prefix(body, wanted) && strstr(body, number) &&
                 answer->body.length == 2000;
     callers->answered += good;
     callers->wrong_answers += !good;
-    MvHistogram_Add(&callers->latency,
-                    g_get_monotonic_time() - request->sent);
+    MvHistogram_Add(&callers->latency, g_get_monotonic_time() - request->sent);
     g_free(wanted);
     g_free(number);
     g_free(body);
@@ -311,9 +313,8 @@
 {
     mv_http_message_t *message = MvHttpMessage_Create();
     const mv_work_t *work = &request->service->work[0];
-    char *path = g_strdup_printf("%s/%u",
-                                 request->is_write ? work->path : "/read",
-                                 request->number);
+    char *path = g_strdup_printf(
+        "%s/%u", request->is_write ? work->path : "/read", request->number);
     char *key = g_strdup_printf("%s-%d-%u", request->service->name, getpid(),
                                 request->number);
     MvHttpMessage_Add(message, ":method", request->is_write ? "POST" : "GET");
@@ -365,13 +366,15 @@
     request->service =
         &callers->answers
              ->services[request->number % callers->answers->service_count];
-    request->is_write = request->service->work[0].non_idempotent &&
-                        request->number % 3 == 0;
+    request->is_write =
+        request->service->work[0].non_idempotent && request->number % 3 == 0;
     request->sent = g_get_monotonic_time();
     send_request(callers, request);
 }
 
-/* Setting up --------------------------------------------------------------------------------- */
+/* Setting up
+ * ---------------------------------------------------------------------------------
+ */
 
 static bool
 read_nodes(callers_t *callers, const char *path)
@@ -413,10 +416,10 @@
         "requests_sent", (json_int_t)callers->request_number, "answered",
         (json_int_t)callers->answered, "wrong_answers",
         (json_int_t)callers->wrong_answers, "not_run",
-        (json_int_t)callers->not_run, "unknown",
-        (json_int_t)callers->unknown, "retried_elsewhere",
-        (json_int_t)callers->retried, "cut", (json_int_t)callers->cut,
-        "latency_us", MvHistogram_ToJson(&callers->latency));
+        (json_int_t)callers->not_run, "unknown", (json_int_t)callers->unknown,
+        "retried_elsewhere", (json_int_t)callers->retried, "cut",
+        (json_int_t)callers->cut, "latency_us",
+        MvHistogram_ToJson(&callers->latency));
     json_dumpf(all, stdout, JSON_INDENT(1));
     (void)fputs("\n", stdout);
     json_decref(all);
--- a/standins/src/store.c
+++ b/standins/src/store.c
@@ -53,8 +53,7 @@
         strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
     (void)snprintf(header, sizeof(header), "%" G_GUINT64_FORMAT, index);
     MHD_add_response_header(response, "X-Consul-Index", header);
-    enum MHD_Result result =
-        MHD_queue_response(connection, status, response);
+    enum MHD_Result result = MHD_queue_response(connection, status, response);
     MHD_destroy_response(response);
     return result;
 }
@@ -94,16 +93,16 @@
     char *text = NULL;
     uint64_t index = value ? value->index : store->index;
     if (value) {
-        char *encoded =
-            g_base64_encode((guchar *)value->bytes, value->length);
-        text = g_strdup_printf("[{\"Key\":\"%s\",\"ModifyIndex\":%"
-                               G_GUINT64_FORMAT ",\"Value\":\"%s\"}]",
-                               key, value->index, encoded);
+        char *encoded = g_base64_encode((guchar *)value->bytes, value->length);
+        text = g_strdup_printf(
+            "[{\"Key\":\"%s\",\"ModifyIndex\":%" G_GUINT64_FORMAT
+            ",\"Value\":\"%s\"}]",
+            key, value->index, encoded);
         g_free(encoded);
     }
     pthread_mutex_unlock(&store->lock);
-    enum MHD_Result result = respond(connection, text ? 200 : 404,
-                                     text ? text : "", index);
+    enum MHD_Result result =
+        respond(connection, text ? 200 : 404, text ? text : "", index);
     g_free(text);
     return result;
 }
@@ -154,8 +153,7 @@
     }
     bool checked = MHD_lookup_connection_value(
                        connection, MHD_GET_ARGUMENT_KIND, "cas") != NULL;
-    bool good =
-        put(store, key, body, checked, argument(connection, "cas"));
+    bool good = put(store, key, body, checked, argument(connection, "cas"));
     if (store->lose_answers > 0 && good && strstr(key, "/root")) {
         store->lose_answers--;
         return MHD_NO; /* The write took effect; its answer is lost. */
@@ -183,8 +181,8 @@
     const char *address = argc > 1 ? argv[1] : "127.0.0.1";
     struct sockaddr_in where = {
         .sin_family = AF_INET,
-        .sin_port = htons((uint16_t)(argc > 2 ? atoi(argv[2])
-                                              : DEFAULT_PORT))};
+        .sin_port =
+            htons((uint16_t)(argc > 2 ? atoi(argv[2]) : DEFAULT_PORT))};
     store_t store = {.lose_answers = argc > 3 ? atoi(argv[3]) : 0};
     inet_pton(AF_INET, address, &where.sin_addr);
     pthread_mutex_init(&store.lock, NULL);
@@ -197,8 +195,7 @@
         NULL, NULL, handle, &store, MHD_OPTION_SOCK_ADDR, &where,
         MHD_OPTION_NOTIFY_COMPLETED, completed, NULL, MHD_OPTION_END);
     if (!daemon) {
-        (void)fprintf(stderr, "standin-store: cannot listen on %s\n",
-                      address);
+        (void)fprintf(stderr, "standin-store: cannot listen on %s\n", address);
         return 1;
     }
     while (!ended) {
