Test: the daemon answers after 10,000 malformed frames and packets

Cause: the promise was not tested with a real process. Change: a process test sends 9,000 damaged datagrams to all four UDP ports and 1,000 damaged streams to three TCP ports. Figures: it answers, counts them, and logs at most once a second a link.

--- /dev/null
+++ b/test/malformed.sh
@@ -0,0 +1,55 @@
+#!/bin/bash
+# A daemon still answers after 10,000 malformed frames and packets.
+set -eu
+BIN=$1
+DIR=$(mktemp -d)
+PIDS=()
+trap 'for p in "${PIDS[@]}"; do kill "$p" 2>/dev/null || true; done; rm -rf "$DIR"' EXIT
+ADDRESS=127.61.0.1
+printf '1 %064d\n' 7 >"$DIR/keys"
+printf '[peer 1]\naddress = %s\n' $ADDRESS >"$DIR/nodes.ini"
+printf '[node]\nid = 1\naddress = %s\ndata_centre = casa\ndeployment = atlas-jet\nkey_file = %s\n[store]\naddresses = 127.61.0.2:8500\n[log]\nfile = %s\n' \
+    $ADDRESS "$DIR/keys" "$DIR/log" >"$DIR/node.ini"
+"$BIN/standin-store" 127.61.0.2 8500 & PIDS+=($!)
+"$BIN/masticvaned" --config "$DIR/node.ini" & PIDS+=($!)
+NODE=$!
+sleep 0.5
+OPERATE=(--store 127.61.0.2:8500 --nodes "$DIR/nodes.ini" --key-file "$DIR/keys" --deployment atlas-jet)
+"$BIN/masticvane" confirm "$2/atlas-jet.ini" "${OPERATE[@]}" --wait 10 >/dev/null 2>&1
+python3 - $ADDRESS <<'P'
+import random, socket, struct, sys
+address, rng = sys.argv[1], random.Random(1)
+udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+ip = struct.pack("!BBHHHBBH4s4s", 0x45, 0, 40, 0, 0, 64, 6, 0, bytes([1, 2, 3, 4]), bytes([10, 20, 0, 1]))
+tcp = struct.pack("!HHIIBBHHH", 1024, 443, 0, 0, 0x50, 2, 0, 0, 0)
+frame = struct.pack("!IBBBBHHQ", 32, 1, 1, 1, 0, 1, 0, 1) + bytes(32)
+for i in range(9000):
+    base = bytearray(rng.choice([ip + tcp, frame, bytes(rng.randrange(256) for _ in range(rng.randrange(80)))]))
+    for _ in range(rng.randrange(4)):
+        if base:
+            base[rng.randrange(len(base))] = rng.randrange(256)
+    base = base[:rng.randrange(len(base) + 1)]
+    udp.sendto(bytes(base), (address, rng.choice([5555, 7400, 7401, 7402])))
+for i in range(1000):
+    s = socket.create_connection((address, rng.choice([7400, 7401, 8080])))
+    garbage = bytearray(frame * 2)
+    garbage[rng.randrange(len(garbage))] = rng.randrange(256)
+    try:
+        s.sendall(bytes(garbage[:rng.randrange(1, len(garbage))]))
+    except OSError:
+        pass
+    s.close()
+P
+sleep 0.5
+"$BIN/masticvane" dump 1 "${OPERATE[@]}" >"$DIR/dump"
+python3 - "$DIR/dump" <<'P'
+import json, sys
+counters = json.load(open(sys.argv[1]))["counters"]
+assert counters["frames_refused"] > 1000, counters
+assert counters["packets_malformed"] + counters["packets_no_service"] > 500, counters
+print("1 passed, 0 failed")
+P
+refusals=$(grep -c ' 4001 ' "$DIR/log")
+[ "$refusals" -le 20 ] # logged once a second at most, by each of two links
+kill -TERM "$NODE"
+wait "$NODE"
