--- a/packages/core/src/buckets.c
+++ b/packages/core/src/buckets.c
@@ -90,6 +90,9 @@
     state->open = g_atomic_rc_box_alloc0(MV_LOAD_SLOTS * sizeof(int32_t));
     state->heard_load =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    /* Room for the endpoints that may still join. */
+    state->load_slots =
+        MIN(2u * service->last_endpoint_id + 16u, MV_LOAD_SLOTS);
     for (uint32_t b = 0; b < state->count; b++) {
         bool known = MvService_Endpoint(service, service->before[b]) != NULL;
         state->buckets[b].endpoint =
@@ -166,13 +169,28 @@
     return NULL;
 }
 
+/* To a node that asks, a bucket's home and second home answer for it. */
+static bool
+answers_for(const mv_node_t *node, const mv_node_service_t *service,
+            uint32_t bucket)
+{
+    uint32_t group = MvGroup_Of(service->service->id, bucket);
+    mv_node_id_t self = node->settings.id;
+    return node->homes.home[group] == self ||
+           node->homes.second[group] == self;
+}
+
 static GArray *
-collect_updates(const mv_node_service_t *service, uint64_t version)
+collect_updates(const mv_node_t *node, const mv_node_service_t *service,
+                uint64_t version)
 {
     GArray *updates = g_array_new(FALSE, FALSE, sizeof(mv_bucket_update_t));
     for (uint32_t b = 0; b < service->count; b++) {
         const mv_bucket_t *bucket = &service->buckets[b];
-        if (version ? bucket->version != version : bucket->version == 0) {
+        bool wanted =
+            version ? bucket->version == version
+                    : bucket->version > 0 && answers_for(node, service, b);
+        if (!wanted) {
             continue;
         }
         mv_bucket_update_t update = {.version = bucket->version,
@@ -189,7 +207,7 @@
 send_updates(mv_node_t *node, const mv_node_service_t *service,
              uint64_t version, mv_node_id_t to)
 {
-    GArray *updates = collect_updates(service, version);
+    GArray *updates = collect_updates(node, service, version);
     if (updates->len > 0) {
         mv_message_t message = {
             .kind = MV_MESSAGE_BUCKETS,
--- a/packages/core/src/node.c
+++ b/packages/core/src/node.c
@@ -30,7 +30,8 @@
     return message->kind == MV_MESSAGE_PING ||
            message->kind == MV_MESSAGE_ACK ||
            message->kind == MV_MESSAGE_PING_REQUEST ||
-           message->kind == MV_MESSAGE_LOAD;
+           message->kind == MV_MESSAGE_LOAD ||
+           message->kind == MV_MESSAGE_MOVE;
 }
 
 mv_node_t *
@@ -269,9 +270,7 @@
     MvSpread_Message(node, now, message);
     MvBuckets_Message(node, now, message);
     MvHandover_Message(node, now, message);
-    if (message->kind == MV_MESSAGE_LOAD) {
-        MvBalance_Message(node, message);
-    }
+    MvBalance_Message(node, now, message);
     MvHandover_HomesChanged(node, now);
     publish(node);
 }
--- a/packages/core/src/node_private.h
+++ b/packages/core/src/node_private.h
@@ -82,7 +82,9 @@
  * @due: buckets whose configured target this node has not seen announced
  * @view: what traffic threads see, NULL when it must be rebuilt
  * @open: open flows by endpoint id as this node counts them; shared box
- * @heard_load: node id to an array of MV_LOAD_SLOTS counts it last sent
+ * @load_slots: endpoint ids below it are counted
+ * @heard_load: node id to an array of @load_slots counts it last sent; kept
+ *              by the home that decides about the service's evenness
  */
 typedef struct mv_node_service {
     const mv_service_t *service;
@@ -92,6 +94,7 @@
     uint32_t due;
     mv_view_service_t *view;
     int32_t *open;
+    uint32_t load_slots;
     GHashTable *heard_load;
 } mv_node_service_t;
 
@@ -218,7 +221,7 @@
 }
 
 /* balance.c */
-void MvBalance_Message(mv_node_t *node, const mv_message_t *m);
+void MvBalance_Message(mv_node_t *node, mv_time_t now, const mv_message_t *m);
 void MvBalance_Timer(mv_node_t *node, mv_time_t now);
 
 /* handover.c */
