--- a/bench/src/capacity.cc
+++ b/bench/src/capacity.cc
@@ -55,11 +55,13 @@
             members.push_back({i, 1, 1 + i % 5});
         }
         mv_homes_t out;
-        double s = seconds_of([&] {
-            for (int i = 0; i < 10; i++) {
-                MvHomes_Compute(&out, members.data(), members.size());
-            }
-        }) / 10;
+        double s =
+            seconds_of([&] {
+                for (int i = 0; i < 10; i++) {
+                    MvHomes_Compute(&out, members.data(), members.size());
+                }
+            }) /
+            10;
         line(report, std::to_string(nodes) + " nodes", "ms", s * 1000,
              "us a node", s * 1e6 / nodes);
     }
@@ -134,13 +136,12 @@
         f.encoded_size = bench_frame_size;
         uint64_t before = f.seen().control_bytes;
         f.run_for(20 * MV_SECOND);
-        double bytes =
-            (double)(f.seen().control_bytes - before) / 20 / nodes;
+        double bytes = (double)(f.seen().control_bytes - before) / 20 / nodes;
         f.encoded_size = nullptr;
         double cpu =
             seconds_of([&] { f.run_for(20 * MV_SECOND); }) / 20 / nodes;
-        line(report, std::to_string(nodes) + " nodes", "bytes/s a node",
-             bytes, "bytes/s a member", bytes / nodes);
+        line(report, std::to_string(nodes) + " nodes", "bytes/s a node", bytes,
+             "bytes/s a member", bytes / nodes);
         line(report, std::to_string(nodes) + " nodes",
              "processor us a second a node", cpu * 1e6, "us a member",
              cpu * 1e6 / nodes);
@@ -158,8 +159,9 @@
         f.encoded_size = bench_frame_size;
         uint64_t messages = f.messages();
         uint64_t bytes = f.bytes();
-        f.load(rate, 0, [] { return std::string(); }, 10 * MV_SECOND,
-               f.now() + 20 * MV_SECOND);
+        f.load(
+            rate, 0, [] { return std::string(); }, 10 * MV_SECOND,
+            f.now() + 20 * MV_SECOND);
         double cpu = seconds_of([&] { f.run_for(21 * MV_SECOND); });
         double count = (double)f.attempts().size();
         line(report, std::to_string((int)rate) + " requests/s", "messages",
@@ -180,8 +182,8 @@
     heading(report, "Frames: bytes of each kind");
     mv_member_update_t updates[8] = {};
     for (auto &u : updates) {
-        u = {1000, 1800000000, 1800000000, 4000000000u, MV_MEMBER_ALIVE, 1,
-             12345};
+        u = {1000, 1800000000, 1800000000, 4000000000u, MV_MEMBER_ALIVE,
+             1,    12345};
     }
     std::vector<mv_bucket_update_t> buckets(64, {1ull << 53, 999, 3, 4, 1});
     std::vector<mv_flow_record_t> flows(1000, {0x64000001, 4000, 1, 3, 5});
--- a/packages/masticvaned/src/proxy.c
+++ b/packages/masticvaned/src/proxy.c
@@ -23,6 +23,7 @@
     mv_list_t link;
     mv_proxy_t *proxy;
     mv_h2_t *h2;
+    GHashTable *exchanges;
 } caller_t;
 
 /* The connection to one backend server. */
@@ -75,25 +76,22 @@
 /* Callers
  * ----------------------------------------------------------------------- */
 
-static exchange_t *
-find_by_caller(mv_proxy_t *proxy, const caller_t *caller, int32_t stream)
+/* The caller has its outcome, or is gone. */
+static void
+detach_caller(exchange_t *exchange)
 {
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, proxy->exchanges);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        exchange_t *exchange = value;
-        if (exchange->caller == caller && exchange->caller_stream == stream) {
-            return exchange;
-        }
+    if (exchange->caller) {
+        g_hash_table_remove(exchange->caller->exchanges,
+                            GINT_TO_POINTER(exchange->caller_stream));
+        exchange->caller = NULL;
     }
-    return NULL;
 }
 
 static void
 free_exchange(gpointer pointer)
 {
     exchange_t *exchange = pointer;
+    detach_caller(exchange);
     MvHttpMessage_Destroy(exchange->request);
     g_free(exchange);
 }
@@ -144,6 +142,7 @@
     exchange->request = request;
     exchange->deadline = deadline_of(proxy, request, now);
     g_hash_table_insert(proxy->exchanges, &exchange->id, exchange);
+    g_hash_table_insert(caller->exchanges, GINT_TO_POINTER(stream), exchange);
     service_name(request, service);
     mv_request_info_t info = {
         .id = exchange->id,
@@ -162,9 +161,10 @@
 {
     caller_t *caller = MvH2_Context(h2);
     (void)not_processed;
-    exchange_t *exchange = find_by_caller(caller->proxy, caller, stream);
+    exchange_t *exchange =
+        g_hash_table_lookup(caller->exchanges, GINT_TO_POINTER(stream));
     if (exchange) {
-        exchange->caller = NULL;
+        detach_caller(exchange);
         MvRequests_Cancelled(caller->proxy->requests, monotonic(),
                              exchange->id);
         if (!exchange->backend) {
@@ -178,6 +178,7 @@
 {
     caller_t *caller = MvH2_Context(h2);
     MvList_Remove(&caller->link);
+    g_hash_table_unref(caller->exchanges);
     g_free(caller);
 }
 
@@ -204,11 +205,13 @@
         }
         caller_t *caller = g_new0(caller_t, 1);
         caller->proxy = proxy;
+        caller->exchanges = g_hash_table_new(g_direct_hash, g_direct_equal);
         MvList_Append(&proxy->callers, &caller->link);
         caller->h2 =
             MvH2_Accept(proxy->loop, socket, pool, &caller_ops, caller);
         if (!caller->h2) {
             MvList_Remove(&caller->link);
+            g_hash_table_unref(caller->exchanges);
             g_free(caller);
         }
     }
@@ -250,6 +253,59 @@
 /* Backend servers
  * -------------------------------------------------------------------- */
 
+/* An answer as it is kept for a repeated key: fields, empty line, body. */
+static mv_buffer_t
+flatten(const mv_http_message_t *answer)
+{
+    mv_buffer_t out = {.data = NULL};
+    for (guint i = 0; i < answer->fields->len; i++) {
+        const mv_http_field_t *one =
+            &g_array_index(answer->fields, mv_http_field_t, i);
+        char *line = g_strdup_printf("%s\n%s\n", one->name, one->value);
+        MvBuffer_Append(&out, line, strlen(line));
+        g_free(line);
+    }
+    MvBuffer_Append(&out, "\n", 1);
+    MvBuffer_Append(&out, answer->body.data, answer->body.length);
+    return out;
+}
+
+/* Return: the text up to the next line end, or NULL. */
+static char *
+take_line(const char **at, const char *end)
+{
+    const char *stop = memchr(*at, '\n', (size_t)(end - *at));
+    if (!stop) {
+        return NULL;
+    }
+    char *line = g_strndup(*at, (gsize)(stop - *at));
+    *at = stop + 1;
+    return line;
+}
+
+static mv_http_message_t *
+unflatten(const char *bytes, size_t length)
+{
+    mv_http_message_t *answer = MvHttpMessage_Create();
+    const char *at = bytes;
+    const char *end = bytes + length;
+    for (;;) {
+        char *name = take_line(&at, end);
+        if (!name || !*name) {
+            g_free(name);
+            break;
+        }
+        char *value = take_line(&at, end);
+        if (value) {
+            MvHttpMessage_Add(answer, name, value);
+        }
+        g_free(name);
+        g_free(value);
+    }
+    MvBuffer_Append(&answer->body, at, (size_t)(end - at));
+    return answer;
+}
+
 static void
 settle(backend_t *backend, int32_t stream, mv_result_t result,
        mv_http_message_t *answer)
@@ -263,11 +319,13 @@
     g_hash_table_remove(backend->streams, key);
     exchange->backend = NULL;
     mv_request_id_t id = exchange->id;
-    const char *bytes =
-        answer && answer->body.data ? (const char *)answer->body.data : "";
-    size_t length = answer ? answer->body.length : 0;
+    mv_buffer_t kept = {.data = NULL};
+    if (answer) {
+        kept = flatten(answer);
+    }
     bool give = MvRequests_Answered(proxy->requests, monotonic(), id, result,
-                                    bytes, length);
+                                    (const char *)kept.data, kept.length);
+    MvBuffer_Clear(&kept);
     exchange = g_hash_table_lookup(proxy->exchanges, &id);
     if (!exchange || exchange->backend) {
         return; /* Already finished, or dispatched again. */
@@ -401,7 +459,7 @@
         return;
     }
     give_outcome(exchange, outcome, reason);
-    exchange->caller = NULL;
+    detach_caller(exchange);
     if (!exchange->backend) {
         g_hash_table_remove(proxy->exchanges, &id);
     }
@@ -416,10 +474,8 @@
     if (!exchange) {
         return;
     }
-    mv_http_message_t *answer = MvHttpMessage_Create();
-    MvHttpMessage_Add(answer, ":status", "200");
+    mv_http_message_t *answer = unflatten(bytes, length);
     MvHttpMessage_Add(answer, HEADER_OUTCOME, "replayed");
-    MvBuffer_Append(&answer->body, bytes, length);
     give_answer(exchange, answer);
     MvHttpMessage_Destroy(answer);
     g_hash_table_remove(proxy->exchanges, &id);
--- a/packages/platform/include/masticvane/platform.h
+++ b/packages/platform/include/masticvane/platform.h
@@ -141,9 +141,9 @@
  * @previous: what it was planned from, or NULL
  * @index: root index that @next was planned from
  *
- * Service values that changed are written first, under names made of their digests; the
- * root is then written by check-and-set.  An unknown outcome is resolved by
- * reading the change id back, again and again until @deadline.
+ * Service values that changed are written first, under names made of their
+ * digests; the root is then written by check-and-set.  An unknown outcome is
+ * resolved by reading the change id back, again and again until @deadline.
  *
  * Return: true when @next is accepted.  Otherwise @error is
  * MV_ERROR_CONFLICT, MV_ERROR_UNAVAILABLE (surely not accepted) or
--- a/packages/platform/src/accepted.c
+++ b/packages/platform/src/accepted.c
@@ -181,8 +181,8 @@
 
 bool
 MvAccepted_Confirm(mv_store_t *store, const mv_deployment_t *previous,
-                   const mv_deployment_t *next, uint64_t index,
-                   mv_time_t wait, GError **error)
+                   const mv_deployment_t *next, uint64_t index, mv_time_t wait,
+                   GError **error)
 {
     if (!write_services(store, previous, next, error)) {
         return false;
--- a/packages/platform/test/platform_test.cc
+++ b/packages/platform/test/platform_test.cc
@@ -36,7 +36,7 @@
     mv_store_reply_t reply = {};
     s->reads++;
     auto it = s->values.find(key);
-    reply.outcome = s->down               ? MV_STORE_NOT_SENT
+    reply.outcome = s->down                 ? MV_STORE_NOT_SENT
                     : it == s->values.end() ? MV_STORE_REFUSED
                                             : MV_STORE_DONE;
     if (reply.outcome == MV_STORE_DONE) {
@@ -48,8 +48,8 @@
 }
 
 void
-fake_put(mv_store_t *store, const char *key, const char *value,
-         size_t length, uint64_t index, mv_store_done_t done, void *context)
+fake_put(mv_store_t *store, const char *key, const char *value, size_t length,
+         uint64_t index, mv_store_done_t done, void *context)
 {
     fake_store *s = of(store);
     mv_store_reply_t reply = {};
@@ -79,8 +79,7 @@
     done(context, &reply);
 }
 
-const mv_store_ops_t kOps = {fake_get, fake_put,
-                             [](mv_store_t *, int) {},
+const mv_store_ops_t kOps = {fake_get, fake_put, [](mv_store_t *, int) {},
                              [](mv_store_t *) {}};
 
 mv_deployment_t *
@@ -163,13 +162,13 @@
     store.base.ops = &kOps;
     uint64_t index = 0;
     mv_deployment_t *first = plan(store, "one", &index);
-    ASSERT_TRUE(MvAccepted_Confirm(&store.base, nullptr, first, index, 0,
-                                   nullptr));
+    ASSERT_TRUE(
+        MvAccepted_Confirm(&store.base, nullptr, first, index, 0, nullptr));
     EXPECT_EQ(store.writes, 3u);
     mv_deployment_t *second = plan(store, "two", &index);
     store.writes = 0;
-    ASSERT_TRUE(MvAccepted_Confirm(&store.base, first, second, index, 0,
-                                   nullptr));
+    ASSERT_TRUE(
+        MvAccepted_Confirm(&store.base, first, second, index, 0, nullptr));
     EXPECT_EQ(store.writes, 1u);
     MvDeployment_Unref(first);
     MvDeployment_Unref(second);
--- /dev/null
+++ b/test/common.sh
@@ -0,0 +1,52 @@
+# Shared by the process tests: a small deployment on loopback addresses.
+BIN=$1
+EXAMPLES=$2
+DIR=$(mktemp -d)
+PIDS=()
+declare -A NODE_PID
+cleanup() {
+    for p in "${PIDS[@]}"; do kill "$p" 2>/dev/null || true; done
+    rm -rf "$DIR"
+}
+trap cleanup EXIT
+
+# prepare NET NODES: keys and settings for 127.NET.0.1 to 127.NET.0.NODES
+prepare() {
+    NET=$1
+    NODES=$2
+    STORE=127.$NET.255.1:8500
+    printf '1 %064d\n' "$NET" >"$DIR/keys"
+    : >"$DIR/nodes.ini"
+    for i in $(seq 1 "$NODES"); do
+        printf '[peer %d]\naddress = 127.%d.0.%d\n' "$i" "$NET" "$i" >>"$DIR/nodes.ini"
+    done
+    for i in $(seq 1 "$NODES"); do
+        { printf '[node]\nid = %d\naddress = 127.%d.0.%d\ndata_centre = casa\ndeployment = atlas-jet\nkey_file = %s\n' \
+            "$i" "$NET" "$i" "$DIR/keys"
+          printf '[store]\naddresses = %s\n[log]\nfile = %s\n' "$STORE" "$DIR/log$i"
+          cat "$DIR/nodes.ini"; } >"$DIR/node$i.ini"
+    done
+    OPERATE=(--store "$STORE" --nodes "$DIR/nodes.ini" --key-file "$DIR/keys" --deployment atlas-jet)
+}
+
+start_store() {
+    "$BIN/standin-store" "127.$NET.255.1" 8500 &
+    PIDS+=($!)
+    STORE_PID=$!
+    sleep 0.3
+}
+
+start_node() {
+    "$BIN/masticvaned" --config "$DIR/node$1.ini" &
+    PIDS+=($!)
+    NODE_PID[$1]=$!
+}
+
+operate() {
+    "$BIN/masticvane" "$@" "${OPERATE[@]}"
+}
+
+fail() {
+    echo "FAILED: $*"
+    exit 1
+}
--- a/test/malformed.sh
+++ b/test/malformed.sh
@@ -1,22 +1,13 @@
 #!/bin/bash
 # A daemon still answers after 10,000 malformed frames and packets.
 set -eu
-BIN=$1
-DIR=$(mktemp -d)
-PIDS=()
-trap 'for p in "${PIDS[@]}"; do kill "$p" 2>/dev/null || true; done; rm -rf "$DIR"' EXIT
-ADDRESS=127.61.0.1
-printf '1 %064d\n' 7 >"$DIR/keys"
-printf '[peer 1]\naddress = %s\n' $ADDRESS >"$DIR/nodes.ini"
-printf '[node]\nid = 1\naddress = %s\ndata_centre = casa\ndeployment = atlas-jet\nkey_file = %s\n[store]\naddresses = 127.61.0.2:8500\n[log]\nfile = %s\n' \
-    $ADDRESS "$DIR/keys" "$DIR/log" >"$DIR/node.ini"
-"$BIN/standin-store" 127.61.0.2 8500 & PIDS+=($!)
-"$BIN/masticvaned" --config "$DIR/node.ini" & PIDS+=($!)
-NODE=$!
+. "$(dirname "$0")/common.sh"
+prepare 61 1
+start_store
+start_node 1
 sleep 0.5
-OPERATE=(--store 127.61.0.2:8500 --nodes "$DIR/nodes.ini" --key-file "$DIR/keys" --deployment atlas-jet)
-"$BIN/masticvane" confirm "$2/atlas-jet.ini" "${OPERATE[@]}" --wait 10 >/dev/null 2>&1
-python3 - $ADDRESS <<'P'
+operate confirm "$EXAMPLES/atlas-jet.ini" --wait 10 >/dev/null 2>&1
+python3 - 127.61.0.1 <<'P'
 import random, socket, struct, sys
 address, rng = sys.argv[1], random.Random(1)
 udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -41,7 +32,7 @@
     s.close()
 P
 sleep 0.5
-"$BIN/masticvane" dump 1 "${OPERATE[@]}" >"$DIR/dump"
+operate dump 1 >"$DIR/dump"
 python3 - "$DIR/dump" <<'P'
 import json, sys
 counters = json.load(open(sys.argv[1]))["counters"]
@@ -49,7 +40,7 @@
 assert counters["packets_malformed"] + counters["packets_no_service"] > 500, counters
 print("1 passed, 0 failed")
 P
-refusals=$(grep -c ' 4001 ' "$DIR/log")
+refusals=$(grep -c ' 4001 ' "$DIR/log1")
 [ "$refusals" -le 20 ] # logged once a second at most, by each of two links
-kill -TERM "$NODE"
-wait "$NODE"
+kill -TERM "${NODE_PID[1]}"
+wait "${NODE_PID[1]}"
