--- a/packages/base/include/masticvane/base.h
+++ b/packages/base/include/masticvane/base.h
@@ -32,7 +32,7 @@
 #define MV_CONTAINER_OF(ptr, type, member)                                    \
     ((type *)((char *)(ptr)-offsetof(type, member)))
 
-/* Errors ---------------------------------------------------------------- */
+/* Errors */
 
 #define MV_ERROR (MvError_Quark())
 
@@ -59,7 +59,7 @@
 /** MvError_Quark() - The GError domain of every masticvane library. */
 GQuark MvError_Quark(void);
 
-/* Intrusive list --------------------------------------------------------- */
+/* Intrusive list */
 
 /**
  * struct mv_list - Link or head of a circular doubly linked list.
@@ -90,7 +90,7 @@
     for (mv_list_t *var = (head)->next, *var##_next = var->next;              \
          var != (head); var = var##_next, var##_next = var->next)
 
-/* Byte buffer ------------------------------------------------------------ */
+/* Byte buffer */
 
 /**
  * struct mv_buffer - Growable byte string.
@@ -117,7 +117,7 @@
 /** MvBuffer_Clear() - Free the bytes; the buffer can be used again. */
 void MvBuffer_Clear(mv_buffer_t *buffer);
 
-/* Histogram -------------------------------------------------------------- */
+/* Histogram */
 
 #define MV_HISTOGRAM_SUB_BITS 5
 #define MV_HISTOGRAM_BUCKETS (40 << MV_HISTOGRAM_SUB_BITS)
@@ -148,7 +148,7 @@
 /** MvHistogram_ToJson() - New reference to {count, mean, p50, p99, max}. */
 json_t *MvHistogram_ToJson(const mv_histogram_t *histogram);
 
-/* Counters --------------------------------------------------------------- */
+/* Counters */
 
 /**
  * enum mv_counter_id - Every counter of a node; docs/operators explain them.
@@ -180,7 +180,7 @@
 /** MvCounters_ToJson() - New reference to an object of all counters. */
 json_t *MvCounters_ToJson(const mv_counters_t *counters);
 
-/* Findings --------------------------------------------------------------- */
+/* Findings */
 
 /** typedef mv_findings_t - Findings about one input, kept in their order. */
 typedef struct mv_findings mv_findings_t;
@@ -212,7 +212,7 @@
 /** MvFindings_Print() - Write every finding on its own line to @out. */
 void MvFindings_Print(const mv_findings_t *findings, FILE *out);
 
-/* INI -------------------------------------------------------------------- */
+/* INI */
 
 /**
  * struct mv_ini_entry - One "key = value" of an INI text.
@@ -289,7 +289,7 @@
 /** MvIni_ReportUnused() - Make a finding of every entry nobody read. */
 void MvIni_ReportUnused(const mv_ini_t *ini, mv_findings_t *findings);
 
-/* Log -------------------------------------------------------------------- */
+/* Log */
 
 /** enum mv_log_level - Severity of an event. */
 typedef enum mv_log_level {
--- a/packages/config/src/answers.c
+++ b/packages/config/src/answers.c
@@ -126,8 +126,7 @@
     return !strcmp(value, "yes");
 }
 
-/* "work SERVICE NAME" and "endpoint SERVICE NAME" ---------------------------
- */
+/* "work SERVICE NAME" and "endpoint SERVICE NAME" */
 
 static void
 read_match(const reading_t *reading, const char *section, mv_work_t *work)
--- a/packages/config/src/codec.c
+++ b/packages/config/src/codec.c
@@ -6,8 +6,7 @@
 #define DIGEST_BYTES 16
 #define MAX_ENDPOINT_ID 65534
 
-/* Encoding -------------------------------------------------------------------
- */
+/* Encoding */
 
 static json_t *
 encode_buckets(const uint16_t *buckets, uint16_t count)
@@ -100,8 +99,7 @@
     return text;
 }
 
-/* Decoding -------------------------------------------------------------------
- */
+/* Decoding */
 
 static json_t *
 load(const char *bytes, size_t length, GError **error)
--- a/packages/core/include/masticvane/core.h
+++ b/packages/core/include/masticvane/core.h
@@ -22,7 +22,7 @@
 extern "C" {
 #endif
 
-/* Deployment: the configuration in force --------------------------------- */
+/* Deployment: the configuration in force */
 
 #define MV_NAME_MAX 48
 #define MV_NO_ENDPOINT UINT16_MAX
@@ -177,7 +177,7 @@
 /** MvService_BucketCount() - Buckets for a number of endpoints. */
 uint16_t MvService_BucketCount(uint16_t endpoints);
 
-/* Messages between entry VMs --------------------------------------------- */
+/* Messages between entry VMs */
 
 /** enum mv_member_state - What the members believe of one entry VM. */
 typedef enum mv_member_state {
@@ -412,7 +412,7 @@
 /** MvMessage_IsDatagram() - True for kinds that go by UDP and may be lost. */
 bool MvMessage_IsDatagram(const mv_message_t *message);
 
-/* Actions ---------------------------------------------------------------- */
+/* Actions */
 
 /** typedef mv_effects_t - What the node may ask of its caller. */
 typedef struct mv_effects mv_effects_t;
@@ -440,7 +440,7 @@
     const mv_effects_ops_t *ops;
 };
 
-/* Node -------------------------------------------------------------------- */
+/* Node */
 
 /** enum mv_verdict_kind - What to do with a packet. */
 typedef enum mv_verdict_kind {
--- a/packages/core/src/buckets.c
+++ b/packages/core/src/buckets.c
@@ -76,7 +76,7 @@
     bucket->due = due;
 }
 
-/* Configuration ----------------------------------------------------------- */
+/* Configuration */
 
 static mv_node_service_t *
 create_service(mv_node_t *node, const mv_service_t *service, mv_time_t now)
@@ -153,8 +153,7 @@
     g_ptr_array_unref(old);
 }
 
-/* Announcements ------------------------------------------------------------
- */
+/* Announcements */
 
 static mv_batch_t *
 find_batch(mv_node_t *node, uint16_t service, uint64_t version)
@@ -317,8 +316,7 @@
     }
 }
 
-/* Messages ------------------------------------------------------------------
- */
+/* Messages */
 
 static void
 apply_update(mv_node_t *node, mv_time_t now, mv_node_service_t *service,
@@ -381,8 +379,7 @@
     }
 }
 
-/* Transitions of the buckets this node is home of ----------------------------
- */
+/* Transitions of the buckets this node is home of */
 
 /* New home without the batch: announce again to learn who knows. */
 static bool
--- a/packages/core/src/claims.c
+++ b/packages/core/src/claims.c
@@ -111,8 +111,7 @@
     return g_hash_table_size(claims->claims);
 }
 
-/* Who owns a key
- * ---------------------------------------------------------------------- */
+/* Who owns a key */
 
 static uint64_t
 score(mv_key_hash_t key, mv_node_id_t node)
@@ -172,9 +171,7 @@
     owners_among(claims, key, requests->members, requests->member_count, out);
 }
 
-/* Messages out
- * ----------------------------------------------------------------------------
- */
+/* Messages out */
 
 static void take_record(mv_claims_t *claims, mv_time_t now, mv_node_id_t from,
                         const mv_claim_record_t *record, uint64_t epoch);
@@ -212,9 +209,7 @@
     };
 }
 
-/* The table
- * ----------------------------------------------------------------------------------
- */
+/* The table */
 
 static claim_t *
 find(const mv_claims_t *claims, mv_key_hash_t key)
@@ -303,8 +298,7 @@
     }
 }
 
-/* Is the evidence complete?
- * -------------------------------------------------------------------- */
+/* Is the evidence complete? */
 
 static uint64_t
 epoch_of(const mv_requests_t *requests)
@@ -433,9 +427,7 @@
     return is_lost(claims, who[0]) && is_lost(claims, who[1]);
 }
 
-/* Owner
- * ------------------------------------------------------------------------------------------
- */
+/* Owner */
 
 static void
 answer_state(mv_claims_t *claims, mv_time_t now, mv_node_id_t to,
@@ -554,9 +546,7 @@
     send(claims, now, from, reply);
 }
 
-/* Asker
- * -----------------------------------------------------------------------------------------
- */
+/* Asker */
 
 void
 MvClaims_Ask(mv_claims_t *claims, mv_time_t now, mv_request_t *request)
@@ -691,8 +681,7 @@
     }
 }
 
-/* Members change: everyone tells the new owners what it knows.
- * ------------------------------------- */
+/* Members change: everyone tells the new owners what it knows */
 
 static void
 send_sync_end(mv_claims_t *claims, mv_time_t now, mv_node_id_t to)
@@ -854,9 +843,7 @@
     }
 }
 
-/* Messages in
- * -----------------------------------------------------------------------------------------
- */
+/* Messages in */
 
 static void
 take_record(mv_claims_t *claims, mv_time_t now, mv_node_id_t from,
--- a/packages/core/src/dispatcher.c
+++ b/packages/core/src/dispatcher.c
@@ -1,6 +1,5 @@
-#include "dispatcher.h"
-
-#include <string.h>
+/* Slots of one service at their owner: granting and taking back. */
+#include "dispatcher_private.h"
 
 #define HINT_INTERVAL (100 * MV_MILLISECOND)
 #define RAMP_INTERVAL (500 * MV_MILLISECOND)
@@ -10,115 +9,12 @@
 #define LOST_NODE_HOLD (2 * MV_SECOND)
 /* A holding must be missing from reports for this long to be taken back. */
 #define MISSING_HOLD (2 * MV_SECOND)
-/* Grants that a class may catch up on after it had nothing waiting. */
-#define MAX_CREDIT 16.0
 /* Evenness of work looks back about this long. */
 #define BUSY_MEMORY (10 * MV_SECOND)
 /* A near server is preferred unless it was busier by this part of a slot. */
 #define NEAR_PREFERENCE 0.02
 #define RATE_WINDOW (1 * MV_SECOND)
-#define LOOK_AHEAD 8
-/* How far behind the first a request at the slot's own node may be. */
-#define SAME_NODE_LOOK_AHEAD 128
-#define MAX_WAITING 65536
 #define HELD_WEIGHT 0.02
-/* A request should be able to take this many mean times before its deadline.
- */
-#define FINISH_MARGIN 6.0
-
-typedef struct slot slot_t;
-
-/* One request that waits; @next_of is the slot it was promised. */
-typedef struct waiter {
-    mv_list_t link;
-    mv_node_id_t node;
-    uint64_t request;
-    struct turn *turn;
-    struct slot *next_of;
-    mv_time_t deadline;
-    mv_time_t since;
-} waiter_t;
-
-/* The requests of one member within one class of work. */
-typedef struct turn {
-    mv_list_t link;
-    mv_list_t waiters;
-    uint32_t member;
-    uint32_t weight;
-    unsigned references;
-    size_t waiting;
-    double virtual_time;
-    struct work_queue *work;
-} turn_t;
-
-typedef struct work_queue {
-    mv_list_t turns;
-    GHashTable *by_member;
-    double credit;
-    double virtual_time;
-    double rate;
-    uint32_t granted;
-    size_t waiting;
-} work_queue_t;
-
-/* One slot in use. */
-struct slot {
-    mv_list_t link;
-    uint32_t number;
-    mv_node_id_t node;
-    uint64_t request;
-    mv_time_t since;
-    mv_time_t free_at;
-    mv_time_t missing_since;
-    bool reported;
-    waiter_t *next;
-};
-
-typedef struct server {
-    uint16_t id;
-    uint32_t slots;
-    uint32_t limit;
-    uint32_t in_use;
-    bool leaving;
-    bool seen;
-    uint32_t data_centre;
-    double busy;
-    mv_time_t busy_since;
-    mv_time_t next_ramp;
-    mv_time_t suspended_until;
-    mv_time_t suspension;
-    mv_list_t used;
-} server_t;
-
-struct mv_dispatcher {
-    uint16_t id;
-    const mv_dispatcher_ops_t *ops;
-    void *context;
-    const mv_service_t *service;
-    const mv_deployment_t *deployment;
-    server_t *servers;
-    size_t server_count;
-    work_queue_t *works;
-    size_t work_count;
-    GHashTable *waiters;
-    GHashTable *data_centres;
-    size_t waiting;
-    size_t assigned;
-    size_t in_use;
-    uint32_t last_number;
-    bool open;
-    mv_time_t unknown_until;
-    mv_time_t next_hint;
-    uint32_t hinted;
-    mv_time_t rate_since;
-    uint32_t completed;
-    double rate;
-    double held;
-};
-
-/* Helpers
- * --------------------------------------------------------------------------
- */
 
 static guint
 waiter_hash(gconstpointer pointer)
@@ -135,18 +31,39 @@
     return one->node == other->node && one->request == other->request;
 }
 
-static void
-send(mv_dispatcher_t *dispatcher, mv_node_id_t to, mv_slot_record_t record)
+uint32_t
+MvDispatcher_DataCentre(const mv_dispatcher_t *dispatcher, mv_node_id_t node)
+{
+    return GPOINTER_TO_UINT(
+        g_hash_table_lookup(dispatcher->data_centres, GUINT_TO_POINTER(node)));
+}
+
+size_t
+MvDispatcher_UsableSlots(const mv_dispatcher_t *dispatcher)
+{
+    size_t slots = 0;
+    for (size_t i = 0; i < dispatcher->server_count; i++) {
+        const server_t *server = &dispatcher->servers[i];
+        slots += server->leaving ? 0 : server->limit;
+    }
+    return slots;
+}
+
+void
+MvDispatcher_Send(mv_dispatcher_t *dispatcher, mv_node_id_t to,
+                  mv_slot_record_t record)
 {
     record.service = dispatcher->id;
     dispatcher->ops->send(dispatcher->context, to, &record);
 }
 
-static void
-refuse(mv_dispatcher_t *dispatcher, mv_node_id_t to, uint64_t request)
+void
+MvDispatcher_Refuse(mv_dispatcher_t *dispatcher, mv_node_id_t to,
+                    uint64_t request)
 {
-    send(dispatcher, to,
-         (mv_slot_record_t){.op = MV_SLOT_REFUSE, .request = request});
+    MvDispatcher_Send(
+        dispatcher, to,
+        (mv_slot_record_t){.op = MV_SLOT_REFUSE, .request = request});
 }
 
 static server_t *
@@ -173,19 +90,7 @@
     return NULL;
 }
 
-static size_t
-usable_slots(const mv_dispatcher_t *dispatcher)
-{
-    size_t slots = 0;
-    for (size_t i = 0; i < dispatcher->server_count; i++) {
-        const server_t *server = &dispatcher->servers[i];
-        slots += server->leaving ? 0 : server->limit;
-    }
-    return slots;
-}
-
-/* Creation and configuration
- * ---------------------------------------------------------- */
+/* Creation and configuration */
 
 mv_dispatcher_t *
 MvDispatcher_Create(uint16_t service, uint32_t first_number,
@@ -334,13 +239,6 @@
                         GUINT_TO_POINTER(data_centre));
 }
 
-static uint32_t
-data_centre_of(const mv_dispatcher_t *dispatcher, mv_node_id_t node)
-{
-    return GPOINTER_TO_UINT(
-        g_hash_table_lookup(dispatcher->data_centres, GUINT_TO_POINTER(node)));
-}
-
 bool
 MvDispatcher_Fits(const mv_dispatcher_t *dispatcher,
                   const mv_service_t *service)
@@ -349,138 +247,6 @@
            dispatcher->work_count == service->work_count + 1u;
 }
 
-/* The waiting
- * ------------------------------------------------------------------------------
- */
-
-static uint32_t
-weight_of(const mv_dispatcher_t *dispatcher, uint32_t member)
-{
-    const mv_deployment_t *deployment = dispatcher->deployment;
-    for (uint16_t i = 0; i < deployment->member_count; i++) {
-        if (g_str_hash(deployment->members[i].name) == member) {
-            return MAX(deployment->members[i].weight, 1);
-        }
-    }
-    return 1;
-}
-
-static turn_t *
-get_turn(mv_dispatcher_t *dispatcher, work_queue_t *work, uint32_t member)
-{
-    gpointer key = GUINT_TO_POINTER(member);
-    turn_t *turn = g_hash_table_lookup(work->by_member, key);
-    if (turn) {
-        return turn;
-    }
-    turn = g_new0(turn_t, 1);
-    turn->member = member;
-    turn->weight = weight_of(dispatcher, member);
-    turn->work = work;
-    turn->virtual_time = work->virtual_time;
-    MvList_Init(&turn->waiters);
-    MvList_Append(&work->turns, &turn->link);
-    g_hash_table_insert(work->by_member, key, turn);
-    return turn;
-}
-
-static void
-drop_waiter(mv_dispatcher_t *dispatcher, waiter_t *waiter)
-{
-    turn_t *turn = waiter->turn;
-    if (waiter->next_of) {
-        waiter->next_of->next = NULL;
-    }
-    g_hash_table_remove(dispatcher->waiters, waiter);
-    if (!MvList_IsEmpty(&waiter->link)) {
-        MvList_Remove(&waiter->link);
-        turn->waiting--;
-        turn->work->waiting--;
-        dispatcher->waiting--;
-    }
-    else {
-        dispatcher->assigned--;
-    }
-    g_free(waiter);
-    turn->references--;
-    if (turn->references == 0) {
-        MvList_Remove(&turn->link);
-        g_hash_table_remove(turn->work->by_member,
-                            GUINT_TO_POINTER(turn->member));
-        g_free(turn);
-    }
-}
-
-static uint32_t
-urgency_of(const mv_dispatcher_t *dispatcher, size_t work)
-{
-    return work < dispatcher->service->work_count
-               ? dispatcher->service->work[work].urgency
-               : UINT8_MAX;
-}
-
-static double
-share_of(const mv_dispatcher_t *dispatcher, size_t work)
-{
-    return work < dispatcher->service->work_count
-               ? dispatcher->service->work[work].share / 100.0
-               : 0;
-}
-
-/* What more urgent work leaves, but never less than the guarantee. */
-static double
-expected_rate(const mv_dispatcher_t *dispatcher, size_t work)
-{
-    double left = dispatcher->rate;
-    uint32_t urgency = urgency_of(dispatcher, work);
-    for (size_t i = 0; i < dispatcher->work_count; i++) {
-        if (i != work && urgency_of(dispatcher, i) < urgency) {
-            left -= dispatcher->works[i].rate;
-        }
-    }
-    return MAX(left, dispatcher->rate * share_of(dispatcher, work));
-}
-
-static uint32_t
-active_weight(const work_queue_t *work)
-{
-    uint32_t sum = 0;
-    MV_LIST_FOREACH(item, &work->turns)
-    {
-        const turn_t *turn = MV_CONTAINER_OF(item, turn_t, link);
-        sum += MvList_IsEmpty(&turn->waiters) ? 0 : turn->weight;
-    }
-    return sum;
-}
-
-static mv_time_t
-finish_margin(const mv_dispatcher_t *dispatcher)
-{
-    return (mv_time_t)(dispatcher->held * FINISH_MARGIN);
-}
-
-/* Will it be able to finish before its deadline, going by its turn? */
-static bool
-can_finish_in_time(const mv_dispatcher_t *dispatcher, size_t work,
-                   const turn_t *turn, mv_time_t left)
-{
-    size_t ahead = turn->waiting;
-    double rate = expected_rate(dispatcher, work);
-    if (dispatcher->waiting >= MAX_WAITING) {
-        return false;
-    }
-    if (ahead == 0 || dispatcher->rate <= 0) {
-        return true;
-    }
-    if (rate <= 0) {
-        return ahead < usable_slots(dispatcher);
-    }
-    double part =
-        (double)turn->weight / MAX(active_weight(&dispatcher->works[work]), 1);
-    double wait = (double)ahead / (rate * part) * MV_SECOND;
-    return wait + (double)finish_margin(dispatcher) < (double)left;
-}
-
 static void
 take_ask(mv_dispatcher_t *dispatcher, mv_time_t now, mv_node_id_t from,
          const mv_slot_record_t *record)
@@ -492,9 +258,9 @@
         return;
     }
     work_queue_t *work = &dispatcher->works[number];
-    turn_t *turn = get_turn(dispatcher, work, record->member);
-    if (!can_finish_in_time(dispatcher, number, turn, left)) {
-        refuse(dispatcher, from, record->request);
+    turn_t *turn = MvTurns_Get(dispatcher, work, record->member);
+    if (!MvTurns_CanFinish(dispatcher, number, turn, left)) {
+        MvDispatcher_Refuse(dispatcher, from, record->request);
         return;
     }
     waiter_t *waiter = g_new0(waiter_t, 1);
@@ -515,117 +281,7 @@
     dispatcher->waiting++;
 }
 
-/* Policy: whose turn is it?
- * ------------------------------------------------------------------- */
-
-static work_queue_t *
-choose_work(mv_dispatcher_t *dispatcher)
-{
-    work_queue_t *entitled = NULL;
-    work_queue_t *urgent = NULL;
-    uint32_t entitled_urgency = UINT32_MAX;
-    uint32_t urgent_urgency = UINT32_MAX;
-    for (size_t i = 0; i < dispatcher->work_count; i++) {
-        work_queue_t *work = &dispatcher->works[i];
-        work->credit = MIN(work->credit + share_of(dispatcher, i), MAX_CREDIT);
-        if (work->waiting == 0) {
-            continue;
-        }
-        uint32_t urgency = urgency_of(dispatcher, i);
-        if (work->credit >= 1 && urgency < entitled_urgency) {
-            entitled = work;
-            entitled_urgency = urgency;
-        }
-        if (urgency < urgent_urgency) {
-            urgent = work;
-            urgent_urgency = urgency;
-        }
-    }
-    work_queue_t *chosen = entitled ? entitled : urgent;
-    if (chosen) {
-        chosen->credit = MAX(chosen->credit - 1, 0);
-    }
-    return chosen;
-}
-
-static turn_t *
-choose_turn(work_queue_t *work)
-{
-    turn_t *best = NULL;
-    MV_LIST_FOREACH(item, &work->turns)
-    {
-        turn_t *turn = MV_CONTAINER_OF(item, turn_t, link);
-        if (!MvList_IsEmpty(&turn->waiters) &&
-            (!best || turn->virtual_time < best->virtual_time)) {
-            best = turn;
-        }
-    }
-    return best;
-}
-
-/* The first of the turn, or one close behind it that is nearer. */
-static waiter_t *
-choose_waiter(const mv_dispatcher_t *dispatcher, turn_t *turn,
-              mv_node_id_t node, uint32_t data_centre)
-{
-    unsigned looked = 0;
-    unsigned most = node == MV_NO_NODE ? LOOK_AHEAD : SAME_NODE_LOOK_AHEAD;
-    waiter_t *first = MV_CONTAINER_OF(turn->waiters.next, waiter_t, link);
-    waiter_t *near = NULL;
-    MV_LIST_FOREACH(item, &turn->waiters)
-    {
-        waiter_t *waiter = MV_CONTAINER_OF(item, waiter_t, link);
-        if (waiter->node == node) {
-            return waiter;
-        }
-        bool close = looked < LOOK_AHEAD && !near;
-        if (close && data_centre_of(dispatcher, waiter->node) == data_centre) {
-            near = waiter;
-        }
-        if (++looked >= most) {
-            break;
-        }
-    }
-    return near ? near : first;
-}
-
-/* Take the next request off the queue, preferably at @node or near it. */
-static waiter_t *
-take_next(mv_dispatcher_t *dispatcher, mv_node_id_t node, uint32_t data_centre)
-{
-    work_queue_t *work = choose_work(dispatcher);
-    if (!work) {
-        return NULL;
-    }
-    turn_t *turn = choose_turn(work);
-    waiter_t *waiter = choose_waiter(dispatcher, turn, node, data_centre);
-    work->virtual_time = MAX(work->virtual_time, turn->virtual_time);
-    turn->virtual_time += 1.0 / turn->weight;
-    work->granted++;
-    MvList_Remove(&waiter->link);
-    turn->waiting--;
-    work->waiting--;
-    dispatcher->waiting--;
-    dispatcher->assigned++;
-    return waiter;
-}
-
-/* One that was named as next goes back to the head of its member's turn. */
-static void
-put_back(mv_dispatcher_t *dispatcher, waiter_t *waiter)
-{
-    waiter->next_of->next = NULL;
-    waiter->next_of = NULL;
-    MvList_InsertBefore(waiter->turn->waiters.next, &waiter->link);
-    waiter->turn->waiting++;
-    waiter->turn->work->waiting++;
-    dispatcher->waiting++;
-    dispatcher->assigned--;
-}
-
-/* Slots
- * ------------------------------------------------------------------------------------------
- */
+/* Slots */
 
 static void
 update_busy(server_t *server, mv_time_t now)
@@ -698,13 +354,13 @@
          waiter_t *waiter)
 {
     uint32_t number = ++dispatcher->last_number;
-    send(dispatcher, waiter->node,
-         (mv_slot_record_t){.op = MV_SLOT_GRANT,
-                            .request = waiter->request,
-                            .slot = number,
-                            .endpoint = server->id});
+    MvDispatcher_Send(dispatcher, waiter->node,
+                      (mv_slot_record_t){.op = MV_SLOT_GRANT,
+                                         .request = waiter->request,
+                                         .slot = number,
+                                         .endpoint = server->id});
     add_slot(dispatcher, server, waiter->node, waiter->request, number, now);
-    drop_waiter(dispatcher, waiter);
+    MvTurns_Drop(dispatcher, waiter);
 }
 
 /* Few wait: bind late.  Many wait: name each busy slot's next request, so
@@ -712,7 +368,7 @@
 static void
 name_next(mv_dispatcher_t *dispatcher)
 {
-    size_t slots = usable_slots(dispatcher);
+    size_t slots = MvDispatcher_UsableSlots(dispatcher);
     for (size_t i = 0; i < dispatcher->server_count; i++) {
         server_t *server = &dispatcher->servers[i];
         if (server->leaving || server->in_use > server->limit) {
@@ -728,15 +384,15 @@
                 return;
             }
             slot->next =
-                take_next(dispatcher, slot->node, server->data_centre);
+                MvTurns_TakeNext(dispatcher, slot->node, server->data_centre);
             slot->next->next_of = slot;
-            send(dispatcher, slot->node,
-                 (mv_slot_record_t){.op = MV_SLOT_NEXT,
-                                    .request = slot->request,
-                                    .slot = slot->number,
-                                    .other = slot->next->request,
-                                    .node = slot->next->node,
-                                    .endpoint = server->id});
+            MvDispatcher_Send(dispatcher, slot->node,
+                              (mv_slot_record_t){.op = MV_SLOT_NEXT,
+                                                 .request = slot->request,
+                                                 .slot = slot->number,
+                                                 .other = slot->next->request,
+                                                 .node = slot->next->node,
+                                                 .endpoint = server->id});
         }
     }
 }
@@ -753,8 +409,8 @@
             break;
         }
         waiter_t *waiter =
-            take_next(dispatcher, MV_NO_NODE, server->data_centre);
-        uint32_t near = data_centre_of(dispatcher, waiter->node);
+            MvTurns_TakeNext(dispatcher, MV_NO_NODE, server->data_centre);
+        uint32_t near = MvDispatcher_DataCentre(dispatcher, waiter->node);
         grant_to(dispatcher, now, choose_server(dispatcher, now, near),
                  waiter);
     }
@@ -790,7 +446,7 @@
         return NULL;
     }
     note_completion(dispatcher, server, slot, now);
-    drop_waiter(dispatcher, next);
+    MvTurns_Drop(dispatcher, next);
     slot->node = from;
     slot->request = record->request;
     slot->since = now;
@@ -826,7 +482,7 @@
     }
     waiter_t *next = slot->next;
     if (next) {
-        put_back(dispatcher, next);
+        MvTurns_PutBack(dispatcher, next);
     }
     if (record->left_ms == MV_RETURN_GOOD) {
         note_completion(dispatcher, server, slot, now);
@@ -851,7 +507,7 @@
     }
     note_completion(dispatcher, server, slot, now);
     if (slot->next && slot->next != waiter) {
-        put_back(dispatcher, slot->next);
+        MvTurns_PutBack(dispatcher, slot->next);
     }
     slot->node = to;
     slot->request = record->other;
@@ -862,7 +518,7 @@
             waiter->turn->virtual_time += 1.0 / waiter->turn->weight;
             waiter->turn->work->granted++;
         }
-        drop_waiter(dispatcher, waiter);
+        MvTurns_Drop(dispatcher, waiter);
     }
 }
 
@@ -874,12 +530,11 @@
     waiter_t *waiter = g_hash_table_lookup(dispatcher->waiters, &probe);
     /* One that is named as next is returned when its turn comes. */
     if (waiter && !MvList_IsEmpty(&waiter->link)) {
-        drop_waiter(dispatcher, waiter);
+        MvTurns_Drop(dispatcher, waiter);
     }
 }
 
-/* Reconciliation with what nodes say they hold
- * --------------------------------------------------- */
+/* Reconciliation with what nodes say they hold */
 
 static void
 take_holding(mv_dispatcher_t *dispatcher, mv_time_t now, mv_node_id_t from,
@@ -980,15 +635,13 @@
     for (GList *item = waiters; item; item = item->next) {
         waiter_t *waiter = item->data;
         if (waiter->node == node && !MvList_IsEmpty(&waiter->link)) {
-            drop_waiter(dispatcher, waiter);
+            MvTurns_Drop(dispatcher, waiter);
         }
     }
     g_list_free(waiters);
 }
 
-/* Timer
- * ------------------------------------------------------------------------------------------
- */
+/* Timer */
 
 static void
 expire_slots(mv_dispatcher_t *dispatcher, server_t *server, mv_time_t now)
@@ -1000,44 +653,12 @@
             continue;
         }
         if (slot->next) {
-            put_back(dispatcher, slot->next);
+            MvTurns_PutBack(dispatcher, slot->next);
         }
         drop_slot(dispatcher, server, slot, now);
     }
 }
 
-static void
-expire_waiters(mv_dispatcher_t *dispatcher, mv_time_t now)
-{
-    /* What has little time left when it comes may still try. */
-    mv_time_t margin = dispatcher->waiting > usable_slots(dispatcher)
-                           ? finish_margin(dispatcher)
-                           : 0;
-    for (size_t i = 0; i < dispatcher->work_count; i++) {
-        if (dispatcher->works[i].waiting == 0) {
-            continue;
-        }
-        MV_LIST_FOREACH(one, &dispatcher->works[i].turns)
-        {
-            turn_t *turn = MV_CONTAINER_OF(one, turn_t, link);
-            /* Oldest first; deadlines of one member mostly rise. */
-            while (!MvList_IsEmpty(&turn->waiters)) {
-                waiter_t *waiter =
-                    MV_CONTAINER_OF(turn->waiters.next, waiter_t, link);
-                bool last = waiter->link.next == &turn->waiters;
-                if (now + margin < waiter->deadline) {
-                    break;
-                }
-                refuse(dispatcher, waiter->node, waiter->request);
-                drop_waiter(dispatcher, waiter);
-                if (last) {
-                    break; /* The turn may be gone. */
-                }
-            }
-        }
-    }
-}
-
 static void
 update_rates(mv_dispatcher_t *dispatcher, mv_time_t now)
 {
@@ -1069,24 +690,25 @@
     GHashTable *told = NULL;
     for (size_t i = 0; i < dispatcher->work_count; i++) {
         if (dispatcher->works[i].waiting > 0) {
-            urgency = MIN(urgency, urgency_of(dispatcher, i));
+            urgency = MIN(urgency, MvTurns_Urgency(dispatcher, i));
         }
     }
     if (urgency == UINT32_MAX || now < dispatcher->next_hint) {
         return;
     }
     dispatcher->next_hint = now + HINT_INTERVAL;
-    bool deep = dispatcher->waiting > usable_slots(dispatcher);
+    bool deep = dispatcher->waiting > MvDispatcher_UsableSlots(dispatcher);
     told = g_hash_table_new(g_direct_hash, g_direct_equal);
     for (size_t i = 0; i < dispatcher->server_count; i++) {
         MV_LIST_FOREACH(item, &dispatcher->servers[i].used)
         {
             slot_t *slot = MV_CONTAINER_OF(item, slot_t, link);
             if (g_hash_table_add(told, GUINT_TO_POINTER(slot->node))) {
-                send(dispatcher, slot->node,
-                     (mv_slot_record_t){.op = MV_SLOT_HINT,
-                                        .work = urgency,
-                                        .left_ms = deep ? MV_HINT_DEEP : 0});
+                MvDispatcher_Send(
+                    dispatcher, slot->node,
+                    (mv_slot_record_t){.op = MV_SLOT_HINT,
+                                       .work = urgency,
+                                       .left_ms = deep ? MV_HINT_DEEP : 0});
             }
         }
     }
@@ -1107,7 +729,7 @@
             server->next_ramp = now + RAMP_INTERVAL;
         }
     }
-    expire_waiters(dispatcher, now);
+    MvTurns_Expire(dispatcher, now);
     update_rates(dispatcher, now);
     grant(dispatcher, now);
     send_hints(dispatcher, now);
--- /dev/null
+++ b/packages/core/src/dispatcher_private.h
@@ -0,0 +1,143 @@
+/**
+ * DOC: What the two halves of the dispatcher share.
+ *
+ * turns.c       who waits, and whose turn it is
+ * dispatcher.c  slots: granting, naming the next, taking back
+ */
+#ifndef MV_CORE_DISPATCHER_PRIVATE_H
+#define MV_CORE_DISPATCHER_PRIVATE_H
+
+#include "dispatcher.h"
+
+typedef struct slot slot_t;
+
+/* One request that waits; @next_of is the slot it was promised. */
+typedef struct waiter {
+    mv_list_t link;
+    mv_node_id_t node;
+    uint64_t request;
+    struct turn *turn;
+    struct slot *next_of;
+    mv_time_t deadline;
+    mv_time_t since;
+} waiter_t;
+
+/* The requests of one member within one class of work. */
+typedef struct turn {
+    mv_list_t link;
+    mv_list_t waiters;
+    uint32_t member;
+    uint32_t weight;
+    unsigned references;
+    size_t waiting;
+    double virtual_time;
+    struct work_queue *work;
+} turn_t;
+
+typedef struct work_queue {
+    mv_list_t turns;
+    GHashTable *by_member;
+    double credit;
+    double virtual_time;
+    double rate;
+    uint32_t granted;
+    size_t waiting;
+} work_queue_t;
+
+/* One slot in use. */
+struct slot {
+    mv_list_t link;
+    uint32_t number;
+    mv_node_id_t node;
+    uint64_t request;
+    mv_time_t since;
+    mv_time_t free_at;
+    mv_time_t missing_since;
+    bool reported;
+    waiter_t *next;
+};
+
+typedef struct server {
+    uint16_t id;
+    uint32_t slots;
+    uint32_t limit;
+    uint32_t in_use;
+    bool leaving;
+    bool seen;
+    uint32_t data_centre;
+    double busy;
+    mv_time_t busy_since;
+    mv_time_t next_ramp;
+    mv_time_t suspended_until;
+    mv_time_t suspension;
+    mv_list_t used;
+} server_t;
+
+struct mv_dispatcher {
+    uint16_t id;
+    const mv_dispatcher_ops_t *ops;
+    void *context;
+    const mv_service_t *service;
+    const mv_deployment_t *deployment;
+    server_t *servers;
+    size_t server_count;
+    work_queue_t *works;
+    size_t work_count;
+    GHashTable *waiters;
+    GHashTable *data_centres;
+    size_t waiting;
+    size_t assigned;
+    size_t in_use;
+    uint32_t last_number;
+    bool open;
+    mv_time_t unknown_until;
+    mv_time_t next_hint;
+    uint32_t hinted;
+    mv_time_t rate_since;
+    uint32_t completed;
+    double rate;
+    double held;
+};
+
+/** MvTurns_Get() - Turn of a member in a class, made when needed. */
+turn_t *MvTurns_Get(mv_dispatcher_t *dispatcher, work_queue_t *work,
+                    uint32_t member);
+
+/** MvTurns_Drop() - Free a waiting request; a slot's promise of it ends. */
+void MvTurns_Drop(mv_dispatcher_t *dispatcher, waiter_t *waiter);
+
+/** MvTurns_Urgency() - Urgency of a class, 0 first. */
+uint32_t MvTurns_Urgency(const mv_dispatcher_t *dispatcher, size_t work);
+
+/** MvTurns_CanFinish() - Will a new request be able to end before its
+ * deadline? */
+bool MvTurns_CanFinish(const mv_dispatcher_t *dispatcher, size_t work,
+                       const turn_t *turn, mv_time_t left);
+
+/** MvTurns_TakeNext() - Take the next request, preferably at @node or near it.
+ */
+waiter_t *MvTurns_TakeNext(mv_dispatcher_t *dispatcher, mv_node_id_t node,
+                           uint32_t data_centre);
+
+/** MvTurns_PutBack() - Put a promised request back to the head of its turn. */
+void MvTurns_PutBack(mv_dispatcher_t *dispatcher, waiter_t *waiter);
+
+/** MvTurns_Expire() - Refuse those that can no longer finish in time. */
+void MvTurns_Expire(mv_dispatcher_t *dispatcher, mv_time_t now);
+
+/** MvDispatcher_DataCentre() - Data centre of a node, 0 when not known. */
+uint32_t MvDispatcher_DataCentre(const mv_dispatcher_t *dispatcher,
+                                 mv_node_id_t node);
+
+/** MvDispatcher_UsableSlots() - Slots that may be granted in all. */
+size_t MvDispatcher_UsableSlots(const mv_dispatcher_t *dispatcher);
+
+/** MvDispatcher_Send() - Send a record, with the service filled in. */
+void MvDispatcher_Send(mv_dispatcher_t *dispatcher, mv_node_id_t to,
+                       mv_slot_record_t record);
+
+/** MvDispatcher_Refuse() - Tell a node that its request will not start. */
+void MvDispatcher_Refuse(mv_dispatcher_t *dispatcher, mv_node_id_t to,
+                         uint64_t request);
+
+#endif
--- a/packages/core/src/handover.c
+++ b/packages/core/src/handover.c
@@ -14,8 +14,7 @@
 /* Members may disagree about homes for this long after a change. */
 #define PREVIOUS_HOME_TIME (2 * MV_SECOND)
 
-/* Homes --------------------------------------------------------------------
- */
+/* Homes */
 
 static size_t
 list_nodes(const mv_node_t *node, bool future, mv_request_member_t *out)
@@ -128,8 +127,7 @@
     MvFlowTable_Sweep(node->flows, mark_uncopied, &remark);
 }
 
-/* Copies ---------------------------------------------------------------------
- */
+/* Copies */
 
 /**
  * struct copy_round - Collection of flow records by receiver.
@@ -266,8 +264,7 @@
     }
 }
 
-/* Expiry
- * ---------------------------------------------------------------------- */
+/* Expiry */
 
 typedef struct expiry {
     mv_node_t *node;
@@ -332,8 +329,7 @@
     MvFlowTable_Sweep(node->flows, keep_entry, &expiry);
 }
 
-/* Joining and resync
- * ------------------------------------------------------------ */
+/* Joining and resync */
 
 static void
 ask_unsynced(mv_node_t *node, mv_time_t now)
@@ -426,8 +422,7 @@
     }
 }
 
-/* Leaving
- * ------------------------------------------------------------------------ */
+/* Leaving */
 
 void
 MvNode_Stop(mv_node_t *node, mv_time_t now)
@@ -472,8 +467,7 @@
     return node->left && node->last_timer - node->stop_started > LEAVE_GRACE;
 }
 
-/* --------------------------------------------------------------------------------
- */
+/*  */
 
 void
 MvHandover_Message(mv_node_t *node, mv_time_t now, const mv_message_t *message)
--- a/packages/core/src/node.c
+++ b/packages/core/src/node.c
@@ -118,8 +118,7 @@
     g_free(node);
 }
 
-/* Publication ---------------------------------------------------------------
- */
+/* Publication */
 
 mv_reader_t *
 MvNode_AddReader(mv_node_t *node)
@@ -238,8 +237,7 @@
     return verdict;
 }
 
-/* Inputs ---------------------------------------------------------------------
- */
+/* Inputs */
 
 void
 MvNode_Send(mv_node_t *node, mv_node_id_t to, mv_message_t *message)
@@ -295,8 +293,7 @@
     return now + TIMER_INTERVAL;
 }
 
-/* Reports
- * ---------------------------------------------------------------------- */
+/* Reports */
 
 mv_deployment_t *
 MvNode_Deployment(const mv_node_t *node)
--- a/packages/core/src/requests.c
+++ b/packages/core/src/requests.c
@@ -79,9 +79,7 @@
     return false;
 }
 
-/* Ends
- * ----------------------------------------------------------------------------
- */
+/* Ends */
 
 void
 MvRequests_Close(mv_requests_t *requests, mv_request_t *request)
@@ -161,9 +159,7 @@
     requests->effects->ops->dispatch(requests->effects, id, service, known);
 }
 
-/* Inputs
- * ----------------------------------------------------------------------------
- */
+/* Inputs */
 
 void
 MvRequests_View(mv_requests_t *requests, mv_time_t now,
--- a/packages/core/src/slots.c
+++ b/packages/core/src/slots.c
@@ -65,9 +65,7 @@
 
 static const mv_dispatcher_ops_t dispatcher_ops = {.send = dispatcher_send};
 
-/* Services
- * ----------------------------------------------------------------------------
- */
+/* Services */
 
 static void
 free_service(gpointer pointer)
@@ -139,8 +137,7 @@
     return owner;
 }
 
-/* What is held and what waits, for an owner that may not know.
- * ----------------------------- */
+/* What is held and what waits, for an owner that may not know */
 
 static void
 post_holdings(mv_slots_t *slots, service_t *service)
@@ -190,9 +187,7 @@
     }
 }
 
-/* Ownership
- * -------------------------------------------------------------------------------------
- */
+/* Ownership */
 
 static void
 become_owner(mv_slots_t *slots, mv_time_t now, service_t *service)
@@ -309,9 +304,7 @@
     }
 }
 
-/* Requests
- * --------------------------------------------------------------------------------------
- */
+/* Requests */
 
 void
 MvSlots_Enqueue(mv_slots_t *slots, mv_time_t now, mv_request_t *request)
@@ -455,8 +448,7 @@
                             .left_ms = flag});
 }
 
-/* Records from owners and other nodes
- * ------------------------------------------------------------ */
+/* Records from owners and other nodes */
 
 static void
 take_grant(mv_slots_t *slots, mv_time_t now, service_t *service,
--- /dev/null
+++ b/packages/core/src/turns.c
@@ -0,0 +1,280 @@
+/* Who waits for a slot, and whose turn it is. */
+#include "dispatcher_private.h"
+
+/* Grants that a class may catch up on after it had nothing waiting. */
+#define MAX_CREDIT 16.0
+#define LOOK_AHEAD 8
+/* How far behind the first a request at the slot's own node may be. */
+#define SAME_NODE_LOOK_AHEAD 128
+#define MAX_WAITING 65536
+/* A request should be able to take this many mean times before its deadline.
+ */
+#define FINISH_MARGIN 6.0
+
+static uint32_t
+weight_of(const mv_dispatcher_t *dispatcher, uint32_t member)
+{
+    const mv_deployment_t *deployment = dispatcher->deployment;
+    for (uint16_t i = 0; i < deployment->member_count; i++) {
+        if (g_str_hash(deployment->members[i].name) == member) {
+            return MAX(deployment->members[i].weight, 1);
+        }
+    }
+    return 1;
+}
+
+turn_t *
+MvTurns_Get(mv_dispatcher_t *dispatcher, work_queue_t *work, uint32_t member)
+{
+    gpointer key = GUINT_TO_POINTER(member);
+    turn_t *turn = g_hash_table_lookup(work->by_member, key);
+    if (turn) {
+        return turn;
+    }
+    turn = g_new0(turn_t, 1);
+    turn->member = member;
+    turn->weight = weight_of(dispatcher, member);
+    turn->work = work;
+    turn->virtual_time = work->virtual_time;
+    MvList_Init(&turn->waiters);
+    MvList_Append(&work->turns, &turn->link);
+    g_hash_table_insert(work->by_member, key, turn);
+    return turn;
+}
+
+void
+MvTurns_Drop(mv_dispatcher_t *dispatcher, waiter_t *waiter)
+{
+    turn_t *turn = waiter->turn;
+    if (waiter->next_of) {
+        waiter->next_of->next = NULL;
+    }
+    g_hash_table_remove(dispatcher->waiters, waiter);
+    if (!MvList_IsEmpty(&waiter->link)) {
+        MvList_Remove(&waiter->link);
+        turn->waiting--;
+        turn->work->waiting--;
+        dispatcher->waiting--;
+    }
+    else {
+        dispatcher->assigned--;
+    }
+    g_free(waiter);
+    turn->references--;
+    if (turn->references == 0) {
+        MvList_Remove(&turn->link);
+        g_hash_table_remove(turn->work->by_member,
+                            GUINT_TO_POINTER(turn->member));
+        g_free(turn);
+    }
+}
+
+uint32_t
+MvTurns_Urgency(const mv_dispatcher_t *dispatcher, size_t work)
+{
+    return work < dispatcher->service->work_count
+               ? dispatcher->service->work[work].urgency
+               : UINT8_MAX;
+}
+
+static double
+share_of(const mv_dispatcher_t *dispatcher, size_t work)
+{
+    return work < dispatcher->service->work_count
+               ? dispatcher->service->work[work].share / 100.0
+               : 0;
+}
+
+/* What more urgent work leaves, but never less than the guarantee. */
+static double
+expected_rate(const mv_dispatcher_t *dispatcher, size_t work)
+{
+    double left = dispatcher->rate;
+    uint32_t urgency = MvTurns_Urgency(dispatcher, work);
+    for (size_t i = 0; i < dispatcher->work_count; i++) {
+        if (i != work && MvTurns_Urgency(dispatcher, i) < urgency) {
+            left -= dispatcher->works[i].rate;
+        }
+    }
+    return MAX(left, dispatcher->rate * share_of(dispatcher, work));
+}
+
+static uint32_t
+active_weight(const work_queue_t *work)
+{
+    uint32_t sum = 0;
+    MV_LIST_FOREACH(item, &work->turns)
+    {
+        const turn_t *turn = MV_CONTAINER_OF(item, turn_t, link);
+        sum += MvList_IsEmpty(&turn->waiters) ? 0 : turn->weight;
+    }
+    return sum;
+}
+
+static mv_time_t
+finish_margin(const mv_dispatcher_t *dispatcher)
+{
+    return (mv_time_t)(dispatcher->held * FINISH_MARGIN);
+}
+
+/* Will it be able to finish before its deadline, going by its turn? */
+bool
+MvTurns_CanFinish(const mv_dispatcher_t *dispatcher, size_t work,
+                  const turn_t *turn, mv_time_t left)
+{
+    size_t ahead = turn->waiting;
+    double rate = expected_rate(dispatcher, work);
+    if (dispatcher->waiting >= MAX_WAITING) {
+        return false;
+    }
+    if (ahead == 0 || dispatcher->rate <= 0) {
+        return true;
+    }
+    if (rate <= 0) {
+        return ahead < MvDispatcher_UsableSlots(dispatcher);
+    }
+    double part =
+        (double)turn->weight / MAX(active_weight(&dispatcher->works[work]), 1);
+    double wait = (double)ahead / (rate * part) * MV_SECOND;
+    return wait + (double)finish_margin(dispatcher) < (double)left;
+}
+
+static work_queue_t *
+choose_work(mv_dispatcher_t *dispatcher)
+{
+    work_queue_t *entitled = NULL;
+    work_queue_t *urgent = NULL;
+    uint32_t entitled_urgency = UINT32_MAX;
+    uint32_t urgent_urgency = UINT32_MAX;
+    for (size_t i = 0; i < dispatcher->work_count; i++) {
+        work_queue_t *work = &dispatcher->works[i];
+        work->credit = MIN(work->credit + share_of(dispatcher, i), MAX_CREDIT);
+        if (work->waiting == 0) {
+            continue;
+        }
+        uint32_t urgency = MvTurns_Urgency(dispatcher, i);
+        if (work->credit >= 1 && urgency < entitled_urgency) {
+            entitled = work;
+            entitled_urgency = urgency;
+        }
+        if (urgency < urgent_urgency) {
+            urgent = work;
+            urgent_urgency = urgency;
+        }
+    }
+    work_queue_t *chosen = entitled ? entitled : urgent;
+    if (chosen) {
+        chosen->credit = MAX(chosen->credit - 1, 0);
+    }
+    return chosen;
+}
+
+static turn_t *
+choose_turn(work_queue_t *work)
+{
+    turn_t *best = NULL;
+    MV_LIST_FOREACH(item, &work->turns)
+    {
+        turn_t *turn = MV_CONTAINER_OF(item, turn_t, link);
+        if (!MvList_IsEmpty(&turn->waiters) &&
+            (!best || turn->virtual_time < best->virtual_time)) {
+            best = turn;
+        }
+    }
+    return best;
+}
+
+/* The first of the turn, or one close behind it that is nearer. */
+static waiter_t *
+choose_waiter(const mv_dispatcher_t *dispatcher, turn_t *turn,
+              mv_node_id_t node, uint32_t data_centre)
+{
+    unsigned looked = 0;
+    unsigned most = node == MV_NO_NODE ? LOOK_AHEAD : SAME_NODE_LOOK_AHEAD;
+    waiter_t *first = MV_CONTAINER_OF(turn->waiters.next, waiter_t, link);
+    waiter_t *near = NULL;
+    MV_LIST_FOREACH(item, &turn->waiters)
+    {
+        waiter_t *waiter = MV_CONTAINER_OF(item, waiter_t, link);
+        if (waiter->node == node) {
+            return waiter;
+        }
+        bool close = looked < LOOK_AHEAD && !near;
+        if (close &&
+            MvDispatcher_DataCentre(dispatcher, waiter->node) == data_centre) {
+            near = waiter;
+        }
+        if (++looked >= most) {
+            break;
+        }
+    }
+    return near ? near : first;
+}
+
+/* Take the next request off the queue, preferably at @node or near it. */
+waiter_t *
+MvTurns_TakeNext(mv_dispatcher_t *dispatcher, mv_node_id_t node,
+                 uint32_t data_centre)
+{
+    work_queue_t *work = choose_work(dispatcher);
+    if (!work) {
+        return NULL;
+    }
+    turn_t *turn = choose_turn(work);
+    waiter_t *waiter = choose_waiter(dispatcher, turn, node, data_centre);
+    work->virtual_time = MAX(work->virtual_time, turn->virtual_time);
+    turn->virtual_time += 1.0 / turn->weight;
+    work->granted++;
+    MvList_Remove(&waiter->link);
+    turn->waiting--;
+    work->waiting--;
+    dispatcher->waiting--;
+    dispatcher->assigned++;
+    return waiter;
+}
+
+/* One that was named as next goes back to the head of its member's turn. */
+void
+MvTurns_PutBack(mv_dispatcher_t *dispatcher, waiter_t *waiter)
+{
+    waiter->next_of->next = NULL;
+    waiter->next_of = NULL;
+    MvList_InsertBefore(waiter->turn->waiters.next, &waiter->link);
+    waiter->turn->waiting++;
+    waiter->turn->work->waiting++;
+    dispatcher->waiting++;
+    dispatcher->assigned--;
+}
+
+void
+MvTurns_Expire(mv_dispatcher_t *dispatcher, mv_time_t now)
+{
+    /* What has little time left when it comes may still try. */
+    mv_time_t margin =
+        dispatcher->waiting > MvDispatcher_UsableSlots(dispatcher)
+            ? finish_margin(dispatcher)
+            : 0;
+    for (size_t i = 0; i < dispatcher->work_count; i++) {
+        if (dispatcher->works[i].waiting == 0) {
+            continue;
+        }
+        MV_LIST_FOREACH(one, &dispatcher->works[i].turns)
+        {
+            turn_t *turn = MV_CONTAINER_OF(one, turn_t, link);
+            /* Oldest first; deadlines of one member mostly rise. */
+            while (!MvList_IsEmpty(&turn->waiters)) {
+                waiter_t *waiter =
+                    MV_CONTAINER_OF(turn->waiters.next, waiter_t, link);
+                bool last = waiter->link.next == &turn->waiters;
+                if (now + margin < waiter->deadline) {
+                    break;
+                }
+                MvDispatcher_Refuse(dispatcher, waiter->node, waiter->request);
+                MvTurns_Drop(dispatcher, waiter);
+                if (last) {
+                    break; /* The turn may be gone. */
+                }
+            }
+        }
+    }
+}
--- a/packages/core/test/fleet.cc
+++ b/packages/core/test/fleet.cc
@@ -76,8 +76,7 @@
     g_rand_free(grand_);
 }
 
-/* Deployments
- * ------------------------------------------------------------------ */
+/* Deployments */
 
 static void
 fill_service(mv_service_t *service, uint16_t id, unsigned endpoints,
@@ -181,8 +180,7 @@
     accept(make(0, 1));
 }
 
-/* Nodes
- * ------------------------------------------------------------------------- */
+/* Nodes */
 
 void
 fleet::effect_send(mv_effects_t *effects, mv_node_id_t to,
@@ -344,8 +342,7 @@
     dead_endpoints_.insert({service, endpoint});
 }
 
-/* Network
- * ------------------------------------------------------------------------- */
+/* Network */
 
 mv_time_t
 fleet::delay()
@@ -437,9 +434,7 @@
     run_until(now_ + duration);
 }
 
-/* Flows
- * -----------------------------------------------------------------------------
- */
+/* Flows */
 
 void
 fleet::traffic(double rate, double seconds, mv_time_t packet_gap)
--- a/packages/core/test/request_fleet.cc
+++ b/packages/core/test/request_fleet.cc
@@ -162,8 +162,7 @@
     return d;
 }
 
-/* Time and network
- * -------------------------------------------------------------- */
+/* Time and network */
 
 void
 request_fleet::at(mv_time_t when, std::function<void()> run)
@@ -229,9 +228,7 @@
     MvRequests_Message(m.requests, now_, message.get());
 }
 
-/* Members
- * --------------------------------------------------------------------------
- */
+/* Members */
 
 void
 request_fleet::start_member(mv_node_id_t id)
@@ -287,21 +284,27 @@
         mv_node_id_t id = m.first;
         uint32_t life = m.second->life;
         mv_time_t when = now_ == 0 ? now_ : now_ + late(random_);
-        auto apply = std::make_shared<std::function<void()>>();
-        *apply = [this, id, life, now_live, d, apply] {
-            member &one = *members_.at(id);
-            if (one.life != life || !one.alive) {
-                return;
-            }
-            if (now_ < one.paused_until) {
-                at(one.paused_until, *apply);
-                return;
-            }
-            MvRequests_View(one.requests, now_, d, now_live.data(),
-                            now_live.size());
-        };
-        at(when, *apply);
+        at(when, [this, id, life, now_live, d] {
+            apply_view(id, life, now_live, d);
+        });
+    }
+}
+
+void
+request_fleet::apply_view(mv_node_id_t id, uint32_t life,
+                          const std::vector<mv_request_member_t> &live,
+                          mv_deployment_t *d)
+{
+    member &one = *members_.at(id);
+    if (one.life != life || !one.alive) {
+        return;
+    }
+    if (now_ < one.paused_until) {
+        at(one.paused_until,
+           [this, id, life, live, d] { apply_view(id, life, live, d); });
+        return;
     }
+    MvRequests_View(one.requests, now_, d, live.data(), live.size());
 }
 
 void
@@ -386,9 +389,7 @@
     return ids;
 }
 
-/* Callers
- * -----------------------------------------------------------------------------
- */
+/* Callers */
 
 uint64_t
 request_fleet::submit(mv_node_id_t node, unsigned work, const std::string &who,
@@ -469,8 +470,7 @@
     });
 }
 
-/* Backend servers
- * ------------------------------------------------------------------------ */
+/* Backend servers */
 
 void
 request_fleet::dispatch(mv_node_id_t node, uint64_t id, uint16_t endpoint)
@@ -621,9 +621,7 @@
     return servers_[endpoint].last_start;
 }
 
-/* The checker
- * --------------------------------------------------------------------------------
- */
+/* The checker */
 
 std::vector<std::string>
 check_history(request_fleet &fleet, bool members_agreed)
--- a/packages/core/test/request_fleet.h
+++ b/packages/core/test/request_fleet.h
@@ -158,6 +158,9 @@
     void start_member(mv_node_id_t id);
     void tick(mv_node_id_t id, uint64_t life);
     void views();
+    void apply_view(mv_node_id_t id, uint32_t life,
+                    const std::vector<mv_request_member_t> &live,
+                    mv_deployment_t *d);
     void send(mv_node_id_t from, mv_node_id_t to, const mv_message_t *m);
     void deliver(mv_node_id_t to, std::shared_ptr<mv_message_t> message);
     void dispatch(mv_node_id_t node, uint64_t id, uint16_t endpoint);
--- a/packages/masticvaned/src/control.c
+++ b/packages/masticvaned/src/control.c
@@ -40,8 +40,7 @@
     }
 }
 
-/* Actions of the node
- * ------------------------------------------------------------- */
+/* Actions of the node */
 
 static void
 effect_send(mv_effects_t *effects, mv_node_id_t to,
@@ -80,9 +79,7 @@
     .event = effect_event,
 };
 
-/* State dump
- * --------------------------------------------------------------------------
- */
+/* State dump */
 
 static char *
 dump_state(control_t *control)
@@ -121,8 +118,7 @@
     free(text);
 }
 
-/* Messages and commands
- * ------------------------------------------------------------------ */
+/* Messages and commands */
 
 static void
 take_message(void *context, const mv_message_t *message)
@@ -159,9 +155,7 @@
     MvNode_Config(control->daemon->node, g_get_monotonic_time(), deployment);
 }
 
-/* Loop
- * ----------------------------------------------------------------------------------------
- */
+/* Loop */
 
 static void
 publish_members(control_t *control, mv_time_t now)
--- a/packages/masticvaned/src/proxy.c
+++ b/packages/masticvaned/src/proxy.c
@@ -73,8 +73,7 @@
     return g_get_monotonic_time();
 }
 
-/* Callers
- * ----------------------------------------------------------------------- */
+/* Callers */
 
 /* The caller has its outcome, or is gone. */
 static void
@@ -250,8 +249,7 @@
     MvHttpMessage_Destroy(answer);
 }
 
-/* Backend servers
- * -------------------------------------------------------------------- */
+/* Backend servers */
 
 /* An answer as it is kept for a repeated key: fields, empty line, body. */
 static mv_buffer_t
@@ -402,8 +400,7 @@
     return backend;
 }
 
-/* Actions of the decisions
- * ----------------------------------------------------------------- */
+/* Actions of the decisions */
 
 static mv_http_message_t *
 onward_request(const exchange_t *exchange, mv_time_t now)
@@ -507,9 +504,7 @@
     .send = effect_send,
 };
 
-/* The thread
- * ------------------------------------------------------------------------------------
- */
+/* The thread */
 
 static void
 peer_message(void *context, const mv_message_t *message)
--- a/packages/net/include/masticvane/net.h
+++ b/packages/net/include/masticvane/net.h
@@ -17,8 +17,7 @@
 extern "C" {
 #endif
 
-/* Message codec --------------------------------------------------------------
- */
+/* Message codec */
 
 /**
  * MvMessage_Encode() - Append the msgpack form of @message to @out.
@@ -38,8 +37,7 @@
 /** MvMessage_Free() - Free a decoded message; NULL is accepted. */
 void MvMessage_Free(mv_message_t *message);
 
-/* Frames
- * ---------------------------------------------------------------------- */
+/* Frames */
 
 /** Longest frame body accepted. */
 #define MV_FRAME_MAX (8u << 20)
@@ -144,8 +142,7 @@
 mv_frame_check_t MvSealer_Open(mv_sealer_t *sealer, const uint8_t *data,
                                size_t length, mv_frame_t *frame);
 
-/* Relayed packets
- * ---------------------------------------------------------------- */
+/* Relayed packets */
 
 #define MV_RELAY_HEADER_BYTES 16
 
@@ -162,8 +159,7 @@
 bool MvRelay_Read(const mv_keyring_t *keyring, const uint8_t *data,
                   size_t length, uint8_t *hops);
 
-/* Event loop
- * ---------------------------------------------------------------------- */
+/* Event loop */
 
 /** typedef mv_loop_t - One thread's descriptors. */
 typedef struct mv_loop mv_loop_t;
@@ -208,9 +204,7 @@
 apr_socket_t *MvNet_Connect(apr_pool_t *pool, const char *address,
                             uint16_t port);
 
-/* Links
- * ------------------------------------------------------------------------------
- */
+/* Links */
 
 /** typedef mv_links_t - Frames to and from the other entry VMs. */
 typedef struct mv_links mv_links_t;
@@ -271,9 +265,7 @@
 /** MvReply_Send() - Answer a command, at most once. */
 void MvReply_Send(mv_reply_t *reply, const char *text, size_t length);
 
-/* HTTP/2
- * ---------------------------------------------------------------------------------
- */
+/* HTTP/2 */
 
 /**
  * struct mv_http_field - One header field.
--- a/packages/net/src/codec.c
+++ b/packages/net/src/codec.c
@@ -162,8 +162,7 @@
     return out->length > before;
 }
 
-/* Decoding
- * -------------------------------------------------------------------- */
+/* Decoding */
 
 static bool
 get_uint(const msgpack_object *object, uint64_t limit, uint64_t *out)
--- a/packages/net/src/frame.c
+++ b/packages/net/src/frame.c
@@ -24,8 +24,7 @@
     GHashTable *windows;
 };
 
-/* Keys
- * ------------------------------------------------------------------------ */
+/* Keys */
 
 static bool
 parse_key(const char *line, mv_key_t *key)
@@ -102,8 +101,7 @@
     return NULL;
 }
 
-/* Frames
- * ------------------------------------------------------------------------ */
+/* Frames */
 
 mv_sealer_t *
 MvSealer_Create(const mv_keyring_t *keyring, mv_node_id_t sender,
--- a/packages/net/src/h2.c
+++ b/packages/net/src/h2.c
@@ -40,8 +40,7 @@
     size_t out_position;
 } stream_t;
 
-/* Messages
- * ---------------------------------------------------------------------- */
+/* Messages */
 
 mv_http_message_t *
 MvHttpMessage_Create(void)
@@ -100,8 +99,7 @@
     return NULL;
 }
 
-/* Streams
- * ------------------------------------------------------------------------- */
+/* Streams */
 
 static stream_t *
 add_stream(mv_h2_t *h2, int32_t id)
@@ -130,8 +128,7 @@
     return nghttp2_session_get_stream_user_data(h2->session, id);
 }
 
-/* Callbacks from nghttp2
- * ------------------------------------------------------------ */
+/* Callbacks from nghttp2 */
 
 static int
 on_begin_headers(nghttp2_session *session, const nghttp2_frame *frame,
@@ -244,9 +241,7 @@
     return (ssize_t)part;
 }
 
-/* Socket
- * ------------------------------------------------------------------------------
- */
+/* Socket */
 
 static void
 update_watch(mv_h2_t *h2)
@@ -376,9 +371,7 @@
     }
 }
 
-/* Public
- * --------------------------------------------------------------------------------
- */
+/* Public */
 
 static bool
 open_session(mv_h2_t *h2)
--- a/packages/net/src/links.c
+++ b/packages/net/src/links.c
@@ -102,8 +102,7 @@
     MvMessage_Free(message);
 }
 
-/* Connections
- * ------------------------------------------------------------------ */
+/* Connections */
 
 static void
 free_connection(connection_t *connection)
@@ -290,9 +289,7 @@
     }
 }
 
-/* Public
- * -----------------------------------------------------------------------------
- */
+/* Public */
 
 static void
 free_peer(gpointer pointer)
--- a/packages/platform/include/masticvane/platform.h
+++ b/packages/platform/include/masticvane/platform.h
@@ -122,8 +122,7 @@
                                const char *value, size_t length,
                                uint64_t index);
 
-/* Accepted configuration ---------------------------------------------------
- */
+/* Accepted configuration */
 
 /**
  * MvAccepted_Load() - Read the accepted configuration and wait for it.
--- a/packages/platform/src/accepted.c
+++ b/packages/platform/src/accepted.c
@@ -22,8 +22,7 @@
                            digest);
 }
 
-/* Waiting calls, for the command line
- * ------------------------------------------ */
+/* Waiting calls, for the command line */
 
 static mv_deployment_t *
 load_services(mv_store_t *store, const char *deployment, const char *root,
@@ -207,8 +206,7 @@
     }
 }
 
-/* The watch, for the daemon
- * ------------------------------------------------------ */
+/* The watch, for the daemon */
 
 struct mv_accepted_watch {
     mv_store_t *store;
--- a/standins/src/backends.c
+++ b/standins/src/backends.c
@@ -73,8 +73,7 @@
     ended = 1;
 }
 
-/* Packets
- * ------------------------------------------------------------------------- */
+/* Packets */
 
 static void
 take_packet(backend_t *backend, const uint8_t *data, size_t length)
@@ -124,9 +123,7 @@
     }
 }
 
-/* Requests
- * ---------------------------------------------------------------------------
- */
+/* Requests */
 
 static void
 begin(run_t *run)
@@ -287,9 +284,7 @@
     }
 }
 
-/* Setting up
- * ------------------------------------------------------------------------------
- */
+/* Setting up */
 
 static bool
 open_backend(world_t *world, const mv_service_t *service,
--- a/standins/src/callers.c
+++ b/standins/src/callers.c
@@ -100,8 +100,7 @@
     return NULL;
 }
 
-/* The platform's VM list
- * ------------------------------------------------------------ */
+/* The platform's VM list */
 
 static void
 take_vms(void *context, const mv_store_reply_t *reply)
@@ -140,9 +139,7 @@
     }
 }
 
-/* Flows
- * ---------------------------------------------------------------------------------
- */
+/* Flows */
 
 static void
 send_packet(callers_t *callers, const flow_t *flow, bool syn, bool fin)
@@ -209,9 +206,7 @@
     }
 }
 
-/* Requests
- * --------------------------------------------------------------------------------
- */
+/* Requests */
 
 static void send_request(callers_t *callers, request_t *request);
 
@@ -372,9 +367,7 @@
     send_request(callers, request);
 }
 
-/* Setting up
- * ---------------------------------------------------------------------------------
- */
+/* Setting up */
 
 static bool
 read_nodes(callers_t *callers, const char *path)
