Decoder checks array sizes before the library allocates for them

Cause: the address sanitizer found an allocation of 100 GB for a damaged message that said it held 4 billion members (frames are signed, so only a key holder could send it). Change: the items of a message are walked first; an array may not hold more items than bytes are left.

--- a/packages/net/src/codec.c
+++ b/packages/net/src/codec.c
@@ -419,6 +419,73 @@
     return true;
 }
 
+static uint64_t
+big_endian(const uint8_t *data, size_t length)
+{
+    uint64_t value = 0;
+    for (size_t i = 0; i < length; i++) {
+        value = value << 8 | data[i];
+    }
+    return value;
+}
+
+/*
+ * Size of the item at @data without its elements; of an array, @elements is
+ * set.  The only types that messages are made of are known.
+ *
+ * Return: 0 when it is of another type or not all there.
+ */
+static size_t
+item_size(const uint8_t *data, size_t left, uint64_t *elements)
+{
+    static const uint8_t int_bytes[] = {1, 2, 4, 8, 1, 2, 4, 8};
+    uint8_t type = data[0];
+    size_t prefix = 0;
+    *elements = 0;
+    if (type <= 0x7f || type >= 0xe0) {
+        return 1; /* Small numbers. */
+    }
+    if (type >= 0x90 && type <= 0x9f) {
+        *elements = type & 0x0f;
+        return 1;
+    }
+    if (type >= 0xcc && type <= 0xd3) {
+        size_t size = 1 + int_bytes[type - 0xcc];
+        return size <= left ? size : 0;
+    }
+    if (type >= 0xc4 && type <= 0xc6) {
+        prefix = (size_t)1 << (type - 0xc4);
+    }
+    if (type == 0xdc || type == 0xdd) {
+        prefix = type == 0xdc ? 2 : 4;
+    }
+    if (prefix == 0 || left < 1 + prefix) {
+        return 0;
+    }
+    uint64_t count = big_endian(data + 1, prefix);
+    if (type >= 0xdc) {
+        *elements = count;
+        return 1 + prefix;
+    }
+    return count <= left - 1 - prefix ? 1 + prefix + (size_t)count : 0;
+}
+
+/* The library allocates what an array says it holds: check that first. */
+static bool
+is_plausible(const uint8_t *data, size_t length)
+{
+    size_t at = 0;
+    while (at < length) {
+        uint64_t elements = 0;
+        size_t size = item_size(data + at, length - at, &elements);
+        if (size == 0 || elements > length - at) {
+            return false;
+        }
+        at += size;
+    }
+    return true;
+}
+
 mv_message_t *
 MvMessage_Decode(const uint8_t *data, size_t length)
 {
@@ -426,7 +493,8 @@
     size_t offset = 0;
     msgpack_unpacked_init(&result);
     mv_message_t *message = NULL;
-    if (msgpack_unpack_next(&result, (const char *)data, length, &offset) ==
+    if (is_plausible(data, length) &&
+        msgpack_unpack_next(&result, (const char *)data, length, &offset) ==
             MSGPACK_UNPACK_SUCCESS &&
         offset == length) {
         message = g_new0(mv_message_t, 1);
