A dead backend server loses its new flows; where all look dead, serving goes on

Cause: an endpoint that died kept a fourteenth of the new flows until an operator retired it. Change: sampled new flows tell whether an endpoint's callers go on; the home that decides about evenness moves a failed endpoint's buckets but one, and gives them back once that one answers.

--- a/packages/core/include/masticvane/core.h
+++ b/packages/core/include/masticvane/core.h
@@ -253,11 +253,15 @@
  * @service: service id
  * @endpoint: endpoint id
  * @open: SYN minus FIN and RST seen by the sender
+ * @answered: sampled new flows that went on, since the last report
+ * @silent: sampled new flows of which nothing more was seen
  */
 typedef struct mv_load_record {
     uint32_t service;
     uint32_t endpoint;
     int32_t open;
+    uint32_t answered;
+    uint32_t silent;
 } mv_load_record_t;
 
 /** enum mv_slot_op - What a slot record says. */
--- a/packages/core/src/balance.c
+++ b/packages/core/src/balance.c
@@ -4,6 +4,13 @@
 #include <string.h>
 
 #define BALANCE_INTERVAL (1 * MV_SECOND)
+#define HEALTH_INTERVAL (1 * MV_SECOND)
+/* Samples count for this many rounds. */
+#define ROUNDS_PER_WINDOW 8
+/* So many silent samples and no answered one: the endpoint has failed. */
+#define SILENT_SAMPLES 40
+/* Buckets that a mended endpoint gets back in one round. */
+#define RETURN_BUCKETS 4
 /* Services whose load is reported in one round. */
 #define SERVICES_PER_ROUND 8u
 /* Flows below which differences are noise that no move can mend. */
@@ -38,15 +45,28 @@
             g_hash_table_insert(service->heard_load, key, counts);
         }
         counts[record->endpoint] = record->open;
+        service->health[record->endpoint].answered += record->answered;
+        service->health[record->endpoint].silent += record->silent;
     }
 }
 
+/* The deciding home counts its own samples; its open flows it has. */
 static void
-send_service_load(mv_node_t *node, const mv_node_service_t *state)
+note_own(mv_node_service_t *state, const mv_message_t *message)
+{
+    for (size_t i = 0; i < message->load_count; i++) {
+        const mv_load_record_t *record = &message->loads[i];
+        state->health[record->endpoint].answered += record->answered;
+        state->health[record->endpoint].silent += record->silent;
+    }
+}
+
+static void
+send_service_load(mv_node_t *node, mv_node_service_t *state)
 {
     mv_node_id_t to = decider(node, state);
     const mv_service_t *service = state->service;
-    if (to == MV_NO_NODE || to == node->settings.id) {
+    if (to == MV_NO_NODE) {
         return;
     }
     GArray *records = g_array_new(FALSE, FALSE, sizeof(mv_load_record_t));
@@ -58,14 +78,23 @@
         mv_load_record_t record = {
             .service = service->id,
             .endpoint = id,
-            .open = __atomic_load_n(&state->open[id], __ATOMIC_RELAXED)};
+            .open = __atomic_load_n(&state->open[id], __ATOMIC_RELAXED),
+            .answered = (uint32_t)__atomic_exchange_n(
+                &state->open[MV_LOAD_SLOTS + id], 0, __ATOMIC_RELAXED),
+            .silent = state->health[id].silent_here};
+        state->health[id].silent_here = 0;
         g_array_append_val(records, record);
     }
     mv_message_t message = {.kind = MV_MESSAGE_LOAD,
                             .load_count = records->len,
                             .loads =
                                 (mv_load_record_t *)(void *)records->data};
-    MvNode_Send(node, to, &message);
+    if (to == node->settings.id) {
+        note_own(state, &message);
+    }
+    else {
+        MvNode_Send(node, to, &message);
+    }
     g_array_unref(records);
 }
 
@@ -115,7 +144,7 @@
 counts(const mv_node_t *node, const mv_node_service_t *state,
        uint16_t endpoint, mv_time_t now)
 {
-    return endpoint < state->load_slots &&
+    return endpoint < state->load_slots && !state->health[endpoint].failed &&
            MvBuckets_IsUsable(node, state, endpoint, now);
 }
 
@@ -198,12 +227,13 @@
     }
 }
 
-/* The decider asks: do it if the bucket is still as it thought. */
+/* The decider asks: do it where the bucket is still as it thought. */
 static void
 take_move(mv_node_t *node, mv_time_t now, const mv_message_t *message)
 {
     mv_node_service_t *state =
         MvBuckets_Service(node, (uint16_t)message->service);
+    uint64_t version = 0;
     for (size_t i = 0; state && i < message->bucket_count; i++) {
         const mv_bucket_update_t *update = &message->buckets[i];
         uint16_t to = (uint16_t)update->next;
@@ -215,9 +245,13 @@
         const mv_bucket_t *bucket = &state->buckets[update->bucket];
         if (bucket->phase == MV_BUCKET_STABLE &&
             bucket->endpoint == update->endpoint) {
-            move_here(node, now, state, update->bucket, to);
+            version = version ? version : MvNode_NextVersion(node, now);
+            MvBuckets_Move(state, now, update->bucket, to, version);
         }
     }
+    if (version) {
+        MvBuckets_Announce(node, now, state, version);
+    }
 }
 
 void
@@ -266,9 +300,215 @@
     }
 }
 
+/* Health: endpoints that answer nothing */
+
+static void
+count_silent(void *context, uint16_t service, uint16_t endpoint)
+{
+    mv_node_service_t *state = MvBuckets_Service(context, service);
+    if (state && endpoint < state->load_slots) {
+        state->health[endpoint].silent_here++;
+    }
+}
+
+/* Next endpoint that counts, in a circle after @endpoint. */
+static uint16_t
+next_good(const mv_node_t *node, const mv_node_service_t *state, mv_time_t now,
+          uint32_t *position)
+{
+    const mv_service_t *service = state->service;
+    for (uint16_t i = 0; i < service->endpoint_count; i++) {
+        *position = (*position + 1) % service->endpoint_count;
+        uint16_t id = service->endpoints[*position].id;
+        if (counts(node, state, id, now)) {
+            return id;
+        }
+    }
+    return MV_NO_ENDPOINT;
+}
+
+/* Moves asked of each home: node id to an array of bucket updates. */
+static GHashTable *
+create_asks(void)
+{
+    return g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
+                                 (GDestroyNotify)g_array_unref);
+}
+
+static void
+add_ask(const mv_node_t *node, const mv_node_service_t *state,
+        GHashTable *asks, uint32_t bucket, uint16_t to)
+{
+    uint32_t group = MvGroup_Of(state->service->id, bucket);
+    gpointer home = GUINT_TO_POINTER(node->homes.home[group]);
+    GArray *updates = g_hash_table_lookup(asks, home);
+    if (!updates) {
+        updates = g_array_new(FALSE, FALSE, sizeof(mv_bucket_update_t));
+        g_hash_table_insert(asks, home, updates);
+    }
+    mv_bucket_update_t update = {.bucket = bucket,
+                                 .endpoint = state->buckets[bucket].endpoint,
+                                 .next = to};
+    g_array_append_val(updates, update);
+}
+
+static void
+send_asks(mv_node_t *node, mv_time_t now, const mv_node_service_t *state,
+          GHashTable *asks)
+{
+    GHashTableIter iter;
+    gpointer home;
+    gpointer value;
+    g_hash_table_iter_init(&iter, asks);
+    while (g_hash_table_iter_next(&iter, &home, &value)) {
+        GArray *updates = value;
+        mv_node_id_t to = (mv_node_id_t)GPOINTER_TO_UINT(home);
+        mv_message_t message = {
+            .kind = MV_MESSAGE_MOVE,
+            .service = state->service->id,
+            .bucket_count = updates->len,
+            .buckets = (mv_bucket_update_t *)(void *)updates->data};
+        if (to == node->settings.id) {
+            take_move(node, now, &message);
+        }
+        else if (to != MV_NO_NODE) {
+            MvNode_Send(node, to, &message);
+        }
+    }
+    g_hash_table_unref(asks);
+}
+
+/* All but one of its buckets go elsewhere; the one shows when it is back. */
+static void
+move_away(mv_node_t *node, mv_time_t now, mv_node_service_t *state,
+          uint16_t from)
+{
+    uint32_t position = 0;
+    bool kept = false;
+    GHashTable *asks = create_asks();
+    for (uint32_t b = 0; b < state->count; b++) {
+        const mv_bucket_t *bucket = &state->buckets[b];
+        if (bucket->phase != MV_BUCKET_STABLE || bucket->endpoint != from) {
+            continue;
+        }
+        uint16_t to = next_good(node, state, now, &position);
+        if (kept && to != MV_NO_ENDPOINT) {
+            add_ask(node, state, asks, b, to);
+        }
+        kept = true;
+    }
+    send_asks(node, now, state, asks);
+}
+
+/* A few a round of the buckets that the configuration gives it come back. */
+static void
+move_back(mv_node_t *node, mv_time_t now, mv_node_service_t *state,
+          uint16_t to)
+{
+    unsigned asked = 0;
+    bool missing = false;
+    GHashTable *asks = create_asks();
+    for (uint32_t b = 0; b < state->count; b++) {
+        const mv_bucket_t *bucket = &state->buckets[b];
+        if (state->service->target[b] != to || MvBucket_ForNew(bucket) == to) {
+            continue;
+        }
+        missing = true;
+        if (bucket->phase == MV_BUCKET_STABLE && asked++ < RETURN_BUCKETS) {
+            add_ask(node, state, asks, b, to);
+        }
+    }
+    send_asks(node, now, state, asks);
+    state->health[to].returning = missing;
+}
+
+static void
+judge_endpoint(mv_node_t *node, mv_time_t now, mv_node_service_t *state,
+               uint16_t id, bool others_answer, bool may_fail)
+{
+    mv_health_t *health = &state->health[id];
+    if (health->answered > 0) {
+        if (health->failed) {
+            node->effects->ops->event(node->effects, MV_EVENT_ENDPOINT_ANSWERS,
+                                      id, state->service->id);
+            health->returning = true;
+        }
+        health->failed = false;
+    }
+    else if (health->silent >= SILENT_SAMPLES && others_answer &&
+             !health->failed && may_fail) {
+        health->failed = true;
+        node->effects->ops->event(node->effects, MV_EVENT_ENDPOINT_UNREACHABLE,
+                                  id, state->service->id);
+    }
+    if (health->failed) {
+        move_away(node, now, state, id);
+    }
+    else if (health->returning && MvBuckets_IsUsable(node, state, id, now)) {
+        move_back(node, now, state, id);
+    }
+}
+
+/* Where everything looks dead, keep serving: at most half may fail. */
+static void
+judge_service(mv_node_t *node, mv_time_t now, mv_node_service_t *state)
+{
+    const mv_service_t *service = state->service;
+    uint32_t answering = 0;
+    uint32_t failed = 0;
+    for (uint16_t i = 0; i < service->endpoint_count; i++) {
+        uint16_t id = service->endpoints[i].id;
+        if (id < state->load_slots) {
+            answering += state->health[id].answered > 0;
+            failed += state->health[id].failed;
+        }
+    }
+    bool enough = 2 * answering >= service->endpoint_count;
+    for (uint16_t i = 0; i < service->endpoint_count; i++) {
+        uint16_t id = service->endpoints[i].id;
+        if (id < state->load_slots) {
+            bool may_fail = 2 * (failed + 1) <= service->endpoint_count;
+            bool before = state->health[id].failed;
+            judge_endpoint(node, now, state, id, enough, may_fail);
+            failed += state->health[id].failed && !before;
+        }
+    }
+}
+
+static void
+forget_window(mv_node_service_t *state)
+{
+    for (uint32_t e = 0; e < state->load_slots; e++) {
+        state->health[e].answered = 0;
+        state->health[e].silent = 0;
+    }
+}
+
+static void
+health_timer(mv_node_t *node, mv_time_t now)
+{
+    if (now < node->next_health) {
+        return;
+    }
+    node->next_health = now + HEALTH_INTERVAL;
+    node->health_round++;
+    MvSamples_Collect(&node->samples, now, count_silent, node);
+    for (guint i = 0; i < node->services->len && node->ready; i++) {
+        mv_node_service_t *state = g_ptr_array_index(node->services, i);
+        if (decider(node, state) != node->settings.id) {
+            continue;
+        }
+        judge_service(node, now, state);
+        if (node->health_round % ROUNDS_PER_WINDOW == 0) {
+            forget_window(state);
+        }
+    }
+}
+
 void
 MvBalance_Timer(mv_node_t *node, mv_time_t now)
 {
+    health_timer(node, now);
     if (now >= node->next_load) {
         node->next_load = now + node->settings.load_interval;
         send_load(node);
--- a/packages/core/src/buckets.c
+++ b/packages/core/src/buckets.c
@@ -87,12 +87,13 @@
     state->service = service;
     state->count = service->bucket_count;
     state->buckets = g_new0(mv_bucket_t, state->count);
-    state->open = g_atomic_rc_box_alloc0(MV_LOAD_SLOTS * sizeof(int32_t));
+    state->open = g_atomic_rc_box_alloc0(2 * MV_LOAD_SLOTS * sizeof(int32_t));
     state->heard_load =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     /* Room for the endpoints that may still join. */
     state->load_slots =
         MIN(2u * service->last_endpoint_id + 16u, MV_LOAD_SLOTS);
+    state->health = g_new0(mv_health_t, state->load_slots);
     for (uint32_t b = 0; b < state->count; b++) {
         bool known = MvService_Endpoint(service, service->before[b]) != NULL;
         state->buckets[b].endpoint =
@@ -107,6 +108,7 @@
     MvViewService_Unref(service->view);
     g_hash_table_unref(service->heard_load);
     g_atomic_rc_box_release(service->open);
+    g_free(service->health);
     g_free(service->buckets);
     g_free(service);
 }
--- a/packages/core/src/node_private.h
+++ b/packages/core/src/node_private.h
@@ -11,6 +11,7 @@
 #define MV_CORE_NODE_PRIVATE_H
 
 #include "flow_table.h"
+#include "samples.h"
 #include "view.h"
 
 /** Control silence after which traffic threads relay everything. */
@@ -73,6 +74,22 @@
     uint32_t named;
 } mv_bucket_t;
 
+/**
+ * struct mv_health - How an endpoint looks to the entry VMs.
+ * @silent_here: silent samples of this node since its last report
+ * @answered: answered samples in the window, at the deciding home
+ * @silent: silent samples in the window, at the deciding home
+ * @failed: it gets no new flows but those of one bucket
+ * @returning: it answers again and gets its buckets back
+ */
+typedef struct mv_health {
+    uint32_t silent_here;
+    uint32_t answered;
+    uint32_t silent;
+    bool failed;
+    bool returning;
+} mv_health_t;
+
 /**
  * struct mv_node_service - Control state of one service.
  * @service: configuration, kept by the node's deployment
@@ -82,6 +99,7 @@
  * @due: buckets whose configured target this node has not seen announced
  * @view: what traffic threads see, NULL when it must be rebuilt
  * @open: open flows by endpoint id as this node counts them; shared box
+ * @health: what is known of each endpoint, @load_slots of them
  * @load_slots: endpoint ids below it are counted
  * @heard_load: node id to an array of @load_slots counts it last sent; kept
  *              by the home that decides about the service's evenness
@@ -95,6 +113,7 @@
     mv_view_service_t *view;
     int32_t *open;
     uint32_t load_slots;
+    mv_health_t *health;
     GHashTable *heard_load;
 } mv_node_service_t;
 
@@ -158,9 +177,12 @@
     size_t load_position;
     mv_time_t next_sweep;
     mv_time_t next_balance;
+    mv_time_t next_health;
+    unsigned health_round;
 
     /* Flow entries and handover. */
     mv_flow_table_t *flows;
+    mv_samples_t samples;
     mv_time_t next_copy;
     bool syncing;
     mv_time_t sync_started;
--- /dev/null
+++ b/packages/core/src/samples.c
@@ -0,0 +1,66 @@
+/* Samples of new flows, packed into one word each. */
+#include "samples.h"
+
+#define TIME_UNIT (64 * MV_MILLISECOND)
+#define TAG_SHIFT 48
+#define SERVICE_SHIFT 32
+#define ENDPOINT_SHIFT 16
+
+static uint64_t
+tag_of(uint64_t hash)
+{
+    return (hash >> TAG_SHIFT) | 1; /* A word in use is never 0. */
+}
+
+static uint16_t
+time_of(mv_time_t now)
+{
+    return (uint16_t)(now / TIME_UNIT);
+}
+
+void
+MvSamples_Opened(mv_samples_t *samples, uint64_t hash, uint16_t service,
+                 uint16_t endpoint, mv_time_t now)
+{
+    uint64_t *word = &samples->word[hash % MV_SAMPLES];
+    uint64_t empty = 0;
+    uint64_t fresh = tag_of(hash) << TAG_SHIFT |
+                     (uint64_t)service << SERVICE_SHIFT |
+                     (uint64_t)endpoint << ENDPOINT_SHIFT | time_of(now);
+    __atomic_compare_exchange_n(word, &empty, fresh, false, __ATOMIC_RELAXED,
+                                __ATOMIC_RELAXED);
+}
+
+uint16_t
+MvSamples_Continued(mv_samples_t *samples, uint64_t hash, uint16_t service)
+{
+    uint64_t *word = &samples->word[hash % MV_SAMPLES];
+    uint64_t seen = __atomic_load_n(word, __ATOMIC_RELAXED);
+    bool same = seen >> TAG_SHIFT == tag_of(hash) &&
+                (uint16_t)(seen >> SERVICE_SHIFT) == service;
+    if (!same ||
+        !__atomic_compare_exchange_n(word, &seen, 0, false, __ATOMIC_RELAXED,
+                                     __ATOMIC_RELAXED)) {
+        return MV_NO_ENDPOINT;
+    }
+    return (uint16_t)(seen >> ENDPOINT_SHIFT);
+}
+
+void
+MvSamples_Collect(mv_samples_t *samples, mv_time_t now, mv_silent_t silent,
+                  void *context)
+{
+    for (unsigned i = 0; i < MV_SAMPLES; i++) {
+        uint64_t *word = &samples->word[i];
+        uint64_t seen = __atomic_load_n(word, __ATOMIC_RELAXED);
+        uint16_t age = (uint16_t)(time_of(now) - (uint16_t)seen);
+        if (seen == 0 || age * TIME_UNIT < MV_SAMPLE_WAIT) {
+            continue;
+        }
+        if (__atomic_compare_exchange_n(word, &seen, 0, false,
+                                        __ATOMIC_RELAXED, __ATOMIC_RELAXED)) {
+            silent(context, (uint16_t)(seen >> SERVICE_SHIFT),
+                   (uint16_t)(seen >> ENDPOINT_SHIFT));
+        }
+    }
+}
--- a/packages/core/src/steer.c
+++ b/packages/core/src/steer.c
@@ -18,14 +18,33 @@
     }
 }
 
+/* Does the endpoint answer?  Its callers' next packets tell. */
+static void
+sample(mv_node_t *node, const mv_view_service_t *service, uint16_t endpoint,
+       const mv_packet_t *packet, uint64_t hash, mv_time_t now)
+{
+    if (packet->is_syn) {
+        MvSamples_Opened(&node->samples, hash, service->service->id, endpoint,
+                         now);
+        return;
+    }
+    uint16_t answered =
+        MvSamples_Continued(&node->samples, hash, service->service->id);
+    if (answered < MV_LOAD_SLOTS) {
+        __atomic_fetch_add(&service->open[MV_LOAD_SLOTS + answered], 1,
+                           __ATOMIC_RELAXED);
+    }
+}
+
 static mv_verdict_t
 forward(mv_node_t *node, const mv_view_service_t *service, uint16_t id,
-        const mv_packet_t *packet)
+        const mv_packet_t *packet, uint64_t hash, mv_time_t now)
 {
     const mv_endpoint_t *endpoint = MvService_Endpoint(service->service, id);
     if (!endpoint) {
         return drop(MV_COUNTER_PACKETS_NO_ENDPOINT);
     }
+    sample(node, service, id, packet, hash, now);
     if (packet->is_syn) {
         MvCounters_Add(node->counters, MV_COUNTER_FLOWS_NEW, 1);
         count_open(service, id, 1);
@@ -115,7 +134,7 @@
         return relay(id, home, hops);
     }
     if (bucket->phase == MV_BUCKET_STABLE && hops == 0) {
-        return forward(node, service, bucket->endpoint, &packet);
+        return forward(node, service, bucket->endpoint, &packet, hash, now);
     }
     uint32_t now_ms = MvNode_Milliseconds(now);
     uint16_t endpoint =
@@ -128,5 +147,5 @@
     if (endpoint == MV_NO_ENDPOINT) {
         endpoint = name_flow(node, bucket, key, &packet, now_ms);
     }
-    return forward(node, service, endpoint, &packet);
+    return forward(node, service, endpoint, &packet, hash, now);
 }
--- a/packages/core/src/view.h
+++ b/packages/core/src/view.h
@@ -33,7 +33,8 @@
  * @service: its configuration, kept by @deployment
  * @deployment: reference that keeps @service
  * @mask: number of buckets minus one
- * @open: open flows by endpoint id, added to by traffic threads; shared
+ * @open: counts by endpoint id, added to by traffic threads; shared: open
+ *        flows, and from MV_LOAD_SLOTS on answered samples
  * @buckets: the buckets
  */
 typedef struct mv_view_service {
@@ -94,7 +95,8 @@
 
 /**
  * MvViewService_Create() - One reference, buckets zeroed.
- * @open: reference-counted box of MV_LOAD_SLOTS counts; a reference is taken
+ * @open: reference-counted box of 2 x MV_LOAD_SLOTS counts; a reference is
+ *        taken
  */
 mv_view_service_t *MvViewService_Create(mv_deployment_t *deployment,
                                         const mv_service_t *service,
--- a/packages/core/test/fleet.cc
+++ b/packages/core/test/fleet.cc
@@ -342,6 +342,12 @@
     dead_endpoints_.insert({service, endpoint});
 }
 
+void
+fleet::mend_endpoint(uint16_t service, uint16_t endpoint)
+{
+    dead_endpoints_.erase({service, endpoint});
+}
+
 /* Network */
 
 mv_time_t
@@ -483,7 +489,17 @@
     }
     flow &f = it->second;
     bool fin = now_ >= f.ends;
-    if (!f.broken) {
+    bool unanswered = f.endpoint == MV_NO_ENDPOINT;
+    if (unanswered) {
+        /* The caller's TCP sends its SYN again, and gives up in the end. */
+        fin = fin || ++f.tries > 4;
+        if (!fin) {
+            packet(f, true, false);
+            at(now_ + MV_SECOND, [this, number] { step_flow(number); });
+            return;
+        }
+    }
+    else if (!f.broken) {
         packet(f, false, fin);
     }
     if (fin || f.broken) {
@@ -604,6 +620,7 @@
         }
         if (dead_endpoints_.count({v.service, v.endpoint})) {
             totals_.dead_endpoint++;
+            totals_.unanswered += syn && f.tries == 0;
             if (f.endpoint == v.endpoint) {
                 break_flow(f, "endpoint dead");
             }
--- a/packages/core/test/fleet.h
+++ b/packages/core/test/fleet.h
@@ -47,6 +47,7 @@
         uint16_t endpoint = MV_NO_ENDPOINT;
         bool open = false;
         bool broken = false;
+        unsigned tries = 0;
         mv_time_t ends = 0;
     };
 
@@ -59,6 +60,7 @@
         uint64_t opened = 0;
         uint64_t dropped = 0;
         uint64_t dead_endpoint = 0;
+        uint64_t unanswered = 0;
         uint64_t control_bytes = 0;
         uint64_t messages = 0;
     };
@@ -102,6 +104,7 @@
     mv_node_t *node(mv_node_id_t id);
     std::vector<mv_node_id_t> live() const;
     void kill_endpoint(uint16_t service, uint16_t endpoint);
+    void mend_endpoint(uint16_t service, uint16_t endpoint);
 
     /** Flows: @rate a second, each living @seconds on average. */
     void traffic(double rate, double seconds, mv_time_t packet_gap);
--- a/packages/core/test/flows_test.cc
+++ b/packages/core/test/flows_test.cc
@@ -135,3 +135,53 @@
         EXPECT_EQ(MvNode_MovingBuckets(f.node(1)), 0u);
     }
 }
+
+struct health_case {
+    const char *name;
+    unsigned dead;
+    double most_unanswered;
+};
+
+TEST(Flows, DeadEndpointsLoseTheirNewFlowsUnlessAllLookDead)
+{
+    /* 14 endpoints: of what goes to the dead ones, a tenth is left. */
+    const health_case cases[] = {{"none", 0, 0.0},
+                                 {"one", 1, 0.1 / 14},
+                                 {"three", 3, 0.3 / 14},
+                                 {"all", 14, 1.0}};
+    for (const auto &c : cases) {
+        SCOPED_TRACE(c.name);
+        fleet_options options;
+        fleet f(options);
+        f.run_for(4 * MV_SECOND);
+        f.traffic(400, 10, 500 * MV_MILLISECOND);
+        f.run_for(10 * MV_SECOND);
+        for (unsigned e = 1; e <= c.dead; e++) {
+            f.kill_endpoint(1, (uint16_t)e);
+        }
+        f.run_for(25 * MV_SECOND);
+        uint64_t before = f.seen().unanswered;
+        uint64_t opened = f.seen().opened;
+        f.run_for(20 * MV_SECOND);
+        double share = (double)(f.seen().unanswered - before) /
+                       (double)(f.seen().opened - opened);
+        EXPECT_LE(share, c.most_unanswered);
+        /* Every endpoint still has its place: nothing was given up. */
+        std::set<uint16_t> used;
+        for (uint32_t b = 0; b < 1024; b++) {
+            used.insert(MvNode_EndpointOf(f.node(1), 1, b));
+        }
+        EXPECT_EQ(used.size(), 14u);
+        for (unsigned e = 1; e <= c.dead; e++) {
+            f.mend_endpoint(1, (uint16_t)e);
+        }
+        f.run_for(60 * MV_SECOND);
+        if (c.dead == 1) {
+            unsigned held = 0;
+            for (uint32_t b = 0; b < 1024; b++) {
+                held += MvNode_EndpointOf(f.node(1), 1, b) == 1;
+            }
+            EXPECT_GT(held, 10u) << "it does not get its share back";
+        }
+    }
+}
--- a/packages/net/src/codec.c
+++ b/packages/net/src/codec.c
@@ -7,7 +7,7 @@
 #define MESSAGE_FIELDS 13
 #define MEMBER_FIELDS 7
 #define BUCKET_FIELDS 5
-#define LOAD_FIELDS 3
+#define LOAD_FIELDS 5
 #define SLOT_FIELDS 10
 #define CLAIM_FIELDS 8
 /* Packed flow record: address, port, service, endpoint, idle in 100 ms. */
@@ -92,6 +92,8 @@
         msgpack_pack_uint32(packer, message->loads[i].service);
         msgpack_pack_uint32(packer, message->loads[i].endpoint);
         msgpack_pack_int32(packer, message->loads[i].open);
+        msgpack_pack_uint32(packer, message->loads[i].answered);
+        msgpack_pack_uint32(packer, message->loads[i].silent);
     }
 }
 
@@ -281,10 +283,14 @@
         const msgpack_object *row = &object->via.array.ptr[i];
         uint64_t service;
         uint64_t endpoint;
+        uint64_t answered;
+        uint64_t silent;
         if (row->type != MSGPACK_OBJECT_ARRAY ||
             row->via.array.size != LOAD_FIELDS ||
             !get_uint(&row->via.array.ptr[0], UINT16_MAX, &service) ||
-            !get_uint(&row->via.array.ptr[1], UINT16_MAX, &endpoint)) {
+            !get_uint(&row->via.array.ptr[1], UINT16_MAX, &endpoint) ||
+            !get_uint(&row->via.array.ptr[3], UINT32_MAX, &answered) ||
+            !get_uint(&row->via.array.ptr[4], UINT32_MAX, &silent)) {
             return false;
         }
         const msgpack_object *open = &row->via.array.ptr[2];
@@ -295,7 +301,9 @@
         }
         message->loads[i] = (mv_load_record_t){.service = (uint32_t)service,
                                                .endpoint = (uint32_t)endpoint,
-                                               .open = (int32_t)open->via.i64};
+                                               .open = (int32_t)open->via.i64,
+                                               .answered = (uint32_t)answered,
+                                               .silent = (uint32_t)silent};
     }
     return true;
 }
