Nodes probe out of step; fresh beliefs go first

Cause: nodes that start together probed the same member at the same time, so that a dead one was noticed by nobody for up to a whole round. Ruled out: a backlog of old beliefs (freshest first alone changed nothing). Change: each node begins its round at a random member; of the beliefs those passed on least often go first. Conclusion: mended; a test bounds it at 8 and 60 nodes.

--- a/packages/core/src/members.c
+++ b/packages/core/src/members.c
@@ -169,7 +169,34 @@
     };
 }
 
-/* Most recent beliefs first; the receiver always hears about itself. */
+/* The beliefs that were passed on least often, so that news overtake. */
+static size_t
+choose_freshest(mv_node_t *node, mv_node_id_t to, size_t wanted,
+                mv_member_t **chosen)
+{
+    size_t found = 0;
+    guint total = node->members->len;
+    guint start =
+        total ? (guint)g_rand_int_range(node->random, 0, (gint32)total) : 0;
+    for (guint i = 0; i < total; i++) {
+        mv_member_t *member =
+            g_ptr_array_index(node->members, (start + i) % total);
+        bool full = found == wanted;
+        if (member->spread_left == 0 || member->id == to ||
+            (full && member->spread_left <= chosen[found - 1]->spread_left)) {
+            continue;
+        }
+        size_t at = full ? found - 1 : found++;
+        while (at > 0 && chosen[at - 1]->spread_left < member->spread_left) {
+            chosen[at] = chosen[at - 1];
+            at--;
+        }
+        chosen[at] = member;
+    }
+    return found;
+}
+
+/* Freshest beliefs first; the receiver always hears about itself. */
 static size_t
 fill_updates(mv_node_t *node, mv_node_id_t to, mv_member_update_t *updates)
 {
@@ -179,16 +206,12 @@
     if (receiver && receiver->state >= MV_MEMBER_SUSPECT) {
         updates[count++] = update_of(receiver);
     }
-    guint total = node->members->len;
-    guint start =
-        total ? (guint)g_rand_int_range(node->random, 0, (gint32)total) : 0;
-    for (guint i = 0; i < total && count < UPDATES_PER_MESSAGE; i++) {
-        mv_member_t *member =
-            g_ptr_array_index(node->members, (start + i) % total);
-        if (member->spread_left > 0 && member->id != to) {
-            member->spread_left--;
-            updates[count++] = update_of(member);
-        }
+    mv_member_t *chosen[UPDATES_PER_MESSAGE];
+    size_t wanted = UPDATES_PER_MESSAGE - count;
+    size_t found = choose_freshest(node, to, wanted, chosen);
+    for (size_t i = 0; i < found; i++) {
+        chosen[i]->spread_left--;
+        updates[count++] = update_of(chosen[i]);
     }
     return count;
 }
--- a/packages/core/src/node.c
+++ b/packages/core/src/node.c
@@ -72,6 +72,8 @@
         MvMembers_Add(node, settings->peers[i]);
     }
     node->settings.peers = NULL;
+    /* Nodes that start together must not probe in step. */
+    node->probe_position = g_rand_int(random);
     MvHandover_Resync(node, now);
     return node;
 }
--- a/packages/core/test/flows_test.cc
+++ b/packages/core/test/flows_test.cc
@@ -215,3 +215,28 @@
         ASSERT_EQ(memcmp(&kept, &anew, sizeof(anew)), 0) << step;
     }
 }
+
+struct death_case {
+    unsigned nodes;
+    mv_time_t bound;
+};
+
+/* Stated: 5 s at 8 nodes; a member is probed by someone every 0.3 s at any
+ * size, so a larger fleet only spreads it longer. */
+TEST(Members, DeathIsKnownToAllInTime)
+{
+    const death_case cases[] = {{8, 5 * MV_SECOND}, {60, 8 * MV_SECOND}};
+    for (const auto &c : cases) {
+        fleet_options options;
+        options.nodes = c.nodes;
+        options.flow_capacity = 1024;
+        fleet f(options);
+        f.run_for(8 * MV_SECOND);
+        f.kill_node(3);
+        f.run_for(c.bound);
+        for (auto id : f.live()) {
+            EXPECT_FALSE(MvNode_IsAlive(f.node(id), 3))
+                << c.nodes << " nodes, node " << id;
+        }
+    }
+}
