A full backend server takes no new flow

Cause: connection limits were stored but not enforced. Change: at its limit an endpoint gives up its buckets but one; it gets them back, two a second, while it is below four fifths of the limit.

--- a/packages/core/src/balance.c
+++ b/packages/core/src/balance.c
@@ -10,7 +10,7 @@
 /* So many silent samples and no answered one: the endpoint has failed. */
 #define SILENT_SAMPLES 40
 /* Buckets that a mended endpoint gets back in one round. */
-#define RETURN_BUCKETS 4
+#define RETURN_BUCKETS 2
 /* Services whose load is reported in one round. */
 #define SERVICES_PER_ROUND 8u
 /* Flows below which differences are noise that no move can mend. */
@@ -145,6 +145,7 @@
        uint16_t endpoint, mv_time_t now)
 {
     return endpoint < state->load_slots && !state->health[endpoint].failed &&
+           !state->health[endpoint].full &&
            MvBuckets_IsUsable(node, state, endpoint, now);
 }
 
@@ -441,14 +442,32 @@
         node->effects->ops->event(node->effects, MV_EVENT_ENDPOINT_UNREACHABLE,
                                   id, state->service->id);
     }
-    if (health->failed) {
+    if (health->failed || health->full) {
         move_away(node, now, state, id);
     }
-    else if (health->returning && MvBuckets_IsUsable(node, state, id, now)) {
+    else if (health->returning && health->has_room &&
+             MvBuckets_IsUsable(node, state, id, now)) {
         move_back(node, now, state, id);
     }
 }
 
+/* A full endpoint takes no new flow until a tenth of its flows has ended. */
+static void
+judge_load(mv_node_service_t *state, const mv_endpoint_t *endpoint,
+           int64_t load)
+{
+    mv_health_t *health = &state->health[endpoint->id];
+    int64_t limit = endpoint->connection_limit;
+    health->has_room = load * 10 < limit * 8;
+    if (health->full && load * 10 < limit * 9) {
+        health->full = false;
+        health->returning = true;
+    }
+    else if (load >= limit) {
+        health->full = true;
+    }
+}
+
 /* Where everything looks dead, keep serving: at most half may fail. */
 static void
 judge_service(mv_node_t *node, mv_time_t now, mv_node_service_t *state)
@@ -464,11 +483,14 @@
         }
     }
     bool enough = 2 * answering >= service->endpoint_count;
+    int64_t load[MV_LOAD_SLOTS];
+    sum_load(state, load);
     for (uint16_t i = 0; i < service->endpoint_count; i++) {
         uint16_t id = service->endpoints[i].id;
         if (id < state->load_slots) {
             bool may_fail = 2 * (failed + 1) <= service->endpoint_count;
             bool before = state->health[id].failed;
+            judge_load(state, &service->endpoints[i], load[id]);
             judge_endpoint(node, now, state, id, enough, may_fail);
             failed += state->health[id].failed && !before;
         }
--- a/packages/core/src/node_private.h
+++ b/packages/core/src/node_private.h
@@ -80,13 +80,17 @@
  * @answered: answered samples in the window, at the deciding home
  * @silent: silent samples in the window, at the deciding home
  * @failed: it gets no new flows but those of one bucket
- * @returning: it answers again and gets its buckets back
+ * @full: it holds as many flows as it may
+ * @has_room: its flows are well below its limit
+ * @returning: it may take flows again and gets its buckets back
  */
 typedef struct mv_health {
     uint32_t silent_here;
     uint32_t answered;
     uint32_t silent;
     bool failed;
+    bool full;
+    bool has_room;
     bool returning;
 } mv_health_t;
 
--- a/packages/core/test/fleet.cc
+++ b/packages/core/test/fleet.cc
@@ -143,6 +143,7 @@
                    d->services[s].bucket_count * sizeof(uint16_t));
         }
     }
+    d->services[0].endpoints[0].connection_limit = options_.first_limit;
     d->source = g_strdup_printf("%d", (int)d->version);
     d->source_length = strlen(d->source);
     versions_[d->version] = d;
--- a/packages/core/test/fleet.h
+++ b/packages/core/test/fleet.h
@@ -36,6 +36,8 @@
     /* Its first datagrams are lost for this long. */
     mv_time_t datagram_loss_at_start = 600 * MV_MILLISECOND;
     uint32_t flow_capacity = 1 << 18;
+    /* Connection limit of the first endpoint of the first service. */
+    uint32_t first_limit = 2000;
     bool measure_bytes = false;
 };
 
--- a/packages/core/test/flows_test.cc
+++ b/packages/core/test/flows_test.cc
@@ -240,3 +240,21 @@
         }
     }
 }
+
+TEST(Flows, FullEndpointTakesNoMoreUntilItHasRoom)
+{
+    fleet_options options;
+    options.first_limit = 100;
+    fleet f(options);
+    f.run_for(4 * MV_SECOND);
+    /* Alone, each of the 14 endpoints would come to hold about 220. */
+    f.traffic(400, 10, 500 * MV_MILLISECOND);
+    int64_t most = 0;
+    for (int second = 0; second < 60; second++) {
+        f.run_for(MV_SECOND);
+        most = std::max(most, f.open_by_endpoint(1)[0]);
+    }
+    /* No new flow from 3 s after it is full; at most 25 a second till then. */
+    EXPECT_LE(most, 100 + 3 * 25);
+    EXPECT_EQ(f.seen().broken_flows, 0u);
+}
