--- a/packages/masticvaned/src/packets.c
+++ b/packages/masticvaned/src/packets.c
@@ -10,9 +10,23 @@
 
 #define PACKET_MAX 65536
 #define WAIT (100 * MV_MILLISECOND)
-#define BURST 256
+#define BATCH 32
+#define BATCHES_PER_WAKE 8
 #define SOCKET_BUFFER_BYTES (4 << 20)
 
+/* Packets that go out through one socket in one call. */
+typedef struct outbox {
+    unsigned count;
+    struct mmsghdr messages[BATCH];
+    struct iovec parts[BATCH];
+    struct sockaddr_in to[BATCH];
+} outbox_t;
+
+/* Room for a relay header in front of each packet. */
+typedef struct frame {
+    uint8_t bytes[MV_RELAY_HEADER_BYTES + PACKET_MAX];
+} frame_t;
+
 typedef struct packet_thread {
     mv_packets_t *packets;
     pthread_t thread;
@@ -26,6 +40,9 @@
     apr_socket_t *relay;
     int fabric_fd;
     int relay_fd;
+    frame_t *frames;
+    outbox_t forwards;
+    outbox_t relays;
 } packet_thread_t;
 
 struct mv_packets {
@@ -36,57 +53,110 @@
 };
 
 static void
-send_to(int fd, const struct sockaddr_in *to, const void *data, size_t length)
+post(outbox_t *outbox, const struct sockaddr_in *to, uint8_t *data,
+     size_t length)
+{
+    unsigned i = outbox->count++;
+    outbox->to[i] = *to;
+    outbox->parts[i] = (struct iovec){data, length};
+    outbox->messages[i].msg_hdr =
+        (struct msghdr){.msg_name = &outbox->to[i],
+                        .msg_namelen = sizeof(outbox->to[i]),
+                        .msg_iov = &outbox->parts[i],
+                        .msg_iovlen = 1};
+}
+
+/* What the socket does not take at once is lost, as on any network. */
+static void
+flush(outbox_t *outbox, int fd)
 {
-    while (sendto(fd, data, length, MSG_DONTWAIT, (const struct sockaddr *)to,
-                  sizeof(*to)) < 0 &&
-           errno == EINTR) {
+    unsigned sent = 0;
+    while (sent < outbox->count) {
+        int count = sendmmsg(fd, outbox->messages + sent, outbox->count - sent,
+                             MSG_DONTWAIT);
+        if (count <= 0 && errno != EINTR) {
+            /* The first one cannot be sent: go on behind it. */
+            count = 1;
+        }
+        sent += count > 0 ? (unsigned)count : 0;
     }
+    outbox->count = 0;
 }
 
-/* @frame has room for a relay header in front of the packet. */
 static void
-carry_out(packet_thread_t *thread, const mv_verdict_t *verdict, uint8_t *frame,
+carry_out(packet_thread_t *thread, const mv_verdict_t *verdict, frame_t *frame,
           size_t length)
 {
     mv_daemon_t *daemon = thread->packets->daemon;
-    uint8_t *packet = frame + MV_RELAY_HEADER_BYTES;
+    uint8_t *packet = frame->bytes + MV_RELAY_HEADER_BYTES;
     if (verdict->kind == MV_VERDICT_FORWARD) {
         struct sockaddr_in to = {.sin_family = AF_INET,
                                  .sin_port = htons(verdict->port),
                                  .sin_addr.s_addr = htonl(verdict->address)};
-        send_to(thread->fabric_fd, &to, packet, length);
+        post(&thread->forwards, &to, packet, length);
     }
     if (verdict->kind == MV_VERDICT_RELAY) {
         const struct sockaddr_in *to =
             &thread->packets->relay_address[verdict->node];
         MvRelay_Write(daemon->settings->keyring, daemon->settings->self.id,
-                      verdict->hops, packet, length, frame);
+                      verdict->hops, packet, length, frame->bytes);
         if (to->sin_family == AF_INET) {
-            send_to(thread->relay_fd, to, frame,
-                    length + MV_RELAY_HEADER_BYTES);
+            post(&thread->relays, to, frame->bytes,
+                 length + MV_RELAY_HEADER_BYTES);
         }
     }
 }
 
+/* Return: packets received, each @offset bytes into its frame. */
+static int
+receive(packet_thread_t *thread, int fd, size_t offset, size_t *lengths)
+{
+    struct mmsghdr messages[BATCH] = {0};
+    struct iovec parts[BATCH];
+    for (int i = 0; i < BATCH; i++) {
+        parts[i] = (struct iovec){thread->frames[i].bytes + offset,
+                                  sizeof(frame_t) - offset};
+        messages[i].msg_hdr.msg_iov = &parts[i];
+        messages[i].msg_hdr.msg_iovlen = 1;
+    }
+    int count = recvmmsg(fd, messages, BATCH, MSG_DONTWAIT, NULL);
+    for (int i = 0; i < count; i++) {
+        lengths[i] = messages[i].msg_len;
+    }
+    return MAX(count, 0);
+}
+
+static void
+decide(packet_thread_t *thread, frame_t *frame, size_t length, uint8_t hops)
+{
+    mv_verdict_t verdict = MvNode_Packet(
+        thread->packets->daemon->node, thread->reader, g_get_monotonic_time(),
+        frame->bytes + MV_RELAY_HEADER_BYTES, length, hops);
+    carry_out(thread, &verdict, frame, length);
+}
+
+static void
+flush_both(packet_thread_t *thread)
+{
+    flush(&thread->forwards, thread->fabric_fd);
+    flush(&thread->relays, thread->relay_fd);
+}
+
 static void
 fabric_ready(mv_watch_t *watch, int events)
 {
     packet_thread_t *thread =
         MV_CONTAINER_OF(watch, packet_thread_t, fabric_watch);
-    mv_daemon_t *daemon = thread->packets->daemon;
-    uint8_t frame[MV_RELAY_HEADER_BYTES + PACKET_MAX];
+    size_t lengths[BATCH];
+    int count = BATCH;
     (void)events;
-    for (int i = 0; i < BURST; i++) {
-        ssize_t length = recv(thread->fabric_fd, frame + MV_RELAY_HEADER_BYTES,
-                              PACKET_MAX, MSG_DONTWAIT);
-        if (length < 0) {
-            return;
+    for (int i = 0; i < BATCHES_PER_WAKE && count == BATCH; i++) {
+        count =
+            receive(thread, thread->fabric_fd, MV_RELAY_HEADER_BYTES, lengths);
+        for (int p = 0; p < count; p++) {
+            decide(thread, &thread->frames[p], lengths[p], 0);
         }
-        mv_verdict_t verdict =
-            MvNode_Packet(daemon->node, thread->reader, g_get_monotonic_time(),
-                          frame + MV_RELAY_HEADER_BYTES, (size_t)length, 0);
-        carry_out(thread, &verdict, frame, (size_t)length);
+        flush_both(thread);
     }
 }
 
@@ -96,25 +166,23 @@
     packet_thread_t *thread =
         MV_CONTAINER_OF(watch, packet_thread_t, relay_watch);
     mv_daemon_t *daemon = thread->packets->daemon;
-    uint8_t frame[MV_RELAY_HEADER_BYTES + PACKET_MAX];
+    size_t lengths[BATCH];
+    int count = BATCH;
     (void)events;
-    for (int i = 0; i < BURST; i++) {
-        uint8_t hops = 0;
-        ssize_t length =
-            recv(thread->relay_fd, frame, sizeof(frame), MSG_DONTWAIT);
-        if (length < 0) {
-            return;
-        }
-        if (!MvRelay_Read(daemon->settings->keyring, frame, (size_t)length,
-                          &hops)) {
-            MvCounters_Add(&daemon->counters, MV_COUNTER_FRAMES_REFUSED, 1);
-            continue;
+    for (int i = 0; i < BATCHES_PER_WAKE && count == BATCH; i++) {
+        count = receive(thread, thread->relay_fd, 0, lengths);
+        for (int p = 0; p < count; p++) {
+            frame_t *frame = &thread->frames[p];
+            uint8_t hops = 0;
+            if (!MvRelay_Read(daemon->settings->keyring, frame->bytes,
+                              lengths[p], &hops)) {
+                MvCounters_Add(&daemon->counters, MV_COUNTER_FRAMES_REFUSED,
+                               1);
+                continue;
+            }
+            decide(thread, frame, lengths[p] - MV_RELAY_HEADER_BYTES, hops);
         }
-        size_t inner = (size_t)length - MV_RELAY_HEADER_BYTES;
-        mv_verdict_t verdict =
-            MvNode_Packet(daemon->node, thread->reader, g_get_monotonic_time(),
-                          frame + MV_RELAY_HEADER_BYTES, inner, hops);
-        carry_out(thread, &verdict, frame, inner);
+        flush_both(thread);
     }
 }
 
@@ -150,6 +218,7 @@
     thread->fabric_watch.ready = fabric_ready;
     thread->relay_watch.ready = relay_ready;
     apr_pool_create(&thread->pool, NULL);
+    thread->frames = g_new(frame_t, BATCH);
     thread->loop = MvLoop_Create(thread->pool, 4);
     thread->reader = MvNode_AddReader(daemon->node);
     thread->fabric = open_socket(thread, daemon->settings->packet_port,
@@ -209,6 +278,7 @@
         if (packets->threads[i].started) {
             pthread_join(packets->threads[i].thread, NULL);
         }
+        g_free(packets->threads[i].frames);
         if (packets->threads[i].pool) {
             apr_pool_destroy(packets->threads[i].pool);
         }
