--- a/packages/core/src/claims.c
+++ b/packages/core/src/claims.c
@@ -2,54 +2,12 @@
  * Idempotency keys: each is claimed at its owner and copied to a second
  * before its request is dispatched, so that it runs at most once.
  */
-#include "requests_private.h"
+#include "claims_private.h"
 
 #include <string.h>
-#define XXH_INLINE_ALL
-#include <xxhash.h>
 
 #define SWEEP_INTERVAL (1 * MV_SECOND)
 #define SYNC_INTERVAL (300 * MV_MILLISECOND)
-#define MAX_HISTORY 256
-#define MAX_VIEWS 16
-
-typedef struct claim {
-    mv_key_hash_t key;
-    uint32_t state;
-    mv_node_id_t node;
-    mv_request_id_t request;
-    mv_time_t since;
-    bool copied;
-    char *bytes;
-    size_t length;
-} claim_t;
-
-/* An entry VM that vanished without handing over. */
-typedef struct loss {
-    mv_request_member_t member;
-    mv_time_t since;
-} loss_t;
-
-/* An entry VM and when it was first seen. */
-typedef struct arrival {
-    mv_request_member_t member;
-    mv_time_t since;
-} arrival_t;
-
-struct mv_claims {
-    mv_requests_t *requests;
-    GHashTable *claims;
-    GHashTable *synced;
-    GHashTable *handed_over;
-    GArray *losses;
-    GArray *arrivals;
-    GPtrArray *views;
-    bool ever_synced;
-    uint64_t epoch;
-    mv_time_t next_sweep;
-    mv_time_t next_sync;
-    bool leaving;
-};
 
 static void
 free_view(gpointer view)
@@ -111,66 +69,6 @@
     return g_hash_table_size(claims->claims);
 }
 
-/* Who owns a key */
-
-static uint64_t
-score(mv_key_hash_t key, mv_node_id_t node)
-{
-    uint64_t input[3] = {key.high, key.low, node};
-    return XXH3_64bits(input, sizeof(input));
-}
-
-/* Best of @members, leaving out one of them and one data centre. */
-static const mv_request_member_t *
-best_member(const mv_claims_t *claims, mv_key_hash_t key,
-            const mv_request_member_t *members, size_t count,
-            const mv_request_member_t *without, uint32_t apart)
-{
-    const mv_request_member_t *best = NULL;
-    uint64_t best_score = 0;
-    for (size_t i = 0; i < count; i++) {
-        bool leaving =
-            claims->leaving && members[i].id == claims->requests->self;
-        if (leaving || &members[i] == without ||
-            (apart && members[i].data_centre == apart)) {
-            continue;
-        }
-        uint64_t value = score(key, (mv_node_id_t)members[i].id);
-        if (!best || value > best_score) {
-            best = &members[i];
-            best_score = value;
-        }
-    }
-    return best;
-}
-
-/* Owner and second, in another data centre where there is one. */
-static void
-owners_among(const mv_claims_t *claims, mv_key_hash_t key,
-             const mv_request_member_t *members, size_t count,
-             mv_node_id_t out[2])
-{
-    const mv_request_member_t *owner =
-        best_member(claims, key, members, count, NULL, 0);
-    const mv_request_member_t *second = NULL;
-    if (owner && owner->data_centre) {
-        second = best_member(claims, key, members, count, owner,
-                             owner->data_centre);
-    }
-    if (owner && !second) {
-        second = best_member(claims, key, members, count, owner, 0);
-    }
-    out[0] = owner ? (mv_node_id_t)owner->id : MV_NO_NODE;
-    out[1] = second ? (mv_node_id_t)second->id : MV_NO_NODE;
-}
-
-static void
-owners(const mv_claims_t *claims, mv_key_hash_t key, mv_node_id_t out[2])
-{
-    const mv_requests_t *requests = claims->requests;
-    owners_among(claims, key, requests->members, requests->member_count, out);
-}
-
 /* Messages out */
 
 static void take_record(mv_claims_t *claims, mv_time_t now, mv_node_id_t from,
@@ -298,135 +196,6 @@
     }
 }
 
-/* Is the evidence complete? */
-
-static uint64_t
-epoch_of(const mv_requests_t *requests)
-{
-    return XXH3_64bits(requests->members,
-                       requests->member_count * sizeof(mv_request_member_t));
-}
-
-static bool
-is_synced_with(const mv_claims_t *claims, mv_node_id_t id)
-{
-    const uint64_t *epoch =
-        g_hash_table_lookup(claims->synced, GUINT_TO_POINTER(id));
-    return epoch && *epoch == claims->epoch;
-}
-
-static bool
-is_synced(const mv_claims_t *claims)
-{
-    const mv_requests_t *requests = claims->requests;
-    for (size_t i = 0; i < requests->member_count; i++) {
-        mv_node_id_t id = (mv_node_id_t)requests->members[i].id;
-        if (id != requests->self && !is_synced_with(claims, id)) {
-            return false;
-        }
-    }
-    return true;
-}
-
-static void
-remember_view(mv_claims_t *claims)
-{
-    const mv_requests_t *requests = claims->requests;
-    GArray *view = g_array_new(FALSE, FALSE, sizeof(mv_request_member_t));
-    g_array_append_vals(view, requests->members,
-                        (guint)requests->member_count);
-    g_ptr_array_add(claims->views, view);
-}
-
-/* From here on only the view in force counts. */
-static void
-note_synced(mv_claims_t *claims)
-{
-    if (claims->views->len > 1) {
-        g_ptr_array_set_size(claims->views, 0);
-        remember_view(claims);
-    }
-    claims->ever_synced = true;
-}
-
-/*
- * Evidence about @key is complete when all members told what they know, or
- * when this node was its owner or second in every view since they last did.
- */
-static bool
-has_evidence(mv_claims_t *claims, mv_key_hash_t key)
-{
-    mv_node_id_t self = claims->requests->self;
-    if (is_synced(claims)) {
-        note_synced(claims);
-        return true;
-    }
-    bool kept = claims->ever_synced && claims->views->len <= MAX_VIEWS;
-    for (guint i = 0; kept && i < claims->views->len; i++) {
-        const GArray *view = g_ptr_array_index(claims->views, i);
-        mv_node_id_t who[2];
-        owners_among(claims, key,
-                     (const mv_request_member_t *)(void *)view->data,
-                     view->len, who);
-        kept = who[0] == self || who[1] == self;
-    }
-    return kept;
-}
-
-static bool
-is_lost(const mv_claims_t *claims, mv_node_id_t id)
-{
-    for (guint i = 0; i < claims->losses->len; i++) {
-        if (g_array_index(claims->losses, loss_t, i).member.id == id) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static bool
-is_recent(const mv_claims_t *claims, mv_time_t now, mv_node_id_t id)
-{
-    for (guint i = 0; i < claims->arrivals->len; i++) {
-        const arrival_t *one = &g_array_index(claims->arrivals, arrival_t, i);
-        if (one->member.id == id) {
-            return now - one->since < MV_KEY_WINDOW;
-        }
-    }
-    return false;
-}
-
-/*
- * An earlier claim of @key was kept by an owner and a second of the members
- * of its time.  Members that arrived since were not among them.  When the
- * two that the others would have chosen were both lost, so may be the claim.
- */
-static bool
-may_have_lost(const mv_claims_t *claims, mv_time_t now, mv_key_hash_t key)
-{
-    const mv_requests_t *requests = claims->requests;
-    if (claims->losses->len < 2) {
-        return false;
-    }
-    GArray *then = g_array_new(FALSE, FALSE, sizeof(mv_request_member_t));
-    for (size_t i = 0; i < requests->member_count; i++) {
-        const mv_request_member_t *member = &requests->members[i];
-        mv_node_id_t id = (mv_node_id_t)member->id;
-        if (!is_recent(claims, now, id) && !is_lost(claims, id)) {
-            g_array_append_val(then, *member);
-        }
-    }
-    for (guint i = 0; i < claims->losses->len; i++) {
-        g_array_append_val(then,
-                           g_array_index(claims->losses, loss_t, i).member);
-    }
-    mv_node_id_t who[2];
-    owners_among(claims, key, (const mv_request_member_t *)(void *)then->data,
-                 then->len, who);
-    g_array_unref(then);
-    return is_lost(claims, who[0]) && is_lost(claims, who[1]);
-}
-
 /* Owner */
 
 static void
@@ -469,7 +238,7 @@
     mv_key_hash_t key = {.high = record->key_high, .low = record->key_low};
     mv_requests_t *requests = claims->requests;
     mv_node_id_t who[2];
-    owners(claims, key, who);
+    MvEvidence_Owners(claims, key, who);
     claim_t *claim = find(claims, key);
     bool own = who[0] == requests->self;
     if (claim && claim->state == MV_CLAIM_NOT_RUN && own) {
@@ -483,11 +252,11 @@
         answer_state(claims, now, from, record->request, claim);
         return;
     }
-    if (!own || claims->leaving || !has_evidence(claims, key)) {
+    if (!own || claims->leaving || !MvEvidence_IsComplete(claims, key)) {
         answer(claims, now, from, MV_CLAIM_RETRY, record);
         return;
     }
-    if (!claim && may_have_lost(claims, now, key)) {
+    if (!claim && MvEvidence_MayBeLost(claims, now, key)) {
         MvCounters_Add(requests->counters, MV_COUNTER_CLAIMS_REFUSED, 1);
         answer(claims, now, from, MV_CLAIM_LOST, record);
         return;
@@ -506,7 +275,7 @@
     mv_key_hash_t key = {.high = record->key_high, .low = record->key_low};
     claim_t *claim = find(claims, key);
     mv_node_id_t who[2];
-    owners(claims, key, who);
+    MvEvidence_Owners(claims, key, who);
     bool current = claim && claim->state == MV_CLAIMED &&
                    claim->node == record->node &&
                    claim->request == record->request &&
@@ -525,7 +294,7 @@
     mv_key_hash_t key = {.high = record->key_high, .low = record->key_low};
     claim_t *claim = find(claims, key);
     mv_node_id_t who[2];
-    owners(claims, key, who);
+    MvEvidence_Owners(claims, key, who);
     if (who[0] != from || who[1] != claims->requests->self) {
         return;
     }
@@ -552,7 +321,7 @@
 MvClaims_Ask(mv_claims_t *claims, mv_time_t now, mv_request_t *request)
 {
     mv_node_id_t who[2];
-    owners(claims, request->key, who);
+    MvEvidence_Owners(claims, request->key, who);
     if (who[0] == MV_NO_NODE) {
         return;
     }
@@ -643,7 +412,7 @@
 {
     mv_node_id_t self = claims->requests->self;
     mv_node_id_t who[2];
-    owners(claims, key, who);
+    MvEvidence_Owners(claims, key, who);
     bool kept = length <= MV_RETAINED_MAX;
     mv_claim_record_t record = {
         .op = MV_CLAIM_SETTLE,
@@ -703,7 +472,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         claim_t *claim = value;
         mv_node_id_t who[2];
-        owners(claims, claim->key, who);
+        MvEvidence_Owners(claims, claim->key, who);
         claim->copied = claim->copied && only != MV_NO_NODE;
         for (int i = 0; i < 2; i++) {
             bool wanted = only == MV_NO_NODE || only == who[i];
@@ -729,7 +498,7 @@
     mv_requests_t *requests = claims->requests;
     for (size_t i = 0; i < requests->member_count; i++) {
         mv_node_id_t id = (mv_node_id_t)requests->members[i].id;
-        if (id != requests->self && !is_synced_with(claims, id)) {
+        if (id != requests->self && !MvEvidence_IsSyncedWith(claims, id)) {
             send(claims, now, id,
                  (mv_claim_record_t){.op = MV_CLAIM_SYNC_ASK,
                                      .node = requests->self});
@@ -737,84 +506,19 @@
     }
 }
 
-static void
-note_losses(mv_claims_t *claims, mv_time_t now, const mv_request_member_t *old,
-            size_t old_count)
-{
-    const mv_requests_t *requests = claims->requests;
-    for (size_t i = 0; i < old_count; i++) {
-        bool there = false;
-        for (size_t j = 0; j < requests->member_count; j++) {
-            there = there ||
-                    !memcmp(&old[i], &requests->members[j], sizeof(old[i]));
-        }
-        gpointer life = GUINT_TO_POINTER(old[i].life ^ old[i].id);
-        if (there || g_hash_table_contains(claims->handed_over, life) ||
-            claims->losses->len >= MAX_HISTORY) {
-            continue;
-        }
-        loss_t loss = {.member = old[i], .since = now};
-        g_array_append_val(claims->losses, loss);
-    }
-}
-
-/* One that was only cut off or paused comes back with all it knew. */
-static void
-drop_returned(mv_claims_t *claims)
-{
-    const mv_requests_t *requests = claims->requests;
-    for (guint i = claims->losses->len; i-- > 0;) {
-        const loss_t *loss = &g_array_index(claims->losses, loss_t, i);
-        bool back = false;
-        for (size_t j = 0; j < requests->member_count; j++) {
-            back = back || !memcmp(&loss->member, &requests->members[j],
-                                   sizeof(loss->member));
-        }
-        if (back) {
-            g_array_remove_index(claims->losses, i);
-        }
-    }
-}
-
-static void
-note_arrivals(mv_claims_t *claims, mv_time_t now, bool first)
-{
-    const mv_requests_t *requests = claims->requests;
-    for (size_t i = 0; i < requests->member_count; i++) {
-        const mv_request_member_t *member = &requests->members[i];
-        bool known = false;
-        for (guint j = 0; j < claims->arrivals->len; j++) {
-            arrival_t *one = &g_array_index(claims->arrivals, arrival_t, j);
-            if (one->member.id == member->id) {
-                known = one->member.life == member->life;
-                if (!known) {
-                    one->member = *member;
-                    one->since = now;
-                }
-                known = true;
-            }
-        }
-        if (!known) {
-            arrival_t one = {.member = *member,
-                             .since = first ? now - MV_KEY_WINDOW : now};
-            g_array_append_val(claims->arrivals, one);
-        }
-    }
-}
-
 void
 MvClaims_View(mv_claims_t *claims, mv_time_t now,
               const mv_request_member_t *old, size_t old_count)
 {
-    uint64_t epoch = epoch_of(claims->requests);
+    uint64_t epoch = MvEvidence_Epoch(claims->requests);
     if (epoch == claims->epoch) {
         return;
     }
-    note_losses(claims, now, old, old_count);
-    drop_returned(claims);
-    note_arrivals(claims, now, claims->epoch == 0);
+    MvEvidence_NoteLosses(claims, now, old, old_count);
+    MvEvidence_DropReturned(claims);
+    MvEvidence_NoteArrivals(claims, now, claims->epoch == 0);
     claims->epoch = epoch;
-    remember_view(claims);
+    MvEvidence_RememberView(claims);
     send_records(claims, now, MV_NO_NODE);
     claims->next_sync = now + SYNC_INTERVAL;
 }
@@ -908,8 +612,8 @@
 {
     if (now >= claims->next_sync) {
         claims->next_sync = now + SYNC_INTERVAL;
-        if (is_synced(claims)) {
-            note_synced(claims);
+        if (MvEvidence_IsSynced(claims)) {
+            MvEvidence_NoteSynced(claims);
         }
         ask_unsynced(claims, now);
     }
--- /dev/null
+++ b/packages/core/src/claims_private.h
@@ -0,0 +1,91 @@
+/**
+ * DOC: What claims.c and evidence.c share.
+ *
+ * claims.c    claims of keys at owner, second and asker
+ * evidence.c  who keeps a key's claim, and whether all of it is known here
+ */
+#ifndef MV_CORE_CLAIMS_PRIVATE_H
+#define MV_CORE_CLAIMS_PRIVATE_H
+
+#include "requests_private.h"
+
+typedef struct claim {
+    mv_key_hash_t key;
+    uint32_t state;
+    mv_node_id_t node;
+    mv_request_id_t request;
+    mv_time_t since;
+    bool copied;
+    char *bytes;
+    size_t length;
+} claim_t;
+
+/* An entry VM that vanished without handing over. */
+typedef struct loss {
+    mv_request_member_t member;
+    mv_time_t since;
+} loss_t;
+
+/* An entry VM and when it was first seen. */
+typedef struct arrival {
+    mv_request_member_t member;
+    mv_time_t since;
+} arrival_t;
+
+struct mv_claims {
+    mv_requests_t *requests;
+    GHashTable *claims;
+    GHashTable *synced;
+    GHashTable *handed_over;
+    GArray *losses;
+    GArray *arrivals;
+    GPtrArray *views;
+    bool ever_synced;
+    uint64_t epoch;
+    mv_time_t next_sweep;
+    mv_time_t next_sync;
+    bool leaving;
+};
+
+/** MvEvidence_Owners() - Owner and second of a key, of the members in force.
+ */
+void MvEvidence_Owners(const mv_claims_t *claims, mv_key_hash_t key,
+                       mv_node_id_t out[2]);
+
+/** MvEvidence_Epoch() - Number of a view; equal views have equal numbers. */
+uint64_t MvEvidence_Epoch(const mv_requests_t *requests);
+
+/** MvEvidence_IsSyncedWith() - Member @id told what it knows, in the view in
+ * force. */
+bool MvEvidence_IsSyncedWith(const mv_claims_t *claims, mv_node_id_t id);
+
+/** MvEvidence_IsSynced() - All members did. */
+bool MvEvidence_IsSynced(const mv_claims_t *claims);
+
+/** MvEvidence_RememberView() - The view in force begins. */
+void MvEvidence_RememberView(mv_claims_t *claims);
+
+/** MvEvidence_NoteSynced() - From here on only the view in force counts. */
+void MvEvidence_NoteSynced(mv_claims_t *claims);
+
+/** MvEvidence_IsComplete() - What is known of @key here is all there is. */
+bool MvEvidence_IsComplete(mv_claims_t *claims, mv_key_hash_t key);
+
+/** MvEvidence_MayBeLost() - Those that kept an earlier claim of @key may be
+ * gone. */
+bool MvEvidence_MayBeLost(const mv_claims_t *claims, mv_time_t now,
+                          mv_key_hash_t key);
+
+/** MvEvidence_NoteLosses() - Members of the old view that vanished without a
+ * word. */
+void MvEvidence_NoteLosses(mv_claims_t *claims, mv_time_t now,
+                           const mv_request_member_t *old, size_t old_count);
+
+/** MvEvidence_DropReturned() - One that was only cut off comes back with all
+ * it knew. */
+void MvEvidence_DropReturned(mv_claims_t *claims);
+
+/** MvEvidence_NoteArrivals() - Members that were not seen before. */
+void MvEvidence_NoteArrivals(mv_claims_t *claims, mv_time_t now, bool first);
+
+#endif
--- /dev/null
+++ b/packages/core/src/evidence.c
@@ -0,0 +1,261 @@
+/* Who keeps a key's claim, and whether all that was known of it is here. */
+#include "claims_private.h"
+
+#include <string.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#define MAX_HISTORY 256
+#define MAX_VIEWS 16
+
+static uint64_t
+score(mv_key_hash_t key, mv_node_id_t node)
+{
+    uint64_t input[3] = {key.high, key.low, node};
+    return XXH3_64bits(input, sizeof(input));
+}
+
+/* Best of @members, leaving out one of them and one data centre. */
+static const mv_request_member_t *
+best_member(const mv_claims_t *claims, mv_key_hash_t key,
+            const mv_request_member_t *members, size_t count,
+            const mv_request_member_t *without, uint32_t apart)
+{
+    const mv_request_member_t *best = NULL;
+    uint64_t best_score = 0;
+    for (size_t i = 0; i < count; i++) {
+        bool leaving =
+            claims->leaving && members[i].id == claims->requests->self;
+        if (leaving || &members[i] == without ||
+            (apart && members[i].data_centre == apart)) {
+            continue;
+        }
+        uint64_t value = score(key, (mv_node_id_t)members[i].id);
+        if (!best || value > best_score) {
+            best = &members[i];
+            best_score = value;
+        }
+    }
+    return best;
+}
+
+/* Owner and second, in another data centre where there is one. */
+static void
+owners_among(const mv_claims_t *claims, mv_key_hash_t key,
+             const mv_request_member_t *members, size_t count,
+             mv_node_id_t out[2])
+{
+    const mv_request_member_t *owner =
+        best_member(claims, key, members, count, NULL, 0);
+    const mv_request_member_t *second = NULL;
+    if (owner && owner->data_centre) {
+        second = best_member(claims, key, members, count, owner,
+                             owner->data_centre);
+    }
+    if (owner && !second) {
+        second = best_member(claims, key, members, count, owner, 0);
+    }
+    out[0] = owner ? (mv_node_id_t)owner->id : MV_NO_NODE;
+    out[1] = second ? (mv_node_id_t)second->id : MV_NO_NODE;
+}
+
+void
+MvEvidence_Owners(const mv_claims_t *claims, mv_key_hash_t key,
+                  mv_node_id_t out[2])
+{
+    const mv_requests_t *requests = claims->requests;
+    owners_among(claims, key, requests->members, requests->member_count, out);
+}
+
+uint64_t
+MvEvidence_Epoch(const mv_requests_t *requests)
+{
+    return XXH3_64bits(requests->members,
+                       requests->member_count * sizeof(mv_request_member_t));
+}
+
+bool
+MvEvidence_IsSyncedWith(const mv_claims_t *claims, mv_node_id_t id)
+{
+    const uint64_t *epoch =
+        g_hash_table_lookup(claims->synced, GUINT_TO_POINTER(id));
+    return epoch && *epoch == claims->epoch;
+}
+
+bool
+MvEvidence_IsSynced(const mv_claims_t *claims)
+{
+    const mv_requests_t *requests = claims->requests;
+    for (size_t i = 0; i < requests->member_count; i++) {
+        mv_node_id_t id = (mv_node_id_t)requests->members[i].id;
+        if (id != requests->self && !MvEvidence_IsSyncedWith(claims, id)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+MvEvidence_RememberView(mv_claims_t *claims)
+{
+    const mv_requests_t *requests = claims->requests;
+    GArray *view = g_array_new(FALSE, FALSE, sizeof(mv_request_member_t));
+    g_array_append_vals(view, requests->members,
+                        (guint)requests->member_count);
+    g_ptr_array_add(claims->views, view);
+}
+
+/* From here on only the view in force counts. */
+void
+MvEvidence_NoteSynced(mv_claims_t *claims)
+{
+    if (claims->views->len > 1) {
+        g_ptr_array_set_size(claims->views, 0);
+        MvEvidence_RememberView(claims);
+    }
+    claims->ever_synced = true;
+}
+
+/*
+ * Evidence about @key is complete when all members told what they know, or
+ * when this node was its owner or second in every view since they last did.
+ */
+bool
+MvEvidence_IsComplete(mv_claims_t *claims, mv_key_hash_t key)
+{
+    mv_node_id_t self = claims->requests->self;
+    if (MvEvidence_IsSynced(claims)) {
+        MvEvidence_NoteSynced(claims);
+        return true;
+    }
+    bool kept = claims->ever_synced && claims->views->len <= MAX_VIEWS;
+    for (guint i = 0; kept && i < claims->views->len; i++) {
+        const GArray *view = g_ptr_array_index(claims->views, i);
+        mv_node_id_t who[2];
+        owners_among(claims, key,
+                     (const mv_request_member_t *)(void *)view->data,
+                     view->len, who);
+        kept = who[0] == self || who[1] == self;
+    }
+    return kept;
+}
+
+static bool
+is_lost(const mv_claims_t *claims, mv_node_id_t id)
+{
+    for (guint i = 0; i < claims->losses->len; i++) {
+        if (g_array_index(claims->losses, loss_t, i).member.id == id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_recent(const mv_claims_t *claims, mv_time_t now, mv_node_id_t id)
+{
+    for (guint i = 0; i < claims->arrivals->len; i++) {
+        const arrival_t *one = &g_array_index(claims->arrivals, arrival_t, i);
+        if (one->member.id == id) {
+            return now - one->since < MV_KEY_WINDOW;
+        }
+    }
+    return false;
+}
+
+/*
+ * An earlier claim of @key was kept by an owner and a second of the members
+ * of its time.  Members that arrived since were not among them.  When the
+ * two that the others would have chosen were both lost, so may be the claim.
+ */
+bool
+MvEvidence_MayBeLost(const mv_claims_t *claims, mv_time_t now,
+                     mv_key_hash_t key)
+{
+    const mv_requests_t *requests = claims->requests;
+    if (claims->losses->len < 2) {
+        return false;
+    }
+    GArray *then = g_array_new(FALSE, FALSE, sizeof(mv_request_member_t));
+    for (size_t i = 0; i < requests->member_count; i++) {
+        const mv_request_member_t *member = &requests->members[i];
+        mv_node_id_t id = (mv_node_id_t)member->id;
+        if (!is_recent(claims, now, id) && !is_lost(claims, id)) {
+            g_array_append_val(then, *member);
+        }
+    }
+    for (guint i = 0; i < claims->losses->len; i++) {
+        g_array_append_val(then,
+                           g_array_index(claims->losses, loss_t, i).member);
+    }
+    mv_node_id_t who[2];
+    owners_among(claims, key, (const mv_request_member_t *)(void *)then->data,
+                 then->len, who);
+    g_array_unref(then);
+    return is_lost(claims, who[0]) && is_lost(claims, who[1]);
+}
+
+void
+MvEvidence_NoteLosses(mv_claims_t *claims, mv_time_t now,
+                      const mv_request_member_t *old, size_t old_count)
+{
+    const mv_requests_t *requests = claims->requests;
+    for (size_t i = 0; i < old_count; i++) {
+        bool there = false;
+        for (size_t j = 0; j < requests->member_count; j++) {
+            there = there ||
+                    !memcmp(&old[i], &requests->members[j], sizeof(old[i]));
+        }
+        gpointer life = GUINT_TO_POINTER(old[i].life ^ old[i].id);
+        if (there || g_hash_table_contains(claims->handed_over, life) ||
+            claims->losses->len >= MAX_HISTORY) {
+            continue;
+        }
+        loss_t loss = {.member = old[i], .since = now};
+        g_array_append_val(claims->losses, loss);
+    }
+}
+
+/* One that was only cut off or paused comes back with all it knew. */
+void
+MvEvidence_DropReturned(mv_claims_t *claims)
+{
+    const mv_requests_t *requests = claims->requests;
+    for (guint i = claims->losses->len; i-- > 0;) {
+        const loss_t *loss = &g_array_index(claims->losses, loss_t, i);
+        bool back = false;
+        for (size_t j = 0; j < requests->member_count; j++) {
+            back = back || !memcmp(&loss->member, &requests->members[j],
+                                   sizeof(loss->member));
+        }
+        if (back) {
+            g_array_remove_index(claims->losses, i);
+        }
+    }
+}
+
+void
+MvEvidence_NoteArrivals(mv_claims_t *claims, mv_time_t now, bool first)
+{
+    const mv_requests_t *requests = claims->requests;
+    for (size_t i = 0; i < requests->member_count; i++) {
+        const mv_request_member_t *member = &requests->members[i];
+        bool known = false;
+        for (guint j = 0; j < claims->arrivals->len; j++) {
+            arrival_t *one = &g_array_index(claims->arrivals, arrival_t, j);
+            if (one->member.id == member->id) {
+                known = one->member.life == member->life;
+                if (!known) {
+                    one->member = *member;
+                    one->since = now;
+                }
+                known = true;
+            }
+        }
+        if (!known) {
+            arrival_t one = {.member = *member,
+                             .since = first ? now - MV_KEY_WINDOW : now};
+            g_array_append_val(claims->arrivals, one);
+        }
+    }
+}
