One way to complain about a key and to read an address

Cause: answers and settings each had their own code to report a key with its place and to read an address. Change: MvIni_Complain and MvIni_Address in base serve both.

--- a/packages/base/include/masticvane/base.h
+++ b/packages/base/include/masticvane/base.h
@@ -286,6 +286,19 @@
                      int64_t low, int64_t high, int64_t fallback,
                      mv_findings_t *findings);
 
+/** MvIni_Complain() - Make a finding of a key, at its line or its section's.
+ */
+void MvIni_Complain(mv_ini_t *ini, const char *section, const char *key,
+                    const char *what, mv_findings_t *findings);
+
+/**
+ * MvIni_Address() - IPv4 address in host byte order; otherwise a finding.
+ *
+ * Return: the address, or 0 when absent or wrong.
+ */
+uint32_t MvIni_Address(mv_ini_t *ini, const char *section, const char *key,
+                       mv_findings_t *findings);
+
 /** MvIni_ReportUnused() - Make a finding of every entry nobody read. */
 void MvIni_ReportUnused(const mv_ini_t *ini, mv_findings_t *findings);
 
--- a/packages/base/src/ini.c
+++ b/packages/base/src/ini.c
@@ -1,5 +1,6 @@
 #include "masticvane/base.h"
 
+#include <arpa/inet.h>
 #include <ini.h>
 #include <inttypes.h>
 #include <string.h>
@@ -202,6 +203,30 @@
     return number;
 }
 
+void
+MvIni_Complain(mv_ini_t *ini, const char *section, const char *key,
+               const char *what, mv_findings_t *findings)
+{
+    char *where = g_strdup_printf("%s.%s", section, key);
+    mv_ini_entry_t *entry = MvIni_Get(ini, section, key);
+    int line = entry ? entry->line : MvIni_SectionLine(ini, section);
+    MvFindings_Add(findings, ini->file, line, where, "%s", what);
+    g_free(where);
+}
+
+uint32_t
+MvIni_Address(mv_ini_t *ini, const char *section, const char *key,
+              mv_findings_t *findings)
+{
+    struct in_addr address = {.s_addr = 0};
+    const char *value = MvIni_Text(ini, section, key, NULL, findings);
+    if (*value && inet_pton(AF_INET, value, &address) != 1) {
+        MvIni_Complain(ini, section, key, "not an IPv4 address; write a.b.c.d",
+                       findings);
+    }
+    return ntohl(address.s_addr);
+}
+
 void
 MvIni_ReportUnused(const mv_ini_t *ini, mv_findings_t *findings)
 {
--- a/packages/config/src/answers.c
+++ b/packages/config/src/answers.c
@@ -1,6 +1,5 @@
 #include "masticvane/config.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 
 #define MAX_PORT 65535
@@ -24,12 +23,7 @@
 add_finding(const reading_t *reading, const char *section, const char *key,
             const char *what)
 {
-    char *where = g_strdup_printf("%s.%s", section, key);
-    mv_ini_entry_t *entry = MvIni_Get(reading->ini, section, key);
-    int line = entry ? entry->line : MvIni_SectionLine(reading->ini, section);
-    MvFindings_Add(reading->findings, MvIni_File(reading->ini), line, where,
-                   "%s", what);
-    g_free(where);
+    MvIni_Complain(reading->ini, section, key, what, reading->findings);
 }
 
 static const char *
@@ -62,18 +56,6 @@
     g_strlcpy(out, name, MV_NAME_MAX);
 }
 
-static uint32_t
-read_address(const reading_t *reading, const char *section)
-{
-    struct in_addr address = {.s_addr = 0};
-    const char *value = text(reading, section, "address", NULL);
-    if (*value && inet_pton(AF_INET, value, &address) != 1) {
-        add_finding(reading, section, "address",
-                    "not an IPv4 address; write a.b.c.d");
-    }
-    return ntohl(address.s_addr);
-}
-
 bool
 MvAnswers_ParseTime(const char *value, int64_t now, int64_t *time)
 {
@@ -172,7 +154,8 @@
                     "not among deployment.data_centres");
     }
     g_strlcpy(endpoint.data_centre, where, MV_NAME_MAX);
-    endpoint.address = read_address(reading, section);
+    endpoint.address =
+        MvIni_Address(reading->ini, section, "address", reading->findings);
     endpoint.packet_port = (uint16_t)number(reading, section, "packet_port", 1,
                                             MAX_PORT, DEFAULT_PACKET_PORT);
     endpoint.request_port = (uint16_t)number(
@@ -206,7 +189,8 @@
              mv_service_t *service)
 {
     copy_name(reading, section, section + strlen("service "), service->name);
-    service->address = read_address(reading, section);
+    service->address =
+        MvIni_Address(reading->ini, section, "address", reading->findings);
     service->port =
         (uint16_t)number(reading, section, "port", 1, MAX_PORT, 443);
     service->ends_at = read_time(reading, section, "ends");
--- a/packages/masticvaned/src/settings.c
+++ b/packages/masticvaned/src/settings.c
@@ -1,6 +1,5 @@
 #include "settings.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 
 #define MAX_PORT 65535
@@ -18,11 +17,7 @@
 add_finding(const reading_t *reading, const char *section, const char *key,
             const char *what)
 {
-    char *where = g_strdup_printf("%s.%s", section, key);
-    mv_ini_entry_t *entry = MvIni_Get(reading->ini, section, key);
-    MvFindings_Add(reading->findings, MvIni_File(reading->ini),
-                   entry ? entry->line : 0, where, "%s", what);
-    g_free(where);
+    MvIni_Complain(reading->ini, section, key, what, reading->findings);
 }
 
 static int64_t
@@ -44,13 +39,9 @@
 read_where(const reading_t *reading, const char *section,
            mv_peer_settings_t *where)
 {
-    struct in_addr parsed;
+    MvIni_Address(reading->ini, section, "address", reading->findings);
     const char *address =
-        MvIni_Text(reading->ini, section, "address", NULL, reading->findings);
-    if (*address && inet_pton(AF_INET, address, &parsed) != 1) {
-        add_finding(reading, section, "address",
-                    "not an IPv4 address; write a.b.c.d");
-    }
+        MvIni_Text(reading->ini, section, "address", "", reading->findings);
     g_strlcpy(where->address, address, sizeof(where->address));
     where->control_port = port(reading, section, "control_port", 7400);
     where->request_peer_port =
