--- a/bench/src/flows_bench.cc
+++ b/bench/src/flows_bench.cc
@@ -180,6 +180,9 @@
 {
     report.section("Flows: cost of a drain, 5,000 new flows/s, 300,000 held");
     fleet_options options = options_for(1);
+    /* Far more flows than these endpoints may hold: not the matter here. */
+    options.limit = 1000000;
+    options.first_limit = 1000000;
     fleet f(options);
     f.encoded_size = bench_frame_size;
     f.run_for(4 * MV_SECOND);
--- a/packages/core/test/fleet.cc
+++ b/packages/core/test/fleet.cc
@@ -143,6 +143,11 @@
                    d->services[s].bucket_count * sizeof(uint16_t));
         }
     }
+    for (int n = 0; n < d->service_count; n++) {
+        for (int e = 0; e < d->services[n].endpoint_count; e++) {
+            d->services[n].endpoints[e].connection_limit = options_.limit;
+        }
+    }
     d->services[0].endpoints[0].connection_limit = options_.first_limit;
     d->source = g_strdup_printf("%d", (int)d->version);
     d->source_length = strlen(d->source);
--- a/packages/core/test/fleet.h
+++ b/packages/core/test/fleet.h
@@ -38,6 +38,8 @@
     uint32_t flow_capacity = 1 << 18;
     /* Connection limit of the first endpoint of the first service. */
     uint32_t first_limit = 2000;
+    /* Connection limit of the others. */
+    uint32_t limit = 2000;
     bool measure_bytes = false;
 };
 
