--- a/packages/core/src/node.c
+++ b/packages/core/src/node.c
@@ -187,6 +187,7 @@
     for (uint32_t group = 0; group < MV_GROUPS; group++) {
         fresh->other[group] = other_home(node, group);
     }
+    fresh->changing = node->previous_until > 0;
     fresh->fenced = node->syncing;
     fresh->epoch = node->epoch + 1;
     mv_view_t *old = node->view;
--- a/packages/core/test/flows_test.cc
+++ b/packages/core/test/flows_test.cc
@@ -326,3 +326,6 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, FlowSchedules,
                          testing::Range<uint64_t>(1, 21));
+
+/* A schedule that once broke a flow. */
+INSTANTIATE_TEST_SUITE_P(Found, FlowSchedules, testing::Values<uint64_t>(70));
