--- a/standins/src/blast.c
+++ b/standins/src/blast.c
@@ -52,7 +52,7 @@
 receive(void *argument)
 {
     sink_t *sink = argument;
-    uint8_t data[BATCH][PACKET_BYTES];
+    uint8_t data[BATCH][PACKET_BYTES] = {{0}};
     struct mmsghdr messages[BATCH] = {0};
     struct iovec parts[BATCH];
     for (int i = 0; i < BATCH; i++) {
@@ -76,7 +76,7 @@
 static void
 send_all(blast_t *blast, int fd)
 {
-    uint8_t data[BATCH][PACKET_BYTES];
+    uint8_t data[BATCH][PACKET_BYTES] = {{0}};
     struct mmsghdr messages[BATCH] = {0};
     struct iovec parts[BATCH];
     uint32_t number = 0;
