--- a/packages/core/src/node.c
+++ b/packages/core/src/node.c
@@ -186,8 +186,10 @@
     fresh->homes = node->homes;
     for (uint32_t group = 0; group < MV_GROUPS; group++) {
         fresh->other[group] = other_home(node, group);
+        fresh->was_home[group] =
+            node->previous_until > 0 &&
+            node->previous.home[group] == node->settings.id;
     }
-    fresh->changing = node->previous_until > 0;
     fresh->fenced = node->syncing;
     fresh->epoch = node->epoch + 1;
     mv_view_t *old = node->view;
--- a/packages/core/src/steer.c
+++ b/packages/core/src/steer.c
@@ -132,9 +132,9 @@
     bool fenced = now - fresh > MV_FENCE_AFTER;
     uint32_t now_ms = MvNode_Milliseconds(now);
     mv_node_id_t other = view->other[MvGroup_Of(id, number)];
-    if ((view->changing || other != MV_NO_NODE) && !packet.is_syn &&
+    if (view->was_home[MvGroup_Of(id, number)] && !packet.is_syn &&
         bucket->phase != MV_BUCKET_STABLE) {
-        /* While homes change, whoever can name the flow decides. */
+        /* Others may not know yet who is home: what was named here holds. */
         uint16_t known =
             MvFlowTable_Touch(node->flows, key, now_ms, packet.is_close);
         if (known != MV_NO_ENDPOINT) {
--- a/packages/core/src/view.h
+++ b/packages/core/src/view.h
@@ -63,7 +63,7 @@
  * @homes: homes of the groups
  * @other: another node that may know a flow of the group while homes change,
  *         MV_NO_NODE when there is none
- * @changing: homes changed, so that members may not agree about them
+ * @was_home: this node was home of the group until a moment ago
  * @fenced: relay everything, since this node's knowledge may be old
  * @index_mask: places in @index minus one
  * @service_count: entries in @services
@@ -75,7 +75,7 @@
     mv_list_t retired;
     mv_homes_t homes;
     mv_node_id_t other[MV_GROUPS];
-    bool changing;
+    bool was_home[MV_GROUPS];
     bool fenced;
     uint32_t index_mask;
     uint32_t service_count;
