A slow reader waits for itself: neither cut, nor in the way of others

Cause: when a caller's socket was full, the request thread waited up to 1 s for it and then dropped the connection, so that a slow reader of a large answer was cut and held up every other request meanwhile (found by reading). Change: what the socket does not take is kept and goes out when it has room. Figures: test with a reader that pauses in a 40 MiB answer: before its connection was dropped, after it gets all 40 MiB and another caller is answered within 50 turns of the loop.

--- a/packages/net/src/h2.c
+++ b/packages/net/src/h2.c
@@ -23,6 +23,7 @@
     bool failed;
     bool in_callback;
     bool shut_down;
+    mv_buffer_t rest;
     int32_t goaway_last;
     mv_time_t heard;
     mv_list_t streams;
@@ -247,43 +248,43 @@
 update_watch(mv_h2_t *h2)
 {
     int events = APR_POLLIN;
-    if (!h2->connected || nghttp2_session_want_write(h2->session)) {
+    if (!h2->connected || h2->rest.length > 0 ||
+        nghttp2_session_want_write(h2->session)) {
         events |= APR_POLLOUT;
     }
     MvLoop_Watch(h2->loop, &h2->watch, h2->socket, events);
 }
 
+/* Return: true when everything that was left over has gone out. */
+static bool
+write_rest(mv_h2_t *h2)
+{
+    while (h2->rest.length > 0 && !h2->failed) {
+        apr_size_t part = h2->rest.length;
+        apr_status_t status =
+            apr_socket_send(h2->socket, (const char *)h2->rest.data, &part);
+        MvBuffer_Consume(&h2->rest, part);
+        if (APR_STATUS_IS_EAGAIN(status)) {
+            return false;
+        }
+        h2->failed = status != APR_SUCCESS;
+    }
+    return !h2->failed;
+}
+
+/* A reader that is slow makes its own connection wait, and no other. */
 static void
 write_out(mv_h2_t *h2)
 {
-    for (;;) {
+    while (write_rest(h2)) {
         const uint8_t *data = NULL;
         ssize_t length = nghttp2_session_mem_send(h2->session, &data);
         if (length <= 0) {
-            h2->failed = h2->failed || length < 0;
+            h2->failed = length < 0;
             return;
         }
-        apr_size_t done = 0;
-        while (done < (apr_size_t)length) {
-            apr_size_t part = (apr_size_t)length - done;
-            apr_status_t status =
-                apr_socket_send(h2->socket, (const char *)data + done, &part);
-            done += part;
-            if (APR_STATUS_IS_EAGAIN(status)) {
-                /* Wait for room: a frame must go out in one piece. */
-                apr_pollfd_t fd = {.p = h2->pool,
-                                   .desc_type = APR_POLL_SOCKET,
-                                   .reqevents = APR_POLLOUT,
-                                   .desc.s = h2->socket};
-                apr_int32_t count = 0;
-                if (apr_poll(&fd, 1, &count, MV_SECOND) == APR_SUCCESS) {
-                    continue;
-                }
-            }
-            if (status != APR_SUCCESS) {
-                h2->failed = true;
-                return;
-            }
+        if (!MvBuffer_Append(&h2->rest, data, (size_t)length)) {
+            h2->failed = true;
         }
     }
 }
@@ -327,6 +328,7 @@
     }
     h2->ops->gone(h2);
     nghttp2_session_del(h2->session);
+    MvBuffer_Clear(&h2->rest);
     apr_socket_close(h2->socket);
     apr_pool_destroy(h2->pool);
     g_free(h2);
@@ -335,8 +337,9 @@
 static bool
 is_over(const mv_h2_t *h2)
 {
-    return h2->failed || (!nghttp2_session_want_read(h2->session) &&
-                          !nghttp2_session_want_write(h2->session));
+    return h2->failed ||
+           (h2->rest.length == 0 && !nghttp2_session_want_read(h2->session) &&
+            !nghttp2_session_want_write(h2->session));
 }
 
 static void
--- a/packages/net/test/net_test.cc
+++ b/packages/net/test/net_test.cc
@@ -1,7 +1,12 @@
 #include "masticvane/net.h"
 
+#include <apr_general.h>
+#include <apr_network_io.h>
 #include <gtest/gtest.h>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <random>
 
 namespace {
@@ -166,3 +171,155 @@
     MvKeyring_Destroy(ours);
     MvKeyring_Destroy(theirs);
 }
+
+namespace {
+
+/** A server that answers every request with @size bytes, and its clients. */
+struct h2_world {
+    apr_pool_t *pool = nullptr;
+    mv_loop_t *loop = nullptr;
+    mv_watch_t accept_watch = {};
+    apr_socket_t *listener = nullptr;
+    size_t size = 0;
+    bool answer_at_once = true;
+    size_t whole = 0;
+    size_t closed = 0;
+    size_t not_processed = 0;
+    size_t server_closed = 0;
+    size_t bytes = 0;
+    mv_h2_t *waiting = nullptr;
+    int32_t waiting_stream = 0;
+};
+
+void
+give(h2_world *world, mv_h2_t *h2, int32_t stream)
+{
+    mv_http_message_t *answer = MvHttpMessage_Create();
+    std::string body(world->size, 'x');
+    MvHttpMessage_Add(answer, ":status", "200");
+    MvBuffer_Append(&answer->body, body.data(), body.size());
+    MvH2_Answer(h2, stream, answer);
+    MvHttpMessage_Destroy(answer);
+}
+
+const mv_h2_ops_t kServer = {
+    [](mv_h2_t *h2, int32_t stream, mv_http_message_t *request) {
+        auto *world = static_cast<h2_world *>(MvH2_Context(h2));
+        MvHttpMessage_Destroy(request);
+        if (world->answer_at_once) {
+            give(world, h2, stream);
+        }
+        world->waiting = h2;
+        world->waiting_stream = stream;
+    },
+    [](mv_h2_t *h2, int32_t, bool) {
+        static_cast<h2_world *>(MvH2_Context(h2))->server_closed++;
+    },
+    [](mv_h2_t *) {},
+};
+
+const mv_h2_ops_t kClient = {
+    [](mv_h2_t *h2, int32_t, mv_http_message_t *answer) {
+        auto *world = static_cast<h2_world *>(MvH2_Context(h2));
+        world->whole++;
+        world->bytes += answer->body.length;
+        MvHttpMessage_Destroy(answer);
+    },
+    [](mv_h2_t *h2, int32_t, bool not_processed) {
+        auto *world = static_cast<h2_world *>(MvH2_Context(h2));
+        world->closed++;
+        world->not_processed += not_processed;
+    },
+    [](mv_h2_t *) {},
+};
+
+void
+accept_one(mv_watch_t *watch, int)
+{
+    auto *world = MV_CONTAINER_OF(watch, h2_world, accept_watch);
+    apr_pool_t *pool = nullptr;
+    apr_socket_t *socket = nullptr;
+    apr_pool_create(&pool, world->pool);
+    if (apr_socket_accept(&socket, world->listener, pool) == APR_SUCCESS) {
+        MvH2_Accept(world->loop, socket, pool, &kServer, world);
+    }
+}
+
+void
+open_world(h2_world *world, uint16_t port)
+{
+    apr_initialize();
+    apr_pool_create(&world->pool, nullptr);
+    world->loop = MvLoop_Create(world->pool, 64);
+    world->accept_watch.ready = accept_one;
+    world->listener = MvNet_Listen(world->pool, "127.90.0.1", port,
+                                   SOCK_STREAM, false, nullptr);
+    MvLoop_Watch(world->loop, &world->accept_watch, world->listener,
+                 APR_POLLIN);
+}
+
+void
+ask(mv_h2_t *h2)
+{
+    mv_http_message_t *request = MvHttpMessage_Create();
+    MvHttpMessage_Add(request, ":method", "GET");
+    MvHttpMessage_Add(request, ":scheme", "http");
+    MvHttpMessage_Add(request, ":authority", "booking");
+    MvHttpMessage_Add(request, ":path", "/");
+    MvH2_Request(h2, request);
+    MvHttpMessage_Destroy(request);
+}
+
+} // namespace
+
+TEST(H2, SlowReaderIsNeitherCutNorInTheWayOfOthers)
+{
+    h2_world world;
+    open_world(&world, 18080);
+    world.size = 40u << 20;
+    /* A caller that asks, takes 4 MiB of window, and reads nothing. */
+    int slow = socket(AF_INET, SOCK_STREAM, 0);
+    int small = 4096;
+    setsockopt(slow, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+    struct sockaddr_in where = {};
+    where.sin_family = AF_INET;
+    where.sin_port = htons(18080);
+    where.sin_addr.s_addr = htonl(0x7f5a0001);
+    ASSERT_EQ(connect(slow, (struct sockaddr *)&where, sizeof(where)), 0);
+    const char preface[] = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+    const unsigned char frames[] = {
+        /* SETTINGS: INITIAL_WINDOW_SIZE of 2^30 */
+        0, 0, 6, 4, 0, 0, 0, 0, 0, 0, 4, 0x40, 0, 0, 0,
+        /* WINDOW_UPDATE of the connection by 2^30 */
+        0, 0, 4, 8, 0, 0, 0, 0, 0, 0x40, 0, 0, 0,
+        /* HEADERS, END_STREAM and END_HEADERS: GET http / booking */
+        0, 0, 12, 1, 5, 0, 0, 0, 1, 0x82, 0x86, 0x84, 0x41, 7, 'b', 'o', 'o',
+        'k', 'i', 'n', 'g'};
+    ASSERT_GT(write(slow, preface, sizeof(preface) - 1), 0);
+    ASSERT_GT(write(slow, frames, sizeof(frames)), 0);
+    for (int i = 0; i < 50; i++) {
+        MvLoop_Run(world.loop, MV_MILLISECOND);
+    }
+    EXPECT_EQ(world.server_closed, 0u) << "the slow reader was cut";
+    /* Another caller is served within a bounded number of turns. */
+    world.size = 100;
+    mv_h2_t *other =
+        MvH2_Connect(world.loop, "127.90.0.1", 18080, &kClient, &world);
+    ask(other);
+    for (int i = 0; i < 50 && world.whole == 0; i++) {
+        MvLoop_Run(world.loop, MV_MILLISECOND);
+    }
+    EXPECT_EQ(world.whole, 1u);
+    /* Then the slow one reads, and gets all of it. */
+    size_t got = 0;
+    std::vector<char> bytes(1 << 16);
+    for (int i = 0; i < 200000 && got < (40u << 20); i++) {
+        ssize_t length = recv(slow, bytes.data(), bytes.size(), MSG_DONTWAIT);
+        got += length > 0 ? (size_t)length : 0;
+        if (length <= 0) {
+            MvLoop_Run(world.loop, MV_MILLISECOND);
+        }
+    }
+    EXPECT_GE(got, 40u << 20);
+    close(slow);
+}
