Cancelled work frees its slot when it surely ended, and suspends nobody

Cause: a cancelled dispatch counted as a failure of its backend server, which was then suspended for 0.5 s and cut to one slot; and the slot was free as soon as RST_STREAM was queued, before the backend server knew (found by reading). Change: what a caller gave up is returned without a verdict; a PING goes behind RST_STREAM, and the stream is over when it is answered.

--- a/packages/core/src/requests.c
+++ b/packages/core/src/requests.c
@@ -257,6 +257,9 @@
     uint16_t service = request->service;
     uint16_t endpoint = request->endpoint;
     uint32_t slot = request->slot;
+    /* What its caller gave up says nothing about the backend server. */
+    bool given_up = request->abandoned && result == MV_RESULT_BROKEN;
+    uint32_t flag = given_up ? MV_RETURN_UNUSED : return_flag(result);
     if (result == MV_RESULT_WHOLE) {
         /* Also when late: a repeated key then gets the real answer. */
         settle_claim(requests, now, request, MV_CLAIM_DONE, bytes, length);
@@ -273,7 +276,7 @@
         settle_failure(requests, now, request, result);
     }
     MvSlots_Released(requests->slots, now, service, endpoint, slot, id,
-                     return_flag(result));
+                     flag);
     MvSlots_Flush(requests->slots, now);
     return give;
 }
--- a/packages/core/test/request_fleet.cc
+++ b/packages/core/test/request_fleet.cc
@@ -63,6 +63,7 @@
         uint64_t id;
     };
     std::vector<waiting> queue;
+    std::map<uint64_t, waiting> runs;
 };
 
 const mv_request_effects_ops_t request_fleet::ops = {
@@ -86,7 +87,9 @@
         a.answer = std::string(bytes, length);
         a.ended = of(e)->owner->now_;
     },
-    [](mv_request_effects_t *, mv_request_id_t) {},
+    [](mv_request_effects_t *e, mv_request_id_t id) {
+        of(e)->owner->cancel_run(of(e)->id, id);
+    },
     [](mv_request_effects_t *e, mv_node_id_t to, const mv_message_t *m) {
         of(e)->owner->send(of(e)->id, to, m);
     },
@@ -485,6 +488,44 @@
        [this, node, id, endpoint] { arrive(node, id, endpoint); });
 }
 
+/* The backend server accepts the cancellation: its run ends. */
+void
+request_fleet::cancel_run(mv_node_id_t node, uint64_t id)
+{
+    if (!cancel_ends_runs) {
+        return;
+    }
+    uint16_t endpoint = attempts_[id].endpoint;
+    at(now_ + backend_delay(node, endpoint), [this, endpoint, id] {
+        cancelled_.insert(id);
+        for (auto &run : servers_[endpoint].runs) {
+            if (run.second.id == id) {
+                end_run(endpoint, run.first);
+                return;
+            }
+        }
+    });
+}
+
+void
+request_fleet::end_run(uint16_t endpoint, uint64_t run)
+{
+    server &s = servers_[endpoint];
+    auto it = s.runs.find(run);
+    if (it == s.runs.end()) {
+        return;
+    }
+    server::waiting w = it->second;
+    s.runs.erase(it);
+    account(endpoint);
+    s.running--;
+    mv_result_t result = s.broken || cancelled_.count(w.id) ? MV_RESULT_BROKEN
+                                                            : MV_RESULT_WHOLE;
+    at(now_ + backend_delay(w.node, endpoint),
+       [this, w, result] { answered(w.node, w.life, w.id, result); });
+    start_next(endpoint);
+}
+
 void
 request_fleet::break_endpoint(uint16_t endpoint)
 {
@@ -578,16 +619,10 @@
         s.running++;
         std::exponential_distribution<double> d(1.0 / options_.service_ms);
         double ms = d(random_);
-        at(now_ + (mv_time_t)(ms * MV_MILLISECOND), [this, endpoint, w] {
-            server &again = servers_[endpoint];
-            account(endpoint);
-            again.running--;
-            mv_result_t result =
-                again.broken ? MV_RESULT_BROKEN : MV_RESULT_WHOLE;
-            at(now_ + backend_delay(w.node, endpoint),
-               [this, w, result] { answered(w.node, w.life, w.id, result); });
-            start_next(endpoint);
-        });
+        uint64_t run = ++next_run_;
+        s.runs[run] = w;
+        at(now_ + (mv_time_t)(ms * MV_MILLISECOND),
+           [this, endpoint, run] { end_run(endpoint, run); });
     }
 }
 
--- a/packages/core/test/request_fleet.h
+++ b/packages/core/test/request_fleet.h
@@ -134,6 +134,9 @@
     mv_time_t last_start(uint16_t endpoint) const;
     size_t (*encoded_size)(const mv_message_t *) = nullptr;
 
+    /** Backend servers end a run that is cancelled. */
+    bool cancel_ends_runs = false;
+
     /** Planted faults, to show that the checker sees them. */
     bool plant_double_run = false;
     bool plant_lie_not_run = false;
@@ -166,6 +169,8 @@
     void dispatch(mv_node_id_t node, uint64_t id, uint16_t endpoint);
     void arrive(mv_node_id_t node, uint64_t id, uint16_t endpoint);
     void start_next(uint16_t endpoint);
+    void cancel_run(mv_node_id_t node, uint64_t id);
+    void end_run(uint16_t endpoint, uint64_t run);
     void account(uint16_t endpoint);
     void answered(mv_node_id_t node, uint64_t life, uint64_t id,
                   mv_result_t result);
@@ -192,6 +197,8 @@
     std::map<std::string, unsigned> runs_;
     std::vector<double> busy_;
     uint64_t next_id_ = 0;
+    uint64_t next_run_ = 0;
+    std::set<uint64_t> cancelled_;
     unsigned max_overrun_ = 0;
     uint64_t overruns_ = 0;
     uint64_t messages_ = 0;
--- a/packages/core/test/requests_test.cc
+++ b/packages/core/test/requests_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace {
 
 const std::vector<work_spec> kBooking = {
@@ -216,3 +218,44 @@
             << c.name;
     }
 }
+
+/* Wait that 99% of the answered requests stayed below. */
+static mv_time_t
+wait_p99(request_fleet &f)
+{
+    std::vector<mv_time_t> waits;
+    for (auto &pair : f.attempts()) {
+        if (pair.second.outcome == outcome_kind::answer) {
+            waits.push_back(pair.second.first_dispatch - pair.second.sent);
+        }
+    }
+    std::sort(waits.begin(), waits.end());
+    return waits[waits.size() * 99 / 100];
+}
+
+/* Callers that give up say nothing about the backend servers: with a quarter
+ * of them giving up, the others wait no longer than if all had stayed. */
+TEST(Requests, CancelledWorkDoesNotSuspendItsEndpoint)
+{
+    mv_time_t waits[2];
+    for (bool give_up : {false, true}) {
+        request_options options;
+        options.works = kBooking;
+        request_fleet f(options);
+        f.cancel_ends_runs = true;
+        f.load(336, 1, nobody, 10 * MV_SECOND, f.now() + 20 * MV_SECOND);
+        for (int i = 0; i < 2000; i++) {
+            uint64_t id = f.submit(any_node(f), 1, "", "", 10 * MV_SECOND);
+            f.run_for(8 * MV_MILLISECOND);
+            if (give_up) {
+                f.cancel(id);
+            }
+            f.run_for(2 * MV_MILLISECOND);
+        }
+        f.run_for(12 * MV_SECOND);
+        waits[give_up] = wait_p99(f);
+        auto wrong = check_history(f, true);
+        EXPECT_TRUE(wrong.empty()) << first_of(wrong);
+    }
+    EXPECT_LE(waits[1], waits[0]);
+}
--- a/packages/net/include/masticvane/net.h
+++ b/packages/net/include/masticvane/net.h
@@ -339,7 +339,12 @@
 /** MvH2_Answer() - Send an answer, server side; false when it is too late. */
 bool MvH2_Answer(mv_h2_t *h2, int32_t stream, const mv_http_message_t *answer);
 
-/** MvH2_Reset() - End a stream; @refused says it was not processed. */
+/**
+ * MvH2_Reset() - End a stream; @refused says it was not processed.
+ *
+ * On the client side closed is called once the other side has surely read
+ * it, or the connection is over.
+ */
 void MvH2_Reset(mv_h2_t *h2, int32_t stream, bool refused);
 
 /** MvH2_Ping() - Ask the other side for a sign of life. */
--- a/packages/net/src/h2.c
+++ b/packages/net/src/h2.c
@@ -35,7 +35,7 @@
     int32_t id;
     bool complete;
     bool sent;
-    bool refused;
+    bool cancelled;
     mv_http_message_t *in;
     mv_buffer_t out;
     size_t out_position;
@@ -180,6 +180,33 @@
     h2->goaway_last = goaway->last_stream_id;
 }
 
+/* The number of a stream, as a PING carries it. */
+static int32_t
+stream_of_ping(const nghttp2_ping *ping)
+{
+    int32_t id = 0;
+    memcpy(&id, ping->opaque_data, sizeof(id));
+    return id;
+}
+
+/* The other side has read what was sent before: the cancellation, too. */
+static void
+take_pong(mv_h2_t *h2, const nghttp2_ping *ping)
+{
+    int32_t id = stream_of_ping(ping);
+    MV_LIST_FOREACH(item, &h2->streams)
+    {
+        stream_t *stream = MV_CONTAINER_OF(item, stream_t, link);
+        if (id != 0 && stream->id == id && stream->cancelled) {
+            if (!stream->complete) {
+                h2->ops->closed(h2, id, false);
+            }
+            free_stream(h2, stream);
+            return;
+        }
+    }
+}
+
 static int
 on_frame(nghttp2_session *session, const nghttp2_frame *frame, void *user)
 {
@@ -188,6 +215,10 @@
     if (frame->hd.type == NGHTTP2_GOAWAY) {
         take_goaway(h2, &frame->goaway);
     }
+    if (frame->hd.type == NGHTTP2_PING &&
+        (frame->hd.flags & NGHTTP2_FLAG_ACK)) {
+        take_pong(h2, &frame->ping);
+    }
     bool ends = (frame->hd.type == NGHTTP2_HEADERS ||
                  frame->hd.type == NGHTTP2_DATA) &&
                 (frame->hd.flags & NGHTTP2_FLAG_END_STREAM);
@@ -212,6 +243,9 @@
         return 0;
     }
     nghttp2_session_set_stream_user_data(session, id, NULL);
+    if (stream->cancelled) {
+        return 0; /* Over when the PING behind it is answered. */
+    }
     bool finished = h2->is_server ? stream->sent && code == NGHTTP2_NO_ERROR
                                   : stream->complete;
     if (!finished) {
@@ -530,9 +564,16 @@
 void
 MvH2_Reset(mv_h2_t *h2, int32_t id, bool refused)
 {
+    stream_t *stream = find_stream(h2, id);
+    uint8_t opaque[8] = {0};
     nghttp2_submit_rst_stream(h2->session, NGHTTP2_FLAG_NONE, id,
                               refused ? NGHTTP2_REFUSED_STREAM
                                       : NGHTTP2_CANCEL);
+    if (stream && !h2->is_server && !stream->complete) {
+        stream->cancelled = true;
+        memcpy(opaque, &id, sizeof(id));
+        nghttp2_submit_ping(h2->session, NGHTTP2_FLAG_NONE, opaque);
+    }
     wake(h2);
 }
 
--- a/packages/net/test/net_test.cc
+++ b/packages/net/test/net_test.cc
@@ -186,6 +186,8 @@
     size_t closed = 0;
     size_t not_processed = 0;
     size_t server_closed = 0;
+    /* The server had seen the end when the client was told of it. */
+    bool server_first = false;
     size_t bytes = 0;
     mv_h2_t *waiting = nullptr;
     int32_t waiting_stream = 0;
@@ -229,6 +231,7 @@
         auto *world = static_cast<h2_world *>(MvH2_Context(h2));
         world->closed++;
         world->not_processed += not_processed;
+        world->server_first = world->server_closed > 0;
     },
     [](mv_h2_t *) {},
 };
@@ -323,3 +326,25 @@
     EXPECT_GE(got, 40u << 20);
     close(slow);
 }
+
+TEST(H2, CancelledStreamIsOverOnlyWhenTheOtherSideKnows)
+{
+    h2_world world;
+    open_world(&world, 18081);
+    world.answer_at_once = false;
+    mv_h2_t *client =
+        MvH2_Connect(world.loop, "127.90.0.1", 18081, &kClient, &world);
+    ask(client);
+    for (int i = 0; i < 50 && !world.waiting; i++) {
+        MvLoop_Run(world.loop, MV_MILLISECOND);
+    }
+    ASSERT_NE(world.waiting, nullptr);
+    MvH2_Reset(client, 1, false);
+    for (int i = 0; i < 50 && world.closed == 0; i++) {
+        MvLoop_Run(world.loop, MV_MILLISECOND);
+    }
+    EXPECT_EQ(world.closed, 1u);
+    EXPECT_EQ(world.server_closed, 1u);
+    EXPECT_TRUE(world.server_first);
+    EXPECT_EQ(MvH2_StreamCount(client), 0u);
+}
--- a/standins/src/backends.c
+++ b/standins/src/backends.c
@@ -234,6 +234,7 @@
         if (run->h2 == h2 && (stream == 0 || run->stream == stream)) {
             run->backend->world->cancelled += !run->dropped;
             run->dropped = true;
+            run->ends = 0; /* It accepts the cancellation. */
         }
     }
 }
