The request thread's timers run when due, not each time it wakes

Cause: every wake of the request thread went over all open requests and all backend connections (found by reading).

--- a/packages/core/src/requests.c
+++ b/packages/core/src/requests.c
@@ -5,6 +5,8 @@
 
 #define MAX_ATTEMPTS 3
 #define CLAIM_RETRY (20 * MV_MILLISECOND)
+/* However often the caller comes by. */
+#define TIMER_INTERVAL (4 * MV_MILLISECOND)
 
 static const char *const reason_names[MV_REASON_COUNT] = {
     [MV_REASON_NO_CONFIG] = "no-configuration",
@@ -275,8 +277,7 @@
     else {
         settle_failure(requests, now, request, result);
     }
-    MvSlots_Released(requests->slots, now, service, endpoint, slot, id,
-                     flag);
+    MvSlots_Released(requests->slots, now, service, endpoint, slot, id, flag);
     MvSlots_Flush(requests->slots, now);
     return give;
 }
@@ -345,6 +346,10 @@
 void
 MvRequests_Timer(mv_requests_t *requests, mv_time_t now)
 {
+    if (now < requests->next_timer) {
+        return;
+    }
+    requests->next_timer = now + TIMER_INTERVAL;
     GList *all = g_hash_table_get_values(requests->requests);
     for (GList *item = all; item; item = item->next) {
         mv_request_t *request = item->data;
--- a/packages/core/src/requests_private.h
+++ b/packages/core/src/requests_private.h
@@ -101,6 +101,7 @@
     mv_slots_t *slots;
     mv_retry_budget_t retries;
     size_t open;
+    mv_time_t next_timer;
     bool stopping;
     mv_histogram_t waits;
     uint64_t reasons[MV_REASON_COUNT];
--- a/packages/masticvaned/src/proxy.c
+++ b/packages/masticvaned/src/proxy.c
@@ -10,6 +10,7 @@
 #define MAX_DESCRIPTORS 16384
 #define PING_AFTER (500 * MV_MILLISECOND)
 #define SILENT_AFTER (2 * MV_SECOND)
+#define SILENCE_INTERVAL (100 * MV_MILLISECOND)
 #define DUMP_INTERVAL (200 * MV_MILLISECOND)
 #define GOAWAY_STEP (500 * MV_MILLISECOND)
 
@@ -63,6 +64,7 @@
     mv_list_t callers;
     mv_request_id_t next_id;
     mv_time_t next_dump;
+    mv_time_t next_silence;
     mv_time_t stop_began;
     unsigned stop_step;
 };
@@ -555,6 +557,10 @@
 check_silence(mv_proxy_t *proxy)
 {
     mv_time_t now = apr_time_now();
+    if (now < proxy->next_silence) {
+        return;
+    }
+    proxy->next_silence = now + SILENCE_INTERVAL;
     GList *backends = g_hash_table_get_values(proxy->backends);
     for (GList *item = backends; item; item = item->next) {
         backend_t *backend = item->data;
--- a/test/common.sh
+++ b/test/common.sh
@@ -6,6 +6,7 @@
 declare -A NODE_PID
 cleanup() {
     for p in "${PIDS[@]}"; do kill "$p" 2>/dev/null || true; done
+    for p in "${PIDS[@]}"; do wait "$p" 2>/dev/null || true; done
     rm -rf "$DIR"
 }
 trap cleanup EXIT
