A paused balancer does not trust that it is home; steering in small steps

Cause: a balancer whose control thread stood still went on deciding about the groups it had been home of, after the others had declared it dead and moved them (no test had paused one; found when looking for what would fail without the fence). Change: while fenced it hands such packets to its second home, unless another balancer has just relayed them to it; MvSteer_Packet is cut into functions of one step each. Conclusion: the fence now covers both roles.

--- a/packages/core/src/steer.c
+++ b/packages/core/src/steer.c
@@ -92,16 +92,109 @@
                           .hops = (uint8_t)(hops + 1)};
 }
 
+/* This node's knowledge may be old: it was paused, or is asking the others. */
 static bool
-should_relay(const mv_node_t *node, const mv_view_t *view,
-             const mv_view_bucket_t *bucket, mv_node_id_t home, bool fenced,
-             uint8_t hops)
+is_fenced(const mv_node_t *node, const mv_view_t *view, mv_time_t now)
 {
-    if (home == node->settings.id || home == MV_NO_NODE ||
-        hops >= MV_MAX_HOPS) {
+    mv_time_t fresh = __atomic_load_n(&node->fresh_at, __ATOMIC_RELAXED);
+    return view->fenced || now - fresh > MV_FENCE_AFTER;
+}
+
+/**
+ * struct place - Where a packet belongs.
+ * @service: its service
+ * @bucket: its bucket
+ * @group: group of the bucket
+ * @key: identity of its flow
+ * @hash: hash of @key
+ */
+typedef struct place {
+    const mv_view_service_t *service;
+    const mv_view_bucket_t *bucket;
+    uint32_t group;
+    mv_flow_key_t key;
+    uint64_t hash;
+} place_t;
+
+static bool
+find_place(const mv_view_t *view, const mv_packet_t *packet, place_t *place)
+{
+    place->service =
+        MvView_Find(view, packet->destination, packet->destination_port);
+    if (!place->service) {
         return false;
     }
-    return bucket->phase != MV_BUCKET_STABLE || fenced || view->fenced;
+    uint16_t id = place->service->service->id;
+    place->key = (mv_flow_key_t){
+        .address = packet->source, .port = packet->source_port, .service = id};
+    place->hash = MvFlowKey_Hash(place->key);
+    uint32_t number = MvFlowHash_Bucket(place->hash, place->service->mask);
+    place->bucket = &place->service->buckets[number];
+    place->group = MvGroup_Of(id, number);
+    return true;
+}
+
+/*
+ * Who decides about a packet.  A fenced node trusts not even that it is home
+ * itself, as the others may have declared it dead; unless one of them has
+ * just relayed the packet here.
+ */
+static mv_node_id_t
+who_decides(const mv_node_t *node, const mv_view_t *view, const place_t *place,
+            bool fenced, uint8_t hops)
+{
+    mv_node_id_t self = node->settings.id;
+    mv_node_id_t home = view->homes.home[place->group];
+    if (place->bucket->phase == MV_BUCKET_STABLE && !fenced) {
+        return self;
+    }
+    if (fenced && home == self && hops == 0) {
+        home = view->homes.second[place->group];
+    }
+    return home == MV_NO_NODE ? self : home;
+}
+
+static uint16_t
+named_endpoint(mv_node_t *node, const place_t *place,
+               const mv_packet_t *packet, mv_time_t now)
+{
+    return MvFlowTable_Touch(node->flows, place->key, MvNode_Milliseconds(now),
+                             packet->is_close);
+}
+
+/* Another home that may have named the flow while homes change. */
+static mv_node_id_t
+who_else_knows(const mv_view_t *view, const place_t *place,
+               const mv_packet_t *packet, uint8_t hops)
+{
+    /* Once old flows are named, one without a name needs no other's word. */
+    bool unsure = place->bucket->phase == MV_BUCKET_ANNOUNCED ||
+                  place->bucket->phase == MV_BUCKET_MIXED;
+    return unsure && !packet->is_syn && hops < MV_MAX_HOPS
+               ? view->other[place->group]
+               : MV_NO_NODE;
+}
+
+static mv_verdict_t
+decide_here(mv_node_t *node, const mv_view_t *view, const place_t *place,
+            const mv_packet_t *packet, mv_time_t now, uint8_t hops)
+{
+    const mv_view_service_t *service = place->service;
+    if (place->bucket->phase == MV_BUCKET_STABLE && hops == 0) {
+        return forward(node, service, place->bucket->endpoint, packet,
+                       place->hash, now);
+    }
+    uint16_t endpoint = named_endpoint(node, place, packet, now);
+    if (endpoint != MV_NO_ENDPOINT) {
+        return forward(node, service, endpoint, packet, place->hash, now);
+    }
+    mv_node_id_t other = who_else_knows(view, place, packet, hops);
+    if (other != MV_NO_NODE) {
+        return relay(service->service->id, other, hops);
+    }
+    endpoint = name_flow(node, place->bucket, place->key, packet,
+                         MvNode_Milliseconds(now));
+    return forward(node, service, endpoint, packet, place->hash, now);
 }
 
 mv_verdict_t
@@ -109,6 +202,7 @@
                const uint8_t *data, size_t length, uint8_t hops)
 {
     mv_packet_t packet;
+    place_t place;
     mv_counter_id_t reason;
     if (!MvPacket_Parse(data, length, &packet, &reason)) {
         return drop(reason);
@@ -116,48 +210,22 @@
     if (!view) {
         return drop(MV_COUNTER_PACKETS_NO_CONFIG);
     }
-    const mv_view_service_t *service =
-        MvView_Find(view, packet.destination, packet.destination_port);
-    if (!service) {
+    if (!find_place(view, &packet, &place)) {
         return drop(MV_COUNTER_PACKETS_NO_SERVICE);
     }
-    uint16_t id = service->service->id;
-    mv_flow_key_t key = {
-        .address = packet.source, .port = packet.source_port, .service = id};
-    uint64_t hash = MvFlowKey_Hash(key);
-    uint32_t number = MvFlowHash_Bucket(hash, service->mask);
-    const mv_view_bucket_t *bucket = &service->buckets[number];
-    mv_node_id_t home = view->homes.home[MvGroup_Of(id, number)];
-    mv_time_t fresh = __atomic_load_n(&node->fresh_at, __ATOMIC_RELAXED);
-    bool fenced = now - fresh > MV_FENCE_AFTER;
-    uint32_t now_ms = MvNode_Milliseconds(now);
-    mv_node_id_t other = view->other[MvGroup_Of(id, number)];
-    if (view->was_home[MvGroup_Of(id, number)] && !packet.is_syn &&
-        bucket->phase != MV_BUCKET_STABLE) {
+    if (view->was_home[place.group] && !packet.is_syn &&
+        place.bucket->phase != MV_BUCKET_STABLE) {
         /* Others may not know yet who is home: what was named here holds. */
-        uint16_t known =
-            MvFlowTable_Touch(node->flows, key, now_ms, packet.is_close);
+        uint16_t known = named_endpoint(node, &place, &packet, now);
         if (known != MV_NO_ENDPOINT) {
-            return forward(node, service, known, &packet, hash, now);
+            return forward(node, place.service, known, &packet, place.hash,
+                           now);
         }
     }
-    if (should_relay(node, view, bucket, home, fenced, hops)) {
-        return relay(id, home, hops);
-    }
-    if (bucket->phase == MV_BUCKET_STABLE && hops == 0) {
-        return forward(node, service, bucket->endpoint, &packet, hash, now);
-    }
-    uint16_t endpoint =
-        MvFlowTable_Touch(node->flows, key, now_ms, packet.is_close);
-    /* Once old flows are named, one without a name needs no other's word. */
-    bool unsure = bucket->phase == MV_BUCKET_ANNOUNCED ||
-                  bucket->phase == MV_BUCKET_MIXED;
-    if (endpoint == MV_NO_ENDPOINT && other != MV_NO_NODE && unsure &&
-        !packet.is_syn && hops < MV_MAX_HOPS) {
-        return relay(id, other, hops);
-    }
-    if (endpoint == MV_NO_ENDPOINT) {
-        endpoint = name_flow(node, bucket, key, &packet, now_ms);
+    mv_node_id_t decider =
+        who_decides(node, view, &place, is_fenced(node, view, now), hops);
+    if (decider != node->settings.id && hops < MV_MAX_HOPS) {
+        return relay(place.service->service->id, decider, hops);
     }
-    return forward(node, service, endpoint, &packet, hash, now);
+    return decide_here(node, view, &place, &packet, now, hops);
 }
--- a/packages/core/test/fleet.cc
+++ b/packages/core/test/fleet.cc
@@ -307,7 +307,7 @@
 }
 
 void
-fleet::pause_node(mv_node_id_t id, mv_time_t duration)
+fleet::pause_control(mv_node_id_t id, mv_time_t duration)
 {
     members_.at(id)->paused_until = now_ + duration;
 }
--- a/packages/core/test/fleet.h
+++ b/packages/core/test/fleet.h
@@ -102,7 +102,8 @@
     void start_node(mv_node_id_t id);
     void stop_node(mv_node_id_t id);
     void kill_node(mv_node_id_t id);
-    void pause_node(mv_node_id_t id, mv_time_t duration);
+    /** Its control thread stands still; its packet threads go on. */
+    void pause_control(mv_node_id_t id, mv_time_t duration);
     void delay_config(mv_node_id_t id, mv_time_t delay);
     void cut(std::function<bool(mv_node_id_t, mv_node_id_t)> is_cut);
     mv_node_t *node(mv_node_id_t id);
--- a/packages/core/test/flows_test.cc
+++ b/packages/core/test/flows_test.cc
@@ -329,3 +329,47 @@
 
 /* A schedule that once broke a flow. */
 INSTANTIATE_TEST_SUITE_P(Found, FlowSchedules, testing::Values<uint64_t>(70));
+
+/* A paused balancer wakes with an old view, and must not act by it. */
+TEST(Flows, PausedBalancerRelaysUntilItKnowsAgain)
+{
+    for (uint64_t seed = 1; seed <= 5; seed++) {
+        fleet_options options;
+        options.seed = seed;
+        options.idle_seconds = 60;
+        fleet f(options);
+        f.run_for(4 * MV_SECOND);
+        f.traffic(400, 30, 500 * MV_MILLISECOND);
+        f.run_for(10 * MV_SECOND);
+        f.pause_control(3, 12 * MV_SECOND);
+        f.run_for(MV_SECOND);
+        f.drain(1, 3);
+        f.run_for(30 * MV_SECOND);
+        EXPECT_EQ(f.seen().broken_flows, 0u) << seed;
+        EXPECT_EQ(f.seen().wrong_service, 0u) << seed;
+    }
+}
+
+TEST(Config, OlderOneIsNeverPutInForce)
+{
+    fleet_options options;
+    fleet f(options);
+    f.run_for(4 * MV_SECOND);
+    mv_deployment_t *first = f.accepted();
+    f.drain(1, 3);
+    mv_deployment_t *second = f.accepted();
+    f.run_for(3 * MV_SECOND);
+    for (auto id : f.live()) {
+        ASSERT_EQ(MvNode_Deployment(f.node(id)), second);
+        EXPECT_FALSE(MvNode_Config(f.node(id), f.now(), first));
+        EXPECT_FALSE(MvNode_Config(f.node(id), f.now(), second));
+        EXPECT_EQ(MvNode_Deployment(f.node(id)), second);
+    }
+    /* Nor does a peer that is behind hand its own on. */
+    f.start_node(5);
+    MvNode_Config(f.node(5), f.now(), first);
+    f.run_for(3 * MV_SECOND);
+    for (auto id : f.live()) {
+        EXPECT_EQ(MvNode_Deployment(f.node(id)), second) << id;
+    }
+}
