--- a/packages/core/src/flow_table.h
+++ b/packages/core/src/flow_table.h
@@ -53,6 +53,19 @@
     uint16_t flags;
 } mv_flow_entry_t;
 
+/**
+ * MvFlow_IdleMilliseconds() - Time since an entry was last seen.
+ *
+ * A traffic thread may have seen a packet after @now_ms was read: that is
+ * an idle time of 0.
+ */
+static inline uint32_t
+MvFlow_IdleMilliseconds(uint32_t now_ms, uint32_t seen_ms)
+{
+    int32_t idle = (int32_t)(now_ms - seen_ms);
+    return idle > 0 ? (uint32_t)idle : 0;
+}
+
 /** typedef mv_flow_table_t - The table. */
 typedef struct mv_flow_table mv_flow_table_t;
 
--- a/packages/core/src/handover.c
+++ b/packages/core/src/handover.c
@@ -208,7 +208,7 @@
         .port = entry->key.port,
         .service = entry->key.service,
         .endpoint = entry->endpoint,
-        .idle_ms = round->now_ms - entry->seen_ms,
+        .idle_ms = MvFlow_IdleMilliseconds(round->now_ms, entry->seen_ms),
     };
     add_copies(round, group, &record);
     return true;
@@ -297,7 +297,7 @@
                       (node->homes.second[group] == self ||
                        node->future.home[group] == self ||
                        node->future.second[group] == self);
-    uint32_t idle = expiry->now_ms - entry->seen_ms;
+    uint32_t idle = MvFlow_IdleMilliseconds(expiry->now_ms, entry->seen_ms);
     bool closed = (entry->flags & MV_FLOW_CLOSED) && idle > CLOSED_LINGER_MS;
     return !keeps_copy && (idle > expiry->idle_ms || closed);
 }
--- a/packages/core/src/samples.c
+++ b/packages/core/src/samples.c
@@ -53,7 +53,8 @@
     for (unsigned i = 0; i < MV_SAMPLES; i++) {
         uint64_t *word = &samples->word[i];
         uint64_t seen = __atomic_load_n(word, __ATOMIC_RELAXED);
-        uint16_t age = (uint16_t)(time_of(now) - (uint16_t)seen);
+        /* Opened after @now was read: its age is below 0. */
+        int16_t age = (int16_t)(uint16_t)(time_of(now) - (uint16_t)seen);
         if (seen == 0 || age * TIME_UNIT < MV_SAMPLE_WAIT) {
             continue;
         }
