The smaller side of a partition claims no key; members tell what was lost

Cause: the fault table had no partition longer than detection and no deaths followed by restarts. Traces showed four ways: 1. Each side of a cut data centre took the other for dead. Owner on one side, second on the other, and both accepted the same new key. 2. A claim accepted just before the cut was granted after it, when the smaller side's view had a reachable second. 3. After the heal a node that was synced in the smaller view counted itself as having kept every key's evidence, and did not wait for the others. 4. An entry VM that restarts knew nothing of two others' deaths, so it could not tell that evidence was lost. Ruled out: slots and retries (each attempt ran once), the checker (planted faults still seen).

Change: quorum.c. A key that is not granted yet may be claimed only where more than half of the members are that were there before the first one was missed (of equal halves, where the lowest number is); owner and second both check it, and when the pair changed all who are left must agree on who is left. Members tell one another of losses and arrivals with their sync, and a process counts those its settings name and it never saw as missing. The smaller side answers "not run" at once, reason "partitioned", and goes on with everything else. Weighed: claims in the platform's store during a partition (a write a key, and no claim in an outage); keys pinned to data centres (a dead data centre would take its keys along); a settle time instead of agreement (bounds what it cannot know).

Conclusion: at-most-once holds over partitions; what it costs is that the smaller side takes no new keyed work.

--- a/packages/core/include/masticvane/core.h
+++ b/packages/core/include/masticvane/core.h
@@ -319,11 +319,16 @@
     MV_CLAIM_RECORD,
     MV_CLAIM_SYNC_ASK,
     MV_CLAIM_SYNC_END,
+    MV_CLAIM_MINORITY,
+    MV_CLAIM_LOSS,
+    MV_CLAIM_ARRIVAL,
     MV_CLAIM_OP_COUNT,
 } mv_claim_op_t;
 
 /**
- * struct mv_claim_record - Word about an idempotency key.
+ * struct mv_claim_record - Word about an idempotency key, or, with LOSS and
+ * ARRIVAL, about a member: @node, its life in @request, its data centre or
+ * the age of its number in milliseconds in @key_low, and @age_ms.
  * @op: &enum mv_claim_op
  * @key_high: upper half of the key's hash
  * @key_low: lower half of the key's hash
--- a/packages/core/include/masticvane/requests.h
+++ b/packages/core/include/masticvane/requests.h
@@ -38,6 +38,7 @@
     MV_REASON_DUPLICATE,
     MV_REASON_EVIDENCE_LOST,
     MV_REASON_CLAIM_UNAVAILABLE,
+    MV_REASON_PARTITIONED,
     MV_REASON_COUNT,
 } mv_reason_t;
 
@@ -138,6 +139,16 @@
 /** MvRequests_Destroy() - Free; NULL is accepted. */
 void MvRequests_Destroy(mv_requests_t *requests);
 
+/**
+ * MvRequests_Expect() - Name the entry VMs that the settings know.
+ * @ids: their numbers, this one may be among them
+ *
+ * To be called before the first MvRequests_View().  Those that are not
+ * there then may run on the far side of a partition.
+ */
+void MvRequests_Expect(mv_requests_t *requests, const mv_node_id_t *ids,
+                       size_t count);
+
 /**
  * MvRequests_View() - Tell which configuration and members are in force.
  * @deployment: a reference is taken
--- a/packages/core/src/claims.c
+++ b/packages/core/src/claims.c
@@ -48,6 +48,8 @@
     claims->losses = g_array_new(FALSE, FALSE, sizeof(loss_t));
     claims->views = g_ptr_array_new_with_free_func(free_view);
     claims->arrivals = g_array_new(FALSE, FALSE, sizeof(arrival_t));
+    claims->expected = g_array_new(FALSE, FALSE, sizeof(mv_node_id_t));
+    claims->has_majority = true;
     return claims;
 }
 
@@ -59,10 +61,17 @@
     g_hash_table_unref(claims->handed_over);
     g_array_unref(claims->losses);
     g_array_unref(claims->arrivals);
+    g_array_unref(claims->expected);
     g_ptr_array_unref(claims->views);
     g_free(claims);
 }
 
+void
+MvClaims_Expect(mv_claims_t *claims, const mv_node_id_t *ids, size_t count)
+{
+    g_array_append_vals(claims->expected, ids, (guint)count);
+}
+
 size_t
 MvClaims_Count(const mv_claims_t *claims)
 {
@@ -75,22 +84,29 @@
                         const mv_claim_record_t *record, uint64_t epoch);
 
 static void
-send(mv_claims_t *claims, mv_time_t now, mv_node_id_t to,
-     mv_claim_record_t record)
+send_all(mv_claims_t *claims, mv_node_id_t to, mv_claim_record_t *records,
+         size_t count)
 {
     mv_requests_t *requests = claims->requests;
-    if (to == requests->self) {
-        take_record(claims, now, to, &record, claims->epoch);
-        return;
-    }
     mv_message_t message = {.kind = MV_MESSAGE_CLAIMS,
                             .from = requests->self,
                             .version = claims->epoch,
-                            .claim_count = 1,
-                            .claims = &record};
+                            .claim_count = count,
+                            .claims = records};
     requests->effects->ops->send(requests->effects, to, &message);
 }
 
+static void
+send(mv_claims_t *claims, mv_time_t now, mv_node_id_t to,
+     mv_claim_record_t record)
+{
+    if (to == claims->requests->self) {
+        take_record(claims, now, to, &record, claims->epoch);
+        return;
+    }
+    send_all(claims, to, &record, 1);
+}
+
 static mv_claim_record_t
 record_of(const claim_t *claim, uint32_t op, mv_time_t now)
 {
@@ -224,6 +240,7 @@
               mv_node_id_t second)
 {
     if (claim->copied || second == MV_NO_NODE) {
+        claim->granted = true;
         send(claims, now, claim->node,
              record_of(claim, MV_CLAIM_GRANTED, now));
         return;
@@ -252,7 +269,15 @@
         answer_state(claims, now, from, record->request, claim);
         return;
     }
-    if (!own || claims->leaving || !MvEvidence_IsComplete(claims, key)) {
+    /* Until it is granted, the other side may claim it. */
+    bool fresh = !claim || !claim->granted;
+    if (own && fresh && !MvQuorum_MayClaim(claims)) {
+        MvCounters_Add(requests->counters, MV_COUNTER_CLAIMS_MINORITY, 1);
+        answer(claims, now, from, MV_CLAIM_MINORITY, record);
+        return;
+    }
+    if (!own || claims->leaving || !MvEvidence_IsComplete(claims, key) ||
+        (fresh && !MvQuorum_IsSettled(claims, key))) {
         answer(claims, now, from, MV_CLAIM_RETRY, record);
         return;
     }
@@ -280,7 +305,7 @@
                    claim->node == record->node &&
                    claim->request == record->request &&
                    who[0] == claims->requests->self && who[1] == from;
-    if (current) {
+    if (current && (claim->granted || MvQuorum_MayClaim(claims))) {
         claim->copied = true;
         copy_or_grant(claims, now, claim, who[1]);
     }
@@ -295,7 +320,8 @@
     claim_t *claim = find(claims, key);
     mv_node_id_t who[2];
     MvEvidence_Owners(claims, key, who);
-    if (who[0] != from || who[1] != claims->requests->self) {
+    if (who[0] != from || who[1] != claims->requests->self ||
+        (!claim && !MvQuorum_MayClaim(claims))) {
         return;
     }
     if (claim && claim->state != MV_CLAIM_NOT_RUN &&
@@ -405,6 +431,19 @@
     }
 }
 
+static void
+take_minority(mv_claims_t *claims, mv_time_t now,
+              const mv_claim_record_t *record)
+{
+    mv_request_t *request = find_asking(claims, record);
+    if (request) {
+        MvRequests_Finish(claims->requests, now, request,
+                          request->is_duplicate ? MV_OUTCOME_UNKNOWN
+                                                : MV_OUTCOME_NOT_RUN,
+                          MV_REASON_PARTITIONED);
+    }
+}
+
 void
 MvClaims_Settle(mv_claims_t *claims, mv_time_t now, mv_key_hash_t key,
                 mv_request_id_t id, uint32_t state, const char *bytes,
@@ -455,10 +494,15 @@
 static void
 send_sync_end(mv_claims_t *claims, mv_time_t now, mv_node_id_t to)
 {
-    send(claims, now, to,
-         (mv_claim_record_t){.op = MV_CLAIM_SYNC_END,
+    GArray *records = g_array_new(FALSE, FALSE, sizeof(mv_claim_record_t));
+    MvQuorum_Tell(claims, now, records);
+    mv_claim_record_t end = {.op = MV_CLAIM_SYNC_END,
                              .state = claims->leaving,
-                             .node = claims->requests->self});
+                             .node = claims->requests->self};
+    g_array_append_val(records, end);
+    send_all(claims, to, (mv_claim_record_t *)(void *)records->data,
+             records->len);
+    g_array_unref(records);
 }
 
 /* Send every record to its owners, or only those that @only should have. */
@@ -517,6 +561,10 @@
     MvEvidence_NoteLosses(claims, now, old, old_count);
     MvEvidence_DropReturned(claims);
     MvEvidence_NoteArrivals(claims, now, claims->epoch == 0);
+    if (claims->epoch == 0) {
+        MvQuorum_NoteExpected(claims, now);
+    }
+    MvQuorum_Update(claims);
     claims->epoch = epoch;
     MvEvidence_RememberView(claims);
     send_records(claims, now, MV_NO_NODE);
@@ -566,6 +614,13 @@
     case MV_CLAIM_LOST:
         take_lost(claims, now, record);
         break;
+    case MV_CLAIM_MINORITY:
+        take_minority(claims, now, record);
+        break;
+    case MV_CLAIM_LOSS:
+    case MV_CLAIM_ARRIVAL:
+        MvQuorum_Told(claims, now, record);
+        break;
     case MV_CLAIM_COPY:
         take_copy(claims, now, from, record);
         break;
@@ -622,10 +677,4 @@
     }
     claims->next_sweep = now + SWEEP_INTERVAL;
     g_hash_table_foreach_remove(claims->claims, is_old, &now);
-    for (guint i = claims->losses->len; i-- > 0;) {
-        const loss_t *loss = &g_array_index(claims->losses, loss_t, i);
-        if (now - loss->since > MV_KEY_WINDOW) {
-            g_array_remove_index(claims->losses, i);
-        }
-    }
 }
--- a/packages/core/src/claims_private.h
+++ b/packages/core/src/claims_private.h
@@ -3,6 +3,7 @@
  *
  * claims.c    claims of keys at owner, second and asker
  * evidence.c  who keeps a key's claim, and whether all of it is known here
+ * quorum.c    whether this side of a partition may claim unknown keys
  */
 #ifndef MV_CORE_CLAIMS_PRIVATE_H
 #define MV_CORE_CLAIMS_PRIVATE_H
@@ -16,20 +17,31 @@
     mv_request_id_t request;
     mv_time_t since;
     bool copied;
+    bool granted;
     char *bytes;
     size_t length;
 } claim_t;
 
-/* An entry VM that vanished without handing over. */
+/**
+ * struct loss - An entry VM that vanished without handing over.
+ * @member: it, with a life of 0 when this process never saw it
+ * @since: time it was missed
+ */
 typedef struct loss {
     mv_request_member_t member;
     mv_time_t since;
 } loss_t;
 
-/* An entry VM and when it was first seen. */
+/**
+ * struct arrival - An entry VM and when it was first seen.
+ * @member: its latest life
+ * @since: time that life was first seen
+ * @id_since: time its number was first seen, in whichever life
+ */
 typedef struct arrival {
     mv_request_member_t member;
     mv_time_t since;
+    mv_time_t id_since;
 } arrival_t;
 
 struct mv_claims {
@@ -40,6 +52,9 @@
     GArray *losses;
     GArray *arrivals;
     GPtrArray *views;
+    GArray *expected;
+    size_t absent;
+    bool has_majority;
     bool ever_synced;
     uint64_t epoch;
     mv_time_t next_sweep;
@@ -47,6 +62,11 @@
     bool leaving;
 };
 
+/** MvEvidence_OwnersAmong() - Owner and second of a key among @members. */
+void MvEvidence_OwnersAmong(const mv_claims_t *claims, mv_key_hash_t key,
+                            const mv_request_member_t *members, size_t count,
+                            mv_node_id_t out[2]);
+
 /** MvEvidence_Owners() - Owner and second of a key, of the members in force.
  */
 void MvEvidence_Owners(const mv_claims_t *claims, mv_key_hash_t key,
@@ -88,4 +108,32 @@
 /** MvEvidence_NoteArrivals() - Members that were not seen before. */
 void MvEvidence_NoteArrivals(mv_claims_t *claims, mv_time_t now, bool first);
 
+/** MvQuorum_NoteExpected() - Miss those that are not in the first view. */
+void MvQuorum_NoteExpected(mv_claims_t *claims, mv_time_t now);
+
+/** MvQuorum_Update() - The members, losses or arrivals changed. */
+void MvQuorum_Update(mv_claims_t *claims);
+
+/**
+ * MvQuorum_MayClaim() - This side is the larger one, or nothing is missing.
+ *
+ * While it is false no key may be claimed that is not known here: the other
+ * side may claim it.
+ */
+bool MvQuorum_MayClaim(const mv_claims_t *claims);
+
+/**
+ * MvQuorum_IsSettled() - The members that would have kept @key before some
+ * were missed still keep it, or all who are left agree on who is left.
+ */
+bool MvQuorum_IsSettled(const mv_claims_t *claims, mv_key_hash_t key);
+
+/** MvQuorum_Tell() - Append what a member should know of losses and arrivals.
+ */
+void MvQuorum_Tell(const mv_claims_t *claims, mv_time_t now, GArray *records);
+
+/** MvQuorum_Told() - Another member's word about a loss or an arrival. */
+void MvQuorum_Told(mv_claims_t *claims, mv_time_t now,
+                   const mv_claim_record_t *record);
+
 #endif
--- a/packages/core/src/evidence.c
+++ b/packages/core/src/evidence.c
@@ -40,10 +40,10 @@
 }
 
 /* Owner and second, in another data centre where there is one. */
-static void
-owners_among(const mv_claims_t *claims, mv_key_hash_t key,
-             const mv_request_member_t *members, size_t count,
-             mv_node_id_t out[2])
+void
+MvEvidence_OwnersAmong(const mv_claims_t *claims, mv_key_hash_t key,
+                       const mv_request_member_t *members, size_t count,
+                       mv_node_id_t out[2])
 {
     const mv_request_member_t *owner =
         best_member(claims, key, members, count, NULL, 0);
@@ -64,7 +64,8 @@
                   mv_node_id_t out[2])
 {
     const mv_requests_t *requests = claims->requests;
-    owners_among(claims, key, requests->members, requests->member_count, out);
+    MvEvidence_OwnersAmong(claims, key, requests->members,
+                           requests->member_count, out);
 }
 
 uint64_t
@@ -132,19 +133,27 @@
     for (guint i = 0; kept && i < claims->views->len; i++) {
         const GArray *view = g_ptr_array_index(claims->views, i);
         mv_node_id_t who[2];
-        owners_among(claims, key,
-                     (const mv_request_member_t *)(void *)view->data,
-                     view->len, who);
+        MvEvidence_OwnersAmong(claims, key,
+                               (const mv_request_member_t *)(void *)view->data,
+                               view->len, who);
         kept = who[0] == self || who[1] == self;
     }
     return kept;
 }
 
+/* Older losses took nothing along that is still remembered. */
+static bool
+matters(const loss_t *loss, mv_time_t now)
+{
+    return now - loss->since <= MV_KEY_WINDOW;
+}
+
 static bool
-is_lost(const mv_claims_t *claims, mv_node_id_t id)
+is_lost(const mv_claims_t *claims, mv_time_t now, mv_node_id_t id)
 {
     for (guint i = 0; i < claims->losses->len; i++) {
-        if (g_array_index(claims->losses, loss_t, i).member.id == id) {
+        const loss_t *loss = &g_array_index(claims->losses, loss_t, i);
+        if (loss->member.id == id && matters(loss, now)) {
             return true;
         }
     }
@@ -180,19 +189,22 @@
     for (size_t i = 0; i < requests->member_count; i++) {
         const mv_request_member_t *member = &requests->members[i];
         mv_node_id_t id = (mv_node_id_t)member->id;
-        if (!is_recent(claims, now, id) && !is_lost(claims, id)) {
+        if (!is_recent(claims, now, id) && !is_lost(claims, now, id)) {
             g_array_append_val(then, *member);
         }
     }
     for (guint i = 0; i < claims->losses->len; i++) {
-        g_array_append_val(then,
-                           g_array_index(claims->losses, loss_t, i).member);
+        const loss_t *loss = &g_array_index(claims->losses, loss_t, i);
+        if (matters(loss, now)) {
+            g_array_append_val(then, loss->member);
+        }
     }
     mv_node_id_t who[2];
-    owners_among(claims, key, (const mv_request_member_t *)(void *)then->data,
-                 then->len, who);
+    MvEvidence_OwnersAmong(claims, key,
+                           (const mv_request_member_t *)(void *)then->data,
+                           then->len, who);
     g_array_unref(then);
-    return is_lost(claims, who[0]) && is_lost(claims, who[1]);
+    return is_lost(claims, now, who[0]) && is_lost(claims, now, who[1]);
 }
 
 void
@@ -216,6 +228,15 @@
     }
 }
 
+/* One that was never seen is whoever comes with its number. */
+static bool
+is_same_process(const mv_request_member_t *lost,
+                const mv_request_member_t *seen)
+{
+    return lost->id == seen->id &&
+           (lost->life == seen->life || lost->life == 0);
+}
+
 /* One that was only cut off or paused comes back with all it knew. */
 void
 MvEvidence_DropReturned(mv_claims_t *claims)
@@ -225,37 +246,46 @@
         const loss_t *loss = &g_array_index(claims->losses, loss_t, i);
         bool back = false;
         for (size_t j = 0; j < requests->member_count; j++) {
-            back = back || !memcmp(&loss->member, &requests->members[j],
-                                   sizeof(loss->member));
+            const mv_request_member_t *member = &requests->members[j];
+            back = back || is_same_process(&loss->member, member);
         }
         if (back) {
             g_array_remove_index(claims->losses, i);
+            /* Either side may have claimed what the other lacks. */
+            claims->ever_synced = false;
         }
     }
 }
 
+static arrival_t *
+find_arrival(const mv_claims_t *claims, uint32_t id)
+{
+    for (guint i = 0; i < claims->arrivals->len; i++) {
+        arrival_t *one = &g_array_index(claims->arrivals, arrival_t, i);
+        if (one->member.id == id) {
+            return one;
+        }
+    }
+    return NULL;
+}
+
 void
 MvEvidence_NoteArrivals(mv_claims_t *claims, mv_time_t now, bool first)
 {
     const mv_requests_t *requests = claims->requests;
+    mv_time_t since = first ? now - MV_KEY_WINDOW : now;
     for (size_t i = 0; i < requests->member_count; i++) {
         const mv_request_member_t *member = &requests->members[i];
-        bool known = false;
-        for (guint j = 0; j < claims->arrivals->len; j++) {
-            arrival_t *one = &g_array_index(claims->arrivals, arrival_t, j);
-            if (one->member.id == member->id) {
-                known = one->member.life == member->life;
-                if (!known) {
-                    one->member = *member;
-                    one->since = now;
-                }
-                known = true;
-            }
-        }
+        arrival_t *known = find_arrival(claims, member->id);
         if (!known) {
-            arrival_t one = {.member = *member,
-                             .since = first ? now - MV_KEY_WINDOW : now};
+            arrival_t one = {
+                .member = *member, .since = since, .id_since = since};
             g_array_append_val(claims->arrivals, one);
+            continue;
+        }
+        if (known->member.life != member->life) {
+            known->since = now;
         }
+        known->member = *member;
     }
 }
--- /dev/null
+++ b/packages/core/src/quorum.c
@@ -0,0 +1,249 @@
+/*
+ * Whether this side of a partition may claim keys that it does not know.
+ *
+ * A member that vanished may be dead or on the far side of a partition, where
+ * the same key may be claimed.  Of two sides at most one is the larger.
+ */
+#include "claims_private.h"
+
+#include <string.h>
+
+#define MAX_LOSSES 1024
+
+static bool
+is_there(const mv_claims_t *claims, uint32_t id)
+{
+    return MvRequests_IsMember(claims->requests, (mv_node_id_t)id);
+}
+
+/* Several lives of one entry VM are one entry VM. */
+static bool
+is_first_of_its_id(const mv_claims_t *claims, guint position)
+{
+    const loss_t *loss = &g_array_index(claims->losses, loss_t, position);
+    for (guint i = 0; i < position; i++) {
+        if (g_array_index(claims->losses, loss_t, i).member.id ==
+            loss->member.id) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+counts_as_absent(const mv_claims_t *claims, guint position)
+{
+    const loss_t *loss = &g_array_index(claims->losses, loss_t, position);
+    return !is_there(claims, loss->member.id) &&
+           is_first_of_its_id(claims, position);
+}
+
+static mv_time_t
+first_absence(const mv_claims_t *claims)
+{
+    mv_time_t first = INT64_MAX;
+    for (guint i = 0; i < claims->losses->len; i++) {
+        const loss_t *loss = &g_array_index(claims->losses, loss_t, i);
+        if (counts_as_absent(claims, i)) {
+            first = MIN(first, loss->since);
+        }
+    }
+    return first;
+}
+
+/* Members that came after the first absence were of no side before. */
+static bool
+was_there(const mv_claims_t *claims, uint32_t id, mv_time_t first)
+{
+    for (guint i = 0; i < claims->arrivals->len; i++) {
+        const arrival_t *one = &g_array_index(claims->arrivals, arrival_t, i);
+        if (one->member.id == id) {
+            return one->id_since < first;
+        }
+    }
+    return false;
+}
+
+/* The members as they were before the first one was missed. */
+static GArray *
+members_before(const mv_claims_t *claims)
+{
+    const mv_requests_t *requests = claims->requests;
+    mv_time_t first = first_absence(claims);
+    GArray *before = g_array_new(FALSE, FALSE, sizeof(mv_request_member_t));
+    for (size_t i = 0; i < requests->member_count; i++) {
+        if (was_there(claims, requests->members[i].id, first)) {
+            g_array_append_val(before, requests->members[i]);
+        }
+    }
+    for (guint i = 0; i < claims->losses->len; i++) {
+        if (counts_as_absent(claims, i)) {
+            g_array_append_val(
+                before, g_array_index(claims->losses, loss_t, i).member);
+        }
+    }
+    return before;
+}
+
+void
+MvQuorum_Update(mv_claims_t *claims)
+{
+    GArray *before = members_before(claims);
+    uint32_t lowest = UINT32_MAX;
+    size_t present = 0;
+    for (guint i = 0; i < before->len; i++) {
+        uint32_t id = g_array_index(before, mv_request_member_t, i).id;
+        lowest = MIN(lowest, id);
+        present += is_there(claims, id);
+    }
+    claims->absent = before->len - present;
+    /* Of two equal sides the one with the lowest number goes on. */
+    claims->has_majority =
+        present > claims->absent ||
+        (present == claims->absent && is_there(claims, lowest));
+    g_array_unref(before);
+}
+
+bool
+MvQuorum_MayClaim(const mv_claims_t *claims)
+{
+    return claims->absent == 0 || claims->has_majority;
+}
+
+bool
+MvQuorum_IsSettled(const mv_claims_t *claims, mv_key_hash_t key)
+{
+    if (claims->absent == 0 || MvEvidence_IsSynced(claims)) {
+        return true;
+    }
+    mv_node_id_t then[2];
+    mv_node_id_t now[2];
+    GArray *before = members_before(claims);
+    MvEvidence_OwnersAmong(claims, key,
+                           (const mv_request_member_t *)(void *)before->data,
+                           before->len, then);
+    MvEvidence_Owners(claims, key, now);
+    g_array_unref(before);
+    return then[0] == now[0] && then[1] == now[1];
+}
+
+/* What the settings name */
+
+static void
+add_loss(mv_claims_t *claims, const loss_t *loss)
+{
+    if (claims->losses->len < MAX_LOSSES) {
+        g_array_append_val(claims->losses, *loss);
+    }
+}
+
+void
+MvQuorum_NoteExpected(mv_claims_t *claims, mv_time_t now)
+{
+    for (guint i = 0; i < claims->expected->len; i++) {
+        mv_node_id_t id = g_array_index(claims->expected, mv_node_id_t, i);
+        loss_t loss = {.member.id = id, .since = now};
+        if (!is_there(claims, id)) {
+            add_loss(claims, &loss);
+        }
+    }
+}
+
+/* What members tell one another, so that a new one knows of them too */
+
+void
+MvQuorum_Tell(const mv_claims_t *claims, mv_time_t now, GArray *records)
+{
+    mv_time_t first = first_absence(claims);
+    for (guint i = 0; i < claims->losses->len; i++) {
+        const loss_t *loss = &g_array_index(claims->losses, loss_t, i);
+        mv_claim_record_t record = {
+            .op = MV_CLAIM_LOSS,
+            .node = loss->member.id,
+            .request = loss->member.life,
+            .key_low = loss->member.data_centre,
+            .age_ms = (uint32_t)((now - loss->since) / MV_MILLISECOND)};
+        if (loss->member.life != 0) {
+            g_array_append_val(records, record);
+        }
+    }
+    for (guint i = 0; i < claims->arrivals->len; i++) {
+        const arrival_t *one = &g_array_index(claims->arrivals, arrival_t, i);
+        mv_claim_record_t record = {
+            .op = MV_CLAIM_ARRIVAL,
+            .node = one->member.id,
+            .request = one->member.life,
+            .key_low = (uint64_t)((now - one->id_since) / MV_MILLISECOND),
+            .age_ms = (uint32_t)((now - one->since) / MV_MILLISECOND)};
+        if (now - one->since < MV_KEY_WINDOW || one->id_since > first) {
+            g_array_append_val(records, record);
+        }
+    }
+}
+
+static bool
+is_known_process(const mv_claims_t *claims, const mv_claim_record_t *record)
+{
+    const mv_requests_t *requests = claims->requests;
+    for (size_t i = 0; i < requests->member_count; i++) {
+        if (requests->members[i].id == record->node &&
+            requests->members[i].life == record->request) {
+            return true;
+        }
+    }
+    for (guint i = 0; i < claims->losses->len; i++) {
+        const loss_t *loss = &g_array_index(claims->losses, loss_t, i);
+        if (loss->member.id == record->node &&
+            loss->member.life == record->request) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+told_loss(mv_claims_t *claims, mv_time_t now, const mv_claim_record_t *record)
+{
+    gpointer process =
+        GUINT_TO_POINTER((uint32_t)record->request ^ record->node);
+    if (is_known_process(claims, record) ||
+        g_hash_table_contains(claims->handed_over, process)) {
+        return;
+    }
+    loss_t loss = {.member.id = record->node,
+                   .member.life = (uint32_t)record->request,
+                   .member.data_centre = (uint32_t)record->key_low,
+                   .since = now - record->age_ms * MV_MILLISECOND};
+    add_loss(claims, &loss);
+}
+
+static void
+told_arrival(mv_claims_t *claims, mv_time_t now,
+             const mv_claim_record_t *record)
+{
+    mv_time_t since = now - record->age_ms * MV_MILLISECOND;
+    mv_time_t id_since = now - (mv_time_t)record->key_low * MV_MILLISECOND;
+    for (guint i = 0; i < claims->arrivals->len; i++) {
+        arrival_t *one = &g_array_index(claims->arrivals, arrival_t, i);
+        if (one->member.id != record->node) {
+            continue;
+        }
+        if (one->member.life == record->request) {
+            one->since = MAX(one->since, since);
+        }
+        one->id_since = MAX(one->id_since, id_since);
+    }
+}
+
+void
+MvQuorum_Told(mv_claims_t *claims, mv_time_t now,
+              const mv_claim_record_t *record)
+{
+    if (record->op == MV_CLAIM_LOSS) {
+        told_loss(claims, now, record);
+    }
+    else {
+        told_arrival(claims, now, record);
+    }
+    MvQuorum_Update(claims);
+}
--- a/packages/core/src/requests.c
+++ b/packages/core/src/requests.c
@@ -21,6 +21,7 @@
     [MV_REASON_DUPLICATE] = "duplicate",
     [MV_REASON_EVIDENCE_LOST] = "evidence-lost",
     [MV_REASON_CLAIM_UNAVAILABLE] = "claim-unavailable",
+    [MV_REASON_PARTITIONED] = "partitioned",
 };
 
 const char *
@@ -64,6 +65,13 @@
     g_free(requests);
 }
 
+void
+MvRequests_Expect(mv_requests_t *requests, const mv_node_id_t *ids,
+                  size_t count)
+{
+    MvClaims_Expect(requests->claims, ids, count);
+}
+
 mv_request_t *
 MvRequests_Find(const mv_requests_t *requests, mv_request_id_t id)
 {
--- a/packages/core/src/requests_private.h
+++ b/packages/core/src/requests_private.h
@@ -125,6 +125,8 @@
 
 /* claims.c */
 mv_claims_t *MvClaims_Create(mv_requests_t *requests);
+void MvClaims_Expect(mv_claims_t *claims, const mv_node_id_t *ids,
+                     size_t count);
 void MvClaims_Destroy(mv_claims_t *claims);
 void MvClaims_View(mv_claims_t *claims, mv_time_t now,
                    const mv_request_member_t *old, size_t old_count);
--- a/packages/core/test/request_fleet.cc
+++ b/packages/core/test/request_fleet.cc
@@ -244,6 +244,11 @@
     uint32_t life = m->life;
     m->requests = MvRequests_Create(id, &m->effects, &m->counters, grand_,
                                     now_ + kWallStart, now_);
+    std::vector<mv_node_id_t> all;
+    for (unsigned i = 1; i <= options_.nodes; i++) {
+        all.push_back((mv_node_id_t)i);
+    }
+    MvRequests_Expect(m->requests, all.data(), all.size());
     members_[id] = std::move(m);
     std::uniform_int_distribution<mv_time_t> phase(0, kTick);
     at(now_ + phase(random_), [this, id, life] { tick(id, life); });
@@ -264,35 +269,80 @@
     at(now_ + kTick, [this, id, life] { tick(id, life); });
 }
 
+bool
+request_fleet::is_apart(unsigned one, unsigned other) const
+{
+    return side_.count(one % options_.data_centres) !=
+           side_.count(other % options_.data_centres);
+}
+
+/* Each node notices by itself who is gone, some sooner than others. */
+bool
+request_fleet::believes_live(mv_node_id_t viewer, mv_node_id_t other)
+{
+    const member &m = *members_.at(other);
+    mv_time_t early =
+        (mv_time_t)((viewer * 7u + other * 13u) % 5u) * 100 * MV_MILLISECOND;
+    mv_time_t noticed = options_.detect - early;
+    bool dead = !m.alive && now_ - m.died >= options_.detect;
+    bool paused =
+        m.paused_until > now_ && m.died && now_ - m.died >= options_.detect;
+    bool apart = viewer != other && is_apart(viewer, other) &&
+                 now_ - split_at_ >= noticed;
+    return !dead && !paused && !apart && !m.leaving;
+}
+
 /* What every node believes of the members, each a little later. */
 void
 request_fleet::views()
 {
-    std::vector<mv_request_member_t> now_live;
     mv_deployment_t *d = deployments_.back();
-    for (auto &m : members_) {
-        bool known_dead =
-            !m.second->alive && now_ - m.second->died >= options_.detect;
-        bool seen_paused = m.second->paused_until > now_ && m.second->died &&
-                           now_ - m.second->died >= options_.detect;
-        if (!known_dead && !seen_paused && !m.second->leaving) {
-            std::string dc =
-                "dc" + std::to_string(m.first % options_.data_centres);
-            now_live.push_back(
-                {m.first, m.second->life, MvDataCentre_Hash(dc.c_str())});
-        }
-    }
     std::uniform_int_distribution<mv_time_t> late(0, 300 * MV_MILLISECOND);
-    for (auto &m : members_) {
-        mv_node_id_t id = m.first;
-        uint32_t life = m.second->life;
+    for (auto &viewer : members_) {
+        std::vector<mv_request_member_t> live;
+        for (auto &m : members_) {
+            if (believes_live(viewer.first, m.first)) {
+                std::string dc =
+                    "dc" + std::to_string(m.first % options_.data_centres);
+                live.push_back(
+                    {m.first, m.second->life, MvDataCentre_Hash(dc.c_str())});
+            }
+        }
+        mv_node_id_t id = viewer.first;
+        uint32_t life = viewer.second->life;
         mv_time_t when = now_ == 0 ? now_ : now_ + late(random_);
-        at(when, [this, id, life, now_live, d] {
-            apply_view(id, life, now_live, d);
-        });
+        at(when, [this, id, life, live, d] { apply_view(id, life, live, d); });
     }
 }
 
+void
+request_fleet::later_views()
+{
+    for (int part = 0; part <= 5; part++) {
+        at(now_ + options_.detect - part * 100 * MV_MILLISECOND,
+           [this] { views(); });
+    }
+}
+
+void
+request_fleet::split(std::set<unsigned> side)
+{
+    side_ = std::move(side);
+    split_at_ = now_;
+    is_cut_ = [this](mv_node_id_t a, mv_node_id_t b) {
+        return is_apart(a, b);
+    };
+    later_views();
+}
+
+void
+request_fleet::heal()
+{
+    side_.clear();
+    is_cut_ = nullptr;
+    at(now_ + MV_SECOND, [this] { views(); });
+}
+
 void
 request_fleet::apply_view(mv_node_id_t id, uint32_t life,
                           const std::vector<mv_request_member_t> &live,
@@ -519,8 +569,9 @@
     s.runs.erase(it);
     account(endpoint);
     s.running--;
-    mv_result_t result = s.broken || cancelled_.count(w.id) ? MV_RESULT_BROKEN
-                                                            : MV_RESULT_WHOLE;
+    bool lost =
+        s.broken || cancelled_.count(w.id) || is_apart(w.node, endpoint);
+    mv_result_t result = lost ? MV_RESULT_BROKEN : MV_RESULT_WHOLE;
     at(now_ + backend_delay(w.node, endpoint),
        [this, w, result] { answered(w.node, w.life, w.id, result); });
     start_next(endpoint);
@@ -577,7 +628,7 @@
 {
     server &s = servers_[endpoint];
     uint32_t life = members_.at(node)->life;
-    if (s.broken) {
+    if (s.broken || is_apart(node, endpoint)) {
         mv_result_t result =
             random_() % 2 ? MV_RESULT_NOT_PROCESSED : MV_RESULT_UNREACHABLE;
         at(now_ + backend_delay(node, endpoint),
--- a/packages/core/test/request_fleet.h
+++ b/packages/core/test/request_fleet.h
@@ -97,6 +97,10 @@
     void break_endpoint(uint16_t endpoint);
     void mend_endpoint(uint16_t endpoint);
     void cut(std::function<bool(mv_node_id_t, mv_node_id_t)> is_cut);
+    /** Data centres @side and the others lose each other until heal(): nodes,
+     * backend servers, and what each node believes of the others. */
+    void split(std::set<unsigned> side);
+    void heal();
 
     std::map<uint64_t, attempt> &
     attempts()
@@ -162,6 +166,7 @@
     void start_member(mv_node_id_t id);
     void tick(mv_node_id_t id, uint64_t life);
     void views();
+    void later_views();
     void apply_view(mv_node_id_t id, uint32_t life,
                     const std::vector<mv_request_member_t> &live,
                     mv_deployment_t *d);
@@ -193,7 +198,11 @@
     std::vector<server> servers_;
     std::vector<mv_deployment_t *> deployments_;
     std::set<uint16_t> leaving_;
+    bool is_apart(unsigned one, unsigned other) const;
+    bool believes_live(mv_node_id_t viewer, mv_node_id_t other);
     std::function<bool(mv_node_id_t, mv_node_id_t)> is_cut_;
+    std::set<unsigned> side_;
+    mv_time_t split_at_ = 0;
     std::map<uint64_t, attempt> attempts_;
     std::map<std::string, unsigned> runs_;
     std::vector<double> busy_;
--- a/packages/core/test/requests_test.cc
+++ b/packages/core/test/requests_test.cc
@@ -117,6 +117,50 @@
          f.run_for(2 * MV_SECOND);
          f.mend_endpoint(5);
      }},
+    {"data centre cut off, then healed", false,
+     [](request_fleet &f) {
+         f.split({1});
+         f.run_for(6 * MV_SECOND);
+         f.heal();
+     }},
+    {"two deaths and restarts", false,
+     [](request_fleet &f) {
+         mv_node_id_t one = any_node(f);
+         f.kill(one);
+         mv_node_id_t other = any_node(f);
+         f.kill(other);
+         f.run_for(3 * MV_SECOND);
+         f.restart(one);
+         f.restart(other);
+     }},
+    {"data centre cut off, one dies there and restarts", false,
+     [](request_fleet &f) {
+         f.split({1});
+         f.run_for(3500 * MV_MILLISECOND);
+         f.kill(4);
+         f.run_for(500 * MV_MILLISECOND);
+         f.restart(4);
+         f.run_for(3 * MV_SECOND);
+         f.heal();
+     }},
+    {"cut off twice, along other lines", false,
+     [](request_fleet &f) {
+         f.split({1});
+         f.run_for(4 * MV_SECOND);
+         f.split({2});
+         f.run_for(4 * MV_SECOND);
+         f.heal();
+     }},
+    {"all entry VMs of a data centre die and restart", false,
+     [](request_fleet &f) {
+         for (mv_node_id_t id : {1, 4, 7}) {
+             f.kill(id);
+         }
+         f.run_for(3 * MV_SECOND);
+         for (mv_node_id_t id : {1, 4, 7}) {
+             f.restart(id);
+         }
+     }},
     {"pause and stop", false,
      [](request_fleet &f) {
          f.pause(any_node(f), 5 * MV_SECOND);
--- a/packages/masticvaned/src/proxy.c
+++ b/packages/masticvaned/src/proxy.c
@@ -681,6 +681,16 @@
     return proxy->links != NULL;
 }
 
+static void
+expect_peers(mv_proxy_t *proxy)
+{
+    const mv_settings_t *settings = proxy->daemon->settings;
+    for (size_t i = 0; i < settings->peer_count; i++) {
+        mv_node_id_t id = (mv_node_id_t)settings->peers[i].id;
+        MvRequests_Expect(proxy->requests, &id, 1);
+    }
+}
+
 mv_proxy_t *
 MvProxy_Start(mv_daemon_t *daemon, GError **error)
 {
@@ -698,6 +708,7 @@
     proxy->requests = MvRequests_Create(
         daemon->settings->self.id, &proxy->effects, &daemon->counters,
         proxy->random, g_get_real_time(), monotonic());
+    expect_peers(proxy);
     if (open_ports(proxy, error)) {
         proxy->started = pthread_create(&proxy->thread, NULL, run, proxy) == 0;
     }
--- /dev/null
+++ b/scripts/mutants.py
@@ -0,0 +1,122 @@
+#!/usr/bin/env python3
+"""Plant one fault at a time and see whether the tests go red.
+
+Works on a clone in a temporary folder.  A mutant that survives is a promise
+that no test keeps.
+"""
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+CORE = "packages/core/src/"
+# promise, file, from, to, test program, filter
+MUTANTS = [
+    ("moves wait for acknowledgement", CORE + "buckets.c",
+     "        if (member->state == MV_MEMBER_ALIVE &&\n", "        if (false &&\n", "flows_test", "*FlowEvents*:*FlowSchedules*"),
+    ("moves wait for a SYN sent again", CORE + "buckets.c",
+     "now - batch->complete_at >= node->settings.announce_dwell", "true", "flows_test", "Flows.*"),
+    ("moving buckets are relayed to their home", CORE + "steer.c",
+     "    if (place->bucket->phase == MV_BUCKET_STABLE && !fenced) {", "    if (!fenced) {", "flows_test", "*FlowEvents*"),
+    ("old flows are named", CORE + "steer.c",
+     "bool is_new = bucket->phase == MV_BUCKET_MIXED && packet->is_syn;", "bool is_new = bucket->phase == MV_BUCKET_MIXED;", "flows_test", "*FlowEvents*"),
+    ("entries are copied to those who come after", CORE + "handover.c",
+     "static void\nsend_records(mv_node_t *node, mv_node_id_t to, GArray *records)\n{\n", "static void\nsend_records(mv_node_t *node, mv_node_id_t to, GArray *records)\n{\n    if (to < MV_NO_NODE) {\n        return;\n    }\n", "flows_test", "*FlowEvents*:*Named*"),
+    ("a paused node fences itself", CORE + "steer.c",
+     "return view->fenced || now - fresh > MV_FENCE_AFTER;", "return view->fenced && now < fresh;", "flows_test", "Flows.Paused*"),
+    ("a joining node asks until it knows", CORE + "handover.c",
+     "        if (MvMembers_IsLive(member) && !member->synced) {\n            return false;", "        if (MvMembers_IsLive(member) && !member->synced) {\n            break;", "flows_test", "*FlowEvents*:*FlowSchedules*:*Named*"),
+    ("no packet crosses services", CORE + "view.c",
+     "if (service->address == address && service->port == port) {", "if (true) {", "flows_test", "*FlowEvents*"),
+    ("a leaving endpoint gets no new flow", CORE + "buckets.c",
+     "(known->leaves_at == 0 || known->leaves_at * MV_SECOND > wall);", "(known->leaves_at == 0 || wall > 0);", "flows_test", "Flows.Leaving*"),
+    ("a dead endpoint gets no new flow", CORE + "balance.c",
+     "        health->failed = true;", "        health->failed = false;", "flows_test", "Flows.Dead*"),
+    ("where all look dead, serving goes on", CORE + "balance.c",
+     "health->silent >= SILENT_SAMPLES && others_answer &&", "health->silent >= SILENT_SAMPLES &&", "flows_test", "Flows.Dead*"),
+    ("a full endpoint gets no new flow", CORE + "balance.c",
+     "        health->full = true;", "        health->full = false;", "flows_test", "Flows.Full*"),
+    ("an older configuration is refused", CORE + "spread.c",
+     "deployment->version <= node->deployment->version) {", "deployment->version == 0) {", "flows_test", "Config*"),
+    ("a death is noticed", CORE + "members.c",
+     "            set_state(node, member, MV_MEMBER_SUSPECT, now);", "            member->probe_sequence = 0;", "flows_test", "Members*"),
+    ("a key is claimed before dispatch", CORE + "requests.c",
+     "    if (request && request->has_key) {", "    if (request && request->has_key && now < 0) {", "requests_test", "Requests.Repeated*"),
+    ("a claim is copied before it is granted", CORE + "claims.c",
+     "if (claim->copied || second == MV_NO_NODE) {", "if (second <= MV_NO_NODE) {", "requests_test", "*RequestFaults*"),
+    ("a new owner waits for evidence", CORE + "evidence.c",
+     "    if (MvEvidence_IsSynced(claims)) {", "    if (true) {", "requests_test", "*RequestFaults*"),
+    ("a key whose evidence may be lost is refused", CORE + "evidence.c",
+     "    if (claims->losses->len < 2) {", "    if (claims->losses->len < 200) {", "requests_test", "*RequestFaults*:Requests.*"),
+    ("a second that knows better is heard", CORE + "claims.c",
+     "    if (claim && claim->state != MV_CLAIM_NOT_RUN &&\n        !is_same_claim(claim, record)) {", "    if (claim && now < 0) {", "requests_test", "*RequestFaults*"),
+    ("a broken run is never 'not run'", CORE + "requests.c",
+     "    request->may_have_run |= result == MV_RESULT_BROKEN;", "    request->may_have_run |= false;", "requests_test", "*RequestFaults*"),
+    ("non-idempotent work is not sent again", CORE + "requests.c",
+     "bool harmless = surely_not_run || !request->non_idempotent;", "bool harmless = true || surely_not_run;", "requests_test", "*RequestFaults*"),
+    ("a leaving endpoint gets no new request", CORE + "dispatcher.c",
+     "        server->leaving =", "        server->leaving = false &&", "requests_test", "Requests.Leaving*"),
+    ("slots are not overrun", CORE + "dispatcher.c",
+     "server->in_use >= server->limit ||", "server->in_use > server->limit ||", "requests_test", "Requests.Quiet*"),
+    ("a flood leaves shares", CORE + "turns.c",
+     "        if (work->credit >= 1 && urgency < entitled_urgency) {", "        if (work->credit >= 100 && urgency < entitled_urgency) {", "requests_test", "Floods.EveryOther*"),
+    ("members take turns", CORE + "turns.c",
+     "    turn->virtual_time += 1.0 / turn->weight;", "    turn->virtual_time += 0;", "requests_test", "Floods.Members*"),
+    ("what callers gave up suspends nobody", CORE + "requests.c",
+     "given_up ? MV_RETURN_UNUSED", "given_up ? MV_RETURN_FAILED", "requests_test", "Requests.Cancelled*"),
+    ("unsigned frames are refused", "packages/net/src/frame.c",
+     "if (sodium_memcmp(mac, data + sizeof(header) + body, sizeof(mac)) != 0 ||", "if (", "net_test", "Frame*"),
+    ("replayed frames are refused", "packages/net/src/frame.c",
+     "        return true;\n    }\n    window->seen |= 1ULL << age;", "        return false;\n    }\n    window->seen |= 1ULL << age;", "net_test", "Frame*"),
+    ("half a change is not acted on", "packages/config/src/codec.c",
+     "return wanted && !strcmp(wanted, digest);", "return wanted != NULL;", "config_test", "Codec*"),
+    ("a lost answer is read back", "packages/platform/src/accepted.c",
+     "    case MV_STORE_NOT_SENT:\n        g_set_error(error, MV_ERROR, MV_ERROR_UNAVAILABLE,", "    case MV_STORE_UNKNOWN:\n    case MV_STORE_NOT_SENT:\n        g_set_error(error, MV_ERROR, MV_ERROR_UNAVAILABLE,", "platform_test", "Confirm*"),
+    ("operators do not overwrite each other", "packages/platform/src/accepted.c",
+     "        MvStore_Write(store, key, root, strlen(root), index);", "        MvStore_Write(store, key, root, strlen(root), MvStore_Read(store, key).index);", "platform_test", "Confirm*"),
+]
+
+
+def run(command, folder, seconds):
+    try:
+        return subprocess.run(command, cwd=folder, timeout=seconds, stdout=subprocess.PIPE,
+                              stderr=subprocess.STDOUT, text=True)
+    except subprocess.TimeoutExpired:
+        return None
+
+
+def main():
+    root = pathlib.Path(__file__).resolve().parent.parent
+    wanted = sys.argv[1:]
+    survivors = []
+    with tempfile.TemporaryDirectory() as folder:
+        subprocess.run(["git", "clone", "-q", str(root), folder], check=True)
+        subprocess.run(["cmake", "-S", ".", "-B", "build", "-G", "Ninja", "-DCMAKE_C_FLAGS=-Wno-error", "-DCMAKE_BUILD_TYPE=RelWithDebInfo"], cwd=folder,
+                       check=True, stdout=subprocess.DEVNULL)
+        subprocess.run(["cmake", "--build", "build"], cwd=folder, check=True, stdout=subprocess.DEVNULL)
+        for promise, name, before, after, program, tests in MUTANTS:
+            if wanted and not any(word in promise for word in wanted):
+                continue
+            path = pathlib.Path(folder) / name
+            source = path.read_text()
+            if source.count(before) != 1:
+                print(f"STALE     {promise}: found {source.count(before)} times in {name}")
+                survivors.append(promise)
+                continue
+            path.write_text(source.replace(before, after))
+            built = run(["cmake", "--build", "build", "--target", program], folder, 300)
+            verdict = "NOT BUILT"
+            if built and built.returncode == 0:
+                result = run([f"build/bin/{program}", f"--gtest_filter={tests}"], folder, 300)
+                verdict = "survived" if result and result.returncode == 0 else "killed"
+            print(f"{verdict:9} {promise} ({program} {tests})", flush=True)
+            if verdict != "killed":
+                survivors.append(promise)
+            path.write_text(source)
+    print(f"{len(survivors)} not killed")
+    return 1 if survivors else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
