News of who is gone overtakes news of who came

A trace of how many of 599 still believed a member alive, a second at a time: 557, 516, 481 ... 316 after 12 s. Eight seconds after 600 nodes started together each still has hundreds of beliefs to pass on, eight a message, and a death has the same rank as any of them.

Change: suspicion, death and leaving go before all other beliefs. Test: 200 nodes, a death 8 s after a common start, known within 8 s; red before. Conclusion: a rack that comes up no longer hides one that goes down.

--- a/packages/core/src/members.c
+++ b/packages/core/src/members.c
@@ -5,6 +5,8 @@
 
 #define UPDATES_PER_MESSAGE 8
 #define SPREAD_FACTOR 4
+/* Above what any fleet's logarithm comes to. */
+#define SPREAD_MAX 1000u
 #define INDIRECT_PROBES 3
 #define FORGET_DEAD_AFTER (60 * MV_SECOND)
 
@@ -169,6 +171,15 @@
     };
 }
 
+/* Who is gone goes before who came: after a start of many the latter wait by
+ * the hundred. */
+static unsigned
+news_rank(const mv_member_t *member)
+{
+    bool gone = member->state >= MV_MEMBER_SUSPECT;
+    return member->spread_left + (gone ? SPREAD_MAX : 0);
+}
+
 /* The beliefs that were passed on least often, so that news overtake. */
 static size_t
 choose_freshest(mv_node_t *node, mv_node_id_t to, size_t wanted,
@@ -183,11 +194,11 @@
             g_ptr_array_index(node->members, (start + i) % total);
         bool full = found == wanted;
         if (member->spread_left == 0 || member->id == to ||
-            (full && member->spread_left <= chosen[found - 1]->spread_left)) {
+            (full && news_rank(member) <= news_rank(chosen[found - 1]))) {
             continue;
         }
         size_t at = full ? found - 1 : found++;
-        while (at > 0 && chosen[at - 1]->spread_left < member->spread_left) {
+        while (at > 0 && news_rank(chosen[at - 1]) < news_rank(member)) {
             chosen[at] = chosen[at - 1];
             at--;
         }
--- a/packages/core/test/flows_test.cc
+++ b/packages/core/test/flows_test.cc
@@ -225,7 +225,8 @@
  * size, so a larger fleet only spreads it longer. */
 TEST(Members, DeathIsKnownToAllInTime)
 {
-    const death_case cases[] = {{8, 5 * MV_SECOND}, {60, 8 * MV_SECOND}};
+    const death_case cases[] = {
+        {8, 5 * MV_SECOND}, {60, 8 * MV_SECOND}, {200, 8 * MV_SECOND}};
     for (const auto &c : cases) {
         fleet_options options;
         options.nodes = c.nodes;
