Retirements are followed step by step; late flows and last callers are named

Cause: the product is for winding down, and nothing said how far a retirement was: `services[].moving` fell to 0 only when every move of a service was over, late flows had no names, and the last callers of a service that ends were unknown.

Change: retirement.c, a controller for each backend server that leaves (announced, draining, drained, gone; late after its end), reconciled each second from the configuration and from what homes know by name; load records carry the named flows. callers.c keeps the last 256 members that called a service with an end. `masticvane status` sums both over the entry VMs; events 5003 to 5008.

Before: no step reported. Conclusion: an operator sees when a backend server may be switched off.

--- a/bench/src/capacity.cc
+++ b/bench/src/capacity.cc
@@ -202,7 +202,7 @@
     }
     std::vector<mv_bucket_update_t> buckets(64, {1ull << 53, 999, 3, 4, 1});
     std::vector<mv_flow_record_t> flows(1000, {0x64000001, 4000, 1, 3, 5});
-    std::vector<mv_load_record_t> loads(18, {1, 3, 1400, 5, 6});
+    std::vector<mv_load_record_t> loads(18, {1, 3, 1400, 5, 6, 20});
     mv_slot_record_t slot = {};
     slot.op = MV_SLOT_GRANT;
     slot.request = 100000;
--- a/packages/core/include/masticvane/core.h
+++ b/packages/core/include/masticvane/core.h
@@ -255,6 +255,7 @@
  * @open: SYN minus FIN and RST seen by the sender
  * @answered: sampled new flows that went on, since the last report
  * @silent: sampled new flows of which nothing more was seen
+ * @named: flows it knows by name as their home
  */
 typedef struct mv_load_record {
     uint32_t service;
@@ -262,6 +263,7 @@
     int32_t open;
     uint32_t answered;
     uint32_t silent;
+    uint32_t named;
 } mv_load_record_t;
 
 /** enum mv_slot_op - What a slot record says. */
--- a/packages/core/src/balance.c
+++ b/packages/core/src/balance.c
@@ -28,6 +28,12 @@
     return node->homes.home[MvGroup_Of(state->service->id, 0)];
 }
 
+bool
+MvBalance_IsDecider(const mv_node_t *node, const mv_node_service_t *service)
+{
+    return decider(node, service) == node->settings.id;
+}
+
 static void
 take_load(mv_node_t *node, const mv_message_t *message)
 {
@@ -41,10 +47,12 @@
         gpointer key = GUINT_TO_POINTER(message->from);
         int32_t *counts = g_hash_table_lookup(service->heard_load, key);
         if (!counts) {
-            counts = g_new0(int32_t, service->load_slots);
+            counts = g_new0(int32_t, 2 * service->load_slots);
             g_hash_table_insert(service->heard_load, key, counts);
         }
         counts[record->endpoint] = record->open;
+        counts[service->load_slots + record->endpoint] =
+            (int32_t)record->named;
         service->health[record->endpoint].answered += record->answered;
         service->health[record->endpoint].silent += record->silent;
     }
@@ -81,7 +89,8 @@
             .open = __atomic_load_n(&state->open[id], __ATOMIC_RELAXED),
             .answered = (uint32_t)__atomic_exchange_n(
                 &state->open[MV_LOAD_SLOTS + id], 0, __ATOMIC_RELAXED),
-            .silent = state->health[id].silent_here};
+            .silent = state->health[id].silent_here,
+            .named = state->health[id].named_here};
         state->health[id].silent_here = 0;
         g_array_append_val(records, record);
     }
--- a/packages/core/src/filters.c
+++ b/packages/core/src/filters.c
@@ -55,7 +55,12 @@
             continue;
         }
         mv_time_t ends = service->ends_at * MV_SECOND;
-        if (ends && now + requests->wall_offset >= ends) {
+        bool ended = ends && now + requests->wall_offset >= ends;
+        if (ends) {
+            MvCallers_Note(&requests->last_callers, now, service->id,
+                           info->member, ended);
+        }
+        if (ended) {
             return refuse(MV_REASON_SERVICE_ENDED);
         }
         request->service = service->id;
--- a/packages/core/src/handover.c
+++ b/packages/core/src/handover.c
@@ -323,6 +323,10 @@
         return false;
     }
     bucket->named += entry->endpoint != bucket->endpoint;
+    if (entry->endpoint < service->load_slots &&
+        MvBuckets_IsHome(expiry->node, service, number)) {
+        service->health[entry->endpoint].named_here++;
+    }
     return true;
 }
 
@@ -340,6 +344,9 @@
         for (uint32_t b = 0; service->moving > 0 && b < service->count; b++) {
             service->buckets[b].named = 0;
         }
+        for (uint32_t e = 0; e < service->load_slots; e++) {
+            service->health[e].named_here = 0;
+        }
     }
     MvFlowTable_Sweep(node->flows, keep_entry, &expiry);
 }
--- a/packages/core/src/node.c
+++ b/packages/core/src/node.c
@@ -58,6 +58,7 @@
     node->members = g_ptr_array_new_with_free_func(g_free);
     node->services = g_ptr_array_new();
     MvList_Init(&node->batches);
+    MvList_Init(&node->retirements);
     MvList_Init(&node->retired);
     memset(&node->homes, 0xff, sizeof(node->homes));
     memset(&node->future, 0xff, sizeof(node->future));
@@ -99,6 +100,7 @@
     }
     free_retired(node, UINT64_MAX);
     MvView_Destroy(node->view);
+    MvRetirement_Free(node);
     MV_LIST_FOREACH(item, &node->batches)
     {
         mv_batch_t *batch = MV_CONTAINER_OF(item, mv_batch_t, link);
@@ -293,6 +295,7 @@
     MvBuckets_Timer(node, now);
     MvBalance_Timer(node, now);
     MvHandover_Timer(node, now);
+    MvRetirement_Timer(node, now);
     MvHandover_HomesChanged(node, now);
     publish(node);
     reclaim(node);
@@ -455,13 +458,14 @@
 MvNode_Dump(const mv_node_t *node, mv_time_t now)
 {
     return json_pack(
-        "{s:i,s:I,s:s,s:b,s:b,s:b,s:I,s:o,s:o,s:o}", "node",
+        "{s:i,s:I,s:s,s:b,s:b,s:b,s:I,s:o,s:o,s:o,s:o}", "node",
         (int)node->settings.id, "config_version",
         (json_int_t)(node->deployment ? node->deployment->version : 0),
         "change_id", node->deployment ? node->deployment->change_id : "",
         "ready", (int)node->ready, "syncing", (int)node->syncing, "stopping",
         (int)node->stopping, "flow_entries",
         (json_int_t)MvNode_FlowCount(node), "members", dump_members(node, now),
-        "services", dump_services(node), "counters",
+        "services", dump_services(node), "retirements",
+        MvRetirement_Dump(node, now), "counters",
         MvCounters_ToJson(node->counters));
 }
--- a/packages/core/src/node_private.h
+++ b/packages/core/src/node_private.h
@@ -5,6 +5,7 @@
  * spread.c    which configuration is in force, learnt from store and peers
  * buckets.c   which endpoint new and old flows of a bucket go to
  * handover.c  copies of flow entries, joining and leaving
+ * retirement.c  backend servers from announced to gone
  * steer.c     the decision about one packet, run by traffic threads
  */
 #ifndef MV_CORE_NODE_PRIVATE_H
@@ -77,6 +78,7 @@
 /**
  * struct mv_health - How an endpoint looks to the entry VMs.
  * @silent_here: silent samples of this node since its last report
+ * @named_here: flows known by name to this node as their home
  * @answered: answered samples in the window, at the deciding home
  * @silent: silent samples in the window, at the deciding home
  * @failed: it gets no new flows but those of one bucket
@@ -86,6 +88,7 @@
  */
 typedef struct mv_health {
     uint32_t silent_here;
+    uint32_t named_here;
     uint32_t answered;
     uint32_t silent;
     bool failed;
@@ -105,8 +108,9 @@
  * @open: open flows by endpoint id as this node counts them; shared box
  * @health: what is known of each endpoint, @load_slots of them
  * @load_slots: endpoint ids below it are counted
- * @heard_load: node id to an array of @load_slots counts it last sent; kept
- *              by the home that decides about the service's evenness
+ * @heard_load: node id to what it last sent: @load_slots counts of open
+ *              flows, then as many of flows known by name; kept by the home
+ *              that decides about the service's evenness
  */
 typedef struct mv_node_service {
     const mv_service_t *service;
@@ -177,6 +181,8 @@
     mv_time_t previous_until;
     uint64_t last_version;
     mv_list_t batches;
+    mv_list_t retirements;
+    mv_time_t next_retirement;
     mv_time_t next_load;
     size_t load_position;
     mv_time_t next_sweep;
@@ -251,6 +257,15 @@
 void MvBalance_Message(mv_node_t *node, mv_time_t now, const mv_message_t *m);
 void MvBalance_Timer(mv_node_t *node, mv_time_t now);
 
+bool MvBalance_IsDecider(const mv_node_t *node,
+                         const mv_node_service_t *service);
+
+/* retirement.c */
+void MvRetirement_Config(mv_node_t *node, mv_time_t now);
+void MvRetirement_Timer(mv_node_t *node, mv_time_t now);
+void MvRetirement_Free(mv_node_t *node);
+json_t *MvRetirement_Dump(const mv_node_t *node, mv_time_t now);
+
 /* handover.c */
 void MvHandover_HomesChanged(mv_node_t *node, mv_time_t now);
 void MvHandover_Message(mv_node_t *node, mv_time_t now, const mv_message_t *m);
--- a/packages/core/src/requests.c
+++ b/packages/core/src/requests.c
@@ -61,6 +61,9 @@
     MvClaims_Destroy(requests->claims);
     g_hash_table_unref(requests->requests);
     g_free(requests->members);
+    if (requests->last_callers) {
+        g_array_unref(requests->last_callers);
+    }
     MvDeployment_Unref(requests->deployment);
     g_free(requests);
 }
@@ -399,14 +402,14 @@
 MvRequests_Dump(const mv_requests_t *requests, mv_time_t now)
 {
     json_t *reasons = json_object();
-    (void)now;
     for (unsigned i = 0; i < MV_REASON_COUNT; i++) {
         json_object_set_new(reasons, reason_names[i],
                             json_integer((json_int_t)requests->reasons[i]));
     }
-    return json_pack("{s:I,s:I,s:o,s:o,s:o}", "open",
-                     (json_int_t)requests->open, "claims",
-                     (json_int_t)MvClaims_Count(requests->claims), "wait_us",
-                     MvHistogram_ToJson(&requests->waits), "outcomes", reasons,
-                     "services", MvSlots_Dump(requests->slots));
+    return json_pack(
+        "{s:I,s:I,s:o,s:o,s:o,s:o}", "open", (json_int_t)requests->open,
+        "claims", (json_int_t)MvClaims_Count(requests->claims), "wait_us",
+        MvHistogram_ToJson(&requests->waits), "outcomes", reasons, "services",
+        MvSlots_Dump(requests->slots), "last_callers",
+        MvCallers_Dump(requests->last_callers, requests->deployment, now));
 }
--- a/packages/core/src/requests_private.h
+++ b/packages/core/src/requests_private.h
@@ -105,6 +105,7 @@
     bool stopping;
     mv_histogram_t waits;
     uint64_t reasons[MV_REASON_COUNT];
+    GArray *last_callers;
 };
 
 /* requests.c */
@@ -123,6 +124,12 @@
 mv_request_t *MvFilters_Run(mv_requests_t *requests, mv_time_t now,
                             const mv_request_info_t *info);
 
+/* callers.c */
+void MvCallers_Note(GArray **callers, mv_time_t now, uint16_t service,
+                    const char *name, bool refused);
+json_t *MvCallers_Dump(const GArray *callers,
+                       const mv_deployment_t *deployment, mv_time_t now);
+
 /* claims.c */
 mv_claims_t *MvClaims_Create(mv_requests_t *requests);
 void MvClaims_Expect(mv_claims_t *claims, const mv_node_id_t *ids,
--- a/packages/core/test/fleet.cc
+++ b/packages/core/test/fleet.cc
@@ -173,10 +173,26 @@
 
 void
 fleet::drain(uint16_t service, uint16_t endpoint)
+{
+    retire(service, endpoint, 0, 0);
+}
+
+void
+fleet::retire(uint16_t service, uint16_t endpoint, mv_time_t in,
+              mv_time_t ends_in)
+{
+    mv_deployment_t *d = make();
+    mv_endpoint_t *one = &d->services[service - 1].endpoints[endpoint - 1];
+    one->leaves_at = (now_ + kWallStart + in) / MV_SECOND;
+    one->ends_at = ends_in ? (now_ + kWallStart + ends_in) / MV_SECOND : 0;
+    accept(d);
+}
+
+void
+fleet::remove_last_endpoint(uint16_t service)
 {
     mv_deployment_t *d = make();
-    d->services[service - 1].endpoints[endpoint - 1].leaves_at =
-        (now_ + kWallStart) / MV_SECOND;
+    d->services[service - 1].endpoint_count--;
     accept(d);
 }
 
@@ -206,8 +222,13 @@
 }
 
 void
-fleet::effect_event(mv_effects_t *, mv_log_event_t, mv_node_id_t, uint64_t)
+fleet::effect_event(mv_effects_t *effects, mv_log_event_t event,
+                    mv_node_id_t about, uint64_t detail)
 {
+    auto *m = reinterpret_cast<member *>(effects);
+    if (m->owner->on_event) {
+        m->owner->on_event(event, about, detail);
+    }
 }
 
 static const mv_effects_ops_t *
--- a/packages/core/test/fleet.h
+++ b/packages/core/test/fleet.h
@@ -91,6 +91,9 @@
     mv_deployment_t *make(unsigned leaving = 0, unsigned extra = 0);
     void accept(mv_deployment_t *deployment);
     void drain(uint16_t service, uint16_t endpoint);
+    void retire(uint16_t service, uint16_t endpoint, mv_time_t in,
+                mv_time_t ends_in);
+    void remove_last_endpoint(uint16_t service);
     void add_endpoint(uint16_t service);
     mv_deployment_t *
     accepted()
@@ -128,6 +131,7 @@
     double time_lookups(unsigned count, bool moving);
 
     std::function<void(const flow &, const std::string &)> on_broken;
+    std::function<void(mv_log_event_t, mv_node_id_t, uint64_t)> on_event;
     size_t (*encoded_size)(const mv_message_t *) = nullptr;
 
   private:
--- /dev/null
+++ b/packages/core/test/retirement_test.cc
@@ -0,0 +1,152 @@
+#include "fleet.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+const uint16_t kLast = 14;
+
+struct retirement_case {
+    const char *name;
+    mv_time_t leaves_in;
+    mv_time_t ends_in;
+    double flow_seconds;
+    bool is_late;
+};
+
+struct step_seen {
+    mv_log_event_t event;
+    mv_time_t at;
+};
+
+/* When the first event of a kind came, or -1. */
+mv_time_t
+first(const std::vector<step_seen> &steps, mv_log_event_t event)
+{
+    for (auto &step : steps) {
+        if (step.event == event) {
+            return step.at;
+        }
+    }
+    return -1;
+}
+
+bool
+is_step(mv_log_event_t event)
+{
+    return event == MV_EVENT_ENDPOINT_ANNOUNCED ||
+           event == MV_EVENT_ENDPOINT_DRAINING ||
+           event == MV_EVENT_ENDPOINT_DRAINED ||
+           event == MV_EVENT_ENDPOINT_GONE || event == MV_EVENT_ENDPOINT_LATE;
+}
+
+/* Flows that the entry VMs name as left on the endpoint. */
+size_t
+named_flows(fleet &f)
+{
+    size_t count = 0;
+    for (auto id : f.live()) {
+        json_t *state = MvNode_Dump(f.node(id), f.now());
+        size_t i;
+        json_t *one;
+        json_array_foreach(json_object_get(state, "retirements"), i, one)
+        {
+            count += json_array_size(json_object_get(one, "flows"));
+        }
+        json_decref(state);
+    }
+    return count;
+}
+
+} // namespace
+
+TEST(Retirement, IsReportedStepByStepAndNotAheadOfItsFlows)
+{
+    const retirement_case cases[] = {
+        {"now", 0, 0, 4, false},
+        {"in 10 s", 10 * MV_SECOND, 0, 4, false},
+        {"end before its flows", 0, 6 * MV_SECOND, 40, true},
+    };
+    for (const auto &c : cases) {
+        SCOPED_TRACE(c.name);
+        fleet_options options;
+        options.idle_seconds = 5;
+        fleet f(options);
+        std::vector<step_seen> steps;
+        f.on_event = [&](mv_log_event_t event, mv_node_id_t about,
+                         uint64_t detail) {
+            if (is_step(event) && about == kLast && detail == 1) {
+                steps.push_back({event, f.now()});
+            }
+        };
+        f.run_for(4 * MV_SECOND);
+        f.traffic(100, c.flow_seconds, 500 * MV_MILLISECOND);
+        f.run_for(10 * MV_SECOND);
+        mv_time_t asked = f.now();
+        f.retire(1, kLast, c.leaves_in, c.ends_in);
+        mv_time_t last_flow = 0;
+        size_t most_named = 0;
+        /* Flows have exponential lives: until the last one and 40 s more. */
+        while (f.now() < std::max(last_flow, asked) + 40 * MV_SECOND) {
+            f.run_for(MV_SECOND);
+            if (f.open_by_endpoint(1)[kLast - 1] > 0) {
+                last_flow = f.now();
+                most_named = std::max(most_named, named_flows(f));
+            }
+        }
+        mv_time_t announced = first(steps, MV_EVENT_ENDPOINT_ANNOUNCED);
+        mv_time_t draining = first(steps, MV_EVENT_ENDPOINT_DRAINING);
+        mv_time_t drained = first(steps, MV_EVENT_ENDPOINT_DRAINED);
+        EXPECT_GE(announced, asked);
+        EXPECT_GE(draining, asked + c.leaves_in - MV_SECOND);
+        EXPECT_LE(draining, asked + c.leaves_in + 3 * MV_SECOND);
+        EXPECT_LE(f.last_new_flow(1, kLast),
+                  asked + c.leaves_in + 3 * MV_SECOND);
+        /* Not before its last flow has ended, and within the idle limit and
+         * the reports of all homes after it. */
+        EXPECT_GE(drained, last_flow);
+        EXPECT_LE(drained, last_flow + 25 * MV_SECOND);
+        EXPECT_GT(most_named, 0u) << "no flow that was left had a name";
+        EXPECT_EQ(first(steps, MV_EVENT_ENDPOINT_LATE) >= 0, c.is_late);
+        EXPECT_EQ(f.seen().broken_flows, 0u);
+        f.remove_last_endpoint(1);
+        f.run_for(3 * MV_SECOND);
+        EXPECT_GT(first(steps, MV_EVENT_ENDPOINT_GONE), drained);
+        EXPECT_EQ(f.seen().broken_flows, 0u);
+    }
+}
+
+/* Its home may change while it drains. */
+TEST(Retirement, SurvivesTheRestartOfEveryEntryVm)
+{
+    fleet_options options;
+    options.idle_seconds = 5;
+    fleet f(options);
+    std::vector<step_seen> steps;
+    f.on_event = [&](mv_log_event_t event, mv_node_id_t about,
+                     uint64_t detail) {
+        if (is_step(event) && about == kLast && detail == 1) {
+            steps.push_back({event, f.now()});
+        }
+    };
+    f.run_for(4 * MV_SECOND);
+    f.traffic(60, 30, 2 * MV_SECOND);
+    f.run_for(15 * MV_SECOND);
+    f.retire(1, kLast, 0, 0);
+    f.run_for(10 * MV_SECOND);
+    mv_time_t last_flow = 0;
+    for (mv_node_id_t id = 1; id <= 7; id++) {
+        f.stop_node(id);
+        f.run_for(4 * MV_SECOND);
+        f.start_node(id);
+        f.run_for(6 * MV_SECOND);
+        last_flow = f.open_by_endpoint(1)[kLast - 1] > 0 ? f.now() : last_flow;
+        if (last_flow == f.now()) {
+            EXPECT_LT(first(steps, MV_EVENT_ENDPOINT_DRAINED), 0)
+                << "reported with flows left, after node " << id;
+        }
+    }
+    f.run_for(90 * MV_SECOND);
+    EXPECT_GE(first(steps, MV_EVENT_ENDPOINT_DRAINED), last_flow);
+    EXPECT_EQ(f.seen().broken_flows, 0u);
+}
--- a/packages/masticvane/src/command.h
+++ b/packages/masticvane/src/command.h
@@ -78,6 +78,16 @@
 mv_node_status_t *MvNodes_Ask(const mv_options_t *options,
                               const char *deployment, size_t *count);
 
+/**
+ * MvWinding_Sum() - What is being wound down, over all that answered.
+ *
+ * Return: new reference to an object with "retirements" and "last_callers".
+ */
+json_t *MvWinding_Sum(const mv_node_status_t *nodes, size_t count);
+
+/** MvWinding_Print() - The same for people, on standard output. */
+void MvWinding_Print(const json_t *sum);
+
 /** MvNodes_Free() - Free; NULL is accepted. */
 void MvNodes_Free(mv_node_status_t *nodes, size_t count);
 
--- a/packages/masticvane/src/nodes.c
+++ b/packages/masticvane/src/nodes.c
@@ -246,10 +246,16 @@
             print_status(&nodes[i], newest);
         }
     }
+    json_t *sum = MvWinding_Sum(nodes, count);
     if (options->json) {
-        json_dumpf(array, stdout, JSON_INDENT(2));
+        json_object_set(sum, "nodes", array);
+        json_dumpf(sum, stdout, JSON_INDENT(2));
         (void)fputs("\n", stdout);
     }
+    else {
+        MvWinding_Print(sum);
+    }
+    json_decref(sum);
     json_decref(array);
     MvNodes_Free(nodes, count);
     return behind ? MV_EXIT_LAGGING : MV_EXIT_OK;
--- a/packages/net/src/codec.c
+++ b/packages/net/src/codec.c
@@ -7,7 +7,7 @@
 #define MESSAGE_FIELDS 13
 #define MEMBER_FIELDS 7
 #define BUCKET_FIELDS 5
-#define LOAD_FIELDS 5
+#define LOAD_FIELDS 6
 #define SLOT_FIELDS 10
 #define CLAIM_FIELDS 8
 /* Packed flow record: address, port, service, endpoint, idle in 100 ms. */
@@ -94,6 +94,7 @@
         msgpack_pack_int32(packer, message->loads[i].open);
         msgpack_pack_uint32(packer, message->loads[i].answered);
         msgpack_pack_uint32(packer, message->loads[i].silent);
+        msgpack_pack_uint32(packer, message->loads[i].named);
     }
 }
 
@@ -285,12 +286,14 @@
         uint64_t endpoint;
         uint64_t answered;
         uint64_t silent;
+        uint64_t named;
         if (row->type != MSGPACK_OBJECT_ARRAY ||
             row->via.array.size != LOAD_FIELDS ||
             !get_uint(&row->via.array.ptr[0], UINT16_MAX, &service) ||
             !get_uint(&row->via.array.ptr[1], UINT16_MAX, &endpoint) ||
             !get_uint(&row->via.array.ptr[3], UINT32_MAX, &answered) ||
-            !get_uint(&row->via.array.ptr[4], UINT32_MAX, &silent)) {
+            !get_uint(&row->via.array.ptr[4], UINT32_MAX, &silent) ||
+            !get_uint(&row->via.array.ptr[5], UINT32_MAX, &named)) {
             return false;
         }
         const msgpack_object *open = &row->via.array.ptr[2];
@@ -303,7 +306,8 @@
                                                .endpoint = (uint32_t)endpoint,
                                                .open = (int32_t)open->via.i64,
                                                .answered = (uint32_t)answered,
-                                               .silent = (uint32_t)silent};
+                                               .silent = (uint32_t)silent,
+                                               .named = (uint32_t)named};
     }
     return true;
 }
--- a/packages/net/test/net_test.cc
+++ b/packages/net/test/net_test.cc
@@ -118,7 +118,7 @@
     member.state = MV_MEMBER_SUSPECT;
     mv_bucket_update_t bucket = {99, 5, 1, 2, MV_BUCKET_MIXED};
     mv_flow_record_t flow = {0x0a000001, 4242, 1, 2, 300};
-    mv_load_record_t load = {1, 2, -5, 3, 4};
+    mv_load_record_t load = {1, 2, -5, 3, 4, 5};
     char blob[] = "config";
     mv_message_t message = {};
     message.kind = MV_MESSAGE_BUCKETS;
