Peers send what changed; a change on top of ours does not make ours failed

And a confirm whose answer was lost, with another operator's change accepted on top before the read-back, was reported as "another change was accepted first" although it took effect. Found by a new row of the table of cases.

Change: each service has the version that last changed it and its digest. A peer leaves out what the asker has; the asker copies it from what is in force, by digest, and asks for the whole if one does not match. No JSON source is kept. A root names its last 16 change ids.

--- a/bench/src/capacity.cc
+++ b/bench/src/capacity.cc
@@ -1,5 +1,6 @@
 /* masticvane-capacity: slopes measured here, carried to the design size. */
 #include "fleet.h"
+#include "masticvane/config.h"
 #include "masticvane/net.h"
 #include "report.h"
 #include "request_fleet.h"
@@ -7,6 +8,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <cstring>
 
 extern "C" {
 #include "flow_table.h"
@@ -246,6 +248,66 @@
     size("one slot record", 1);
 }
 
+/* Answers with @services of 4 endpoints; the first has @slots. */
+mv_deployment_t *
+many_services(unsigned services, unsigned slots)
+{
+    std::string text = "[deployment]\nname = d\ndata_centres = a\n";
+    for (unsigned s = 0; s < services; s++) {
+        std::string name = "s" + std::to_string(s);
+        std::string net =
+            std::to_string(s / 250) + "." + std::to_string(1 + s % 250) + ".";
+        text += "[service " + name + "]\naddress = 10." + net +
+                "1\nslots = " + std::to_string(s == 0 ? slots : 2) + "\n";
+        for (int e = 1; e <= 4; e++) {
+            text += "[endpoint " + name + " " + std::to_string(e) +
+                    "]\ndata_centre = a\naddress = 11." + net +
+                    std::to_string(e) + "\n";
+        }
+    }
+    mv_findings_t *findings = MvFindings_Create();
+    mv_deployment_t *d =
+        MvAnswers_Parse("answers", text.c_str(), 1800000000, findings);
+    MvFindings_Print(findings, stderr);
+    MvFindings_Destroy(findings);
+    return d;
+}
+
+void
+configuration(bench_report &report)
+{
+    heading(report, "Configuration: a change of one service of 4 endpoints");
+    for (unsigned services : {4u, 100u, 940u}) {
+        mv_deployment_t *first = many_services(services, 2);
+        MvDeployment_Generate(first, nullptr, 1800000000, "one");
+        mv_deployment_t *second = many_services(services, 3);
+        MvDeployment_Generate(second, first, 1800000001, "two");
+        char *whole = MvDeployment_EncodeSince(second, 0);
+        char *since = nullptr;
+        mv_deployment_t *got = nullptr;
+        double encode =
+            seconds_of([&] { since = MvDeployment_EncodeSince(second, 1); });
+        double decode = seconds_of([&] {
+            got = MvDeployment_Decode(since, strlen(since), first, nullptr);
+        });
+        std::string size = std::to_string(services) + " services";
+        line(report, size, "bytes, whole", (double)strlen(whole),
+             "bytes a service", (double)strlen(whole) / services);
+        line(report, size, "bytes, since the version before",
+             (double)strlen(since), "bytes a service",
+             (double)strlen(since) / services);
+        line(report, size, "encode ms", encode * 1e3, "us a service",
+             encode * 1e6 / services);
+        line(report, size, "decode ms", decode * 1e3, "us a service",
+             decode * 1e6 / services);
+        free(whole);
+        free(since);
+        for (auto *d : {first, second, got}) {
+            MvDeployment_Unref(d);
+        }
+    }
+}
+
 } // namespace
 
 int
@@ -260,6 +322,7 @@
     table_build(report);
     flow_entries(report);
     wire(report);
+    configuration(report);
     gossip(report);
     requests(report);
     if (argc > 1) {
--- a/packages/config/include/masticvane/config.h
+++ b/packages/config/include/masticvane/config.h
@@ -85,13 +85,21 @@
                      const mv_deployment_t *next, int64_t now,
                      unsigned *dangers);
 
+/**
+ * MvDeployment_HasChange() - Is this change in @deployment, as the newest or
+ * one of the last MV_RECENT_CHANGES?
+ */
+bool MvDeployment_HasChange(const mv_deployment_t *deployment,
+                            const char *change_id);
+
 /**
  * MvDeployment_EncodeService() - JSON document of one service.
- * @digest: set to the hex digest of the document, 33 bytes
+ * @digest: set to the hex digest of the document
  *
  * Return: text, to be freed with free().
  */
-char *MvDeployment_EncodeService(const mv_service_t *service, char digest[33]);
+char *MvDeployment_EncodeService(const mv_service_t *service,
+                                 char digest[MV_DIGEST_MAX]);
 
 /**
  * MvDeployment_EncodeRoot() - JSON document that names all services.
@@ -120,14 +128,25 @@
 
 /**
  * MvDeployment_Decode() - Decode a bundle.
+ * @base: where services that were left out are taken from, or NULL
  *
- * Return: the deployment with its source kept, or NULL with @error set.
+ * Every service must match its digest in the root, also those from @base.
+ *
+ * Return: the deployment, or NULL with @error set.
  */
 mv_deployment_t *MvDeployment_Decode(const char *bytes, size_t length,
+                                     const mv_deployment_t *base,
                                      GError **error);
 
-/** MvDeployment_Encode() - Bundle of a deployment; freed with free(). */
-char *MvDeployment_Encode(const mv_deployment_t *deployment);
+/**
+ * MvDeployment_EncodeSince() - Bundle for one who has version @since.
+ *
+ * Services that did not change since then are left out; with 0 none is.
+ *
+ * Return: text, to be freed with free().
+ */
+char *MvDeployment_EncodeSince(const mv_deployment_t *deployment,
+                               uint64_t since);
 
 #ifdef __cplusplus
 }
--- a/packages/config/src/codec.c
+++ b/packages/config/src/codec.c
@@ -41,7 +41,8 @@
 }
 
 char *
-MvDeployment_EncodeService(const mv_service_t *service, char digest[33])
+MvDeployment_EncodeService(const mv_service_t *service,
+                           char digest[MV_DIGEST_MAX])
 {
     json_t *endpoints = json_array();
     for (uint16_t i = 0; i < service->endpoint_count; i++) {
@@ -74,11 +75,11 @@
 {
     json_t *services = json_array();
     for (uint16_t i = 0; i < deployment->service_count; i++) {
-        char digest[2 * DIGEST_BYTES + 1];
-        free(MvDeployment_EncodeService(&deployment->services[i], digest));
-        json_array_append_new(services, json_pack("{s:s,s:s}", "name",
-                                                  deployment->services[i].name,
-                                                  "digest", digest));
+        const mv_service_t *service = &deployment->services[i];
+        json_array_append_new(
+            services, json_pack("{s:s,s:s,s:I}", "name", service->name,
+                                "digest", service->digest, "changed_in",
+                                (json_int_t)service->changed_in));
     }
     json_t *members = json_array();
     for (uint16_t i = 0; i < deployment->member_count; i++) {
@@ -87,13 +88,21 @@
                                         deployment->members[i].name, "weight",
                                         deployment->members[i].weight));
     }
-    json_t *root = json_pack(
-        "{s:s,s:I,s:s,s:I,s:I,s:i,s:o,s:o}", "name", deployment->name,
-        "version", (json_int_t)deployment->version, "change_id",
-        deployment->change_id, "accepted_at",
-        (json_int_t)deployment->accepted_at, "flow_idle_seconds",
-        (json_int_t)deployment->flow_idle_seconds, "last_service_id",
-        deployment->last_service_id, "services", services, "members", members);
+    json_t *recent = json_array();
+    for (int i = 0; i < MV_RECENT_CHANGES; i++) {
+        if (*deployment->recent_changes[i]) {
+            json_array_append_new(recent,
+                                  json_string(deployment->recent_changes[i]));
+        }
+    }
+    json_t *root =
+        json_pack("{s:s,s:I,s:s,s:I,s:I,s:i,s:o,s:o,s:o}", "name",
+                  deployment->name, "version", (json_int_t)deployment->version,
+                  "change_id", deployment->change_id, "accepted_at",
+                  (json_int_t)deployment->accepted_at, "flow_idle_seconds",
+                  (json_int_t)deployment->flow_idle_seconds, "last_service_id",
+                  deployment->last_service_id, "services", services, "members",
+                  members, "recent_changes", recent);
     char *text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
     json_decref(root);
     return text;
@@ -265,18 +274,81 @@
     }
 }
 
+static void
+decode_recent(const json_t *recent, mv_deployment_t *deployment)
+{
+    for (size_t i = 0; i < MV_RECENT_CHANGES; i++) {
+        const char *id = json_string_value(json_array_get(recent, i));
+        g_strlcpy(deployment->recent_changes[i], id ? id : "",
+                  MV_CHANGE_ID_MAX);
+    }
+}
+
 /* A half-read change must never be acted on: digests tie it together. */
 static bool
-matches_digest(const mv_service_t *service, const json_t *entry)
+decode_sent(const json_t *document, const char *digest, mv_service_t *service)
+{
+    if (!decode_service(document, service)) {
+        return false;
+    }
+    free(MvDeployment_EncodeService(service, service->digest));
+    return !strcmp(service->digest, digest);
+}
+
+static const mv_service_t *
+find_in_base(const mv_deployment_t *base, uint16_t position,
+             const char *digest)
+{
+    uint16_t count = base ? base->service_count : 0;
+    for (uint16_t i = 0; i < count; i++) {
+        /* Most often it stands where it stood. */
+        const mv_service_t *service = &base->services[(position + i) % count];
+        if (!strcmp(service->digest, digest)) {
+            return service;
+        }
+    }
+    return NULL;
+}
+
+/* A service that was left out is the one in force. */
+static bool
+copy_from_base(const mv_deployment_t *base, uint16_t position,
+               const char *digest, mv_service_t *service)
+{
+    const mv_service_t *old = find_in_base(base, position, digest);
+    if (!old) {
+        return false;
+    }
+    size_t buckets = old->bucket_count * sizeof(uint16_t);
+    *service = *old;
+    service->endpoints =
+        g_memdup2(old->endpoints, old->endpoint_count * sizeof(mv_endpoint_t));
+    service->work = g_new0(mv_work_t, old->work_count + 1u);
+    memcpy(service->work, old->work, old->work_count * sizeof(mv_work_t));
+    service->before = g_memdup2(old->before, buckets);
+    service->target = g_memdup2(old->target, buckets);
+    return true;
+}
+
+static bool
+decode_named(const json_t *sent, const json_t *entry,
+             const mv_deployment_t *base, uint16_t position,
+             mv_service_t *service)
 {
-    char digest[2 * DIGEST_BYTES + 1];
-    free(MvDeployment_EncodeService(service, digest));
-    const char *wanted = json_string_value(json_object_get(entry, "digest"));
-    return wanted && !strcmp(wanted, digest);
+    const char *digest = json_string_value(json_object_get(entry, "digest"));
+    if (!digest) {
+        return false;
+    }
+    bool good = json_is_null(sent)
+                    ? copy_from_base(base, position, digest, service)
+                    : decode_sent(sent, digest, service);
+    service->changed_in = (uint64_t)integer(entry, "changed_in");
+    return good;
 }
 
 static bool
-decode_bundle(const json_t *bundle, mv_deployment_t *deployment)
+decode_bundle(const json_t *bundle, const mv_deployment_t *base,
+              mv_deployment_t *deployment)
 {
     const json_t *root = json_object_get(bundle, "root");
     const json_t *named = json_object_get(root, "services");
@@ -291,6 +363,7 @@
         (uint32_t)integer(root, "flow_idle_seconds");
     deployment->last_service_id = (uint16_t)integer(root, "last_service_id");
     decode_members(json_object_get(root, "members"), deployment);
+    decode_recent(json_object_get(root, "recent_changes"), deployment);
     if (deployment->version == 0 || deployment->flow_idle_seconds == 0 ||
         count != json_array_size(named) || count > UINT16_MAX) {
         return false;
@@ -298,9 +371,9 @@
     deployment->services = g_new0(mv_service_t, count + 1);
     deployment->service_count = (uint16_t)count;
     for (size_t i = 0; i < count; i++) {
-        mv_service_t *service = &deployment->services[i];
-        if (!decode_service(json_array_get(services, i), service) ||
-            !matches_digest(service, json_array_get(named, i))) {
+        if (!decode_named(json_array_get(services, i),
+                          json_array_get(named, i), base, (uint16_t)i,
+                          &deployment->services[i])) {
             return false;
         }
     }
@@ -308,7 +381,8 @@
 }
 
 mv_deployment_t *
-MvDeployment_Decode(const char *bytes, size_t length, GError **error)
+MvDeployment_Decode(const char *bytes, size_t length,
+                    const mv_deployment_t *base, GError **error)
 {
     json_t *bundle = load(bytes, length, error);
     if (!bundle) {
@@ -316,7 +390,7 @@
     }
     mv_deployment_t *deployment = g_new0(mv_deployment_t, 1);
     deployment->references = 1;
-    bool good = decode_bundle(bundle, deployment);
+    bool good = decode_bundle(bundle, base, deployment);
     json_decref(bundle);
     if (!good) {
         MvDeployment_Unref(deployment);
@@ -324,27 +398,28 @@
                     "not a complete configuration");
         return NULL;
     }
-    deployment->source = g_memdup2(bytes, length);
-    deployment->source_length = length;
     return deployment;
 }
 
 char *
-MvDeployment_Encode(const mv_deployment_t *deployment)
+MvDeployment_EncodeSince(const mv_deployment_t *deployment, uint64_t since)
 {
     char *root = MvDeployment_EncodeRoot(deployment);
-    char **services = g_new0(char *, deployment->service_count + 1u);
-    for (uint16_t i = 0; i < deployment->service_count; i++) {
-        char digest[2 * DIGEST_BYTES + 1];
-        services[i] =
-            MvDeployment_EncodeService(&deployment->services[i], digest);
-    }
-    char *bundle =
-        MvDeployment_Bundle(root, services, deployment->service_count, NULL);
+    json_t *services = json_array();
     for (uint16_t i = 0; i < deployment->service_count; i++) {
-        free(services[i]);
+        const mv_service_t *service = &deployment->services[i];
+        char digest[MV_DIGEST_MAX];
+        char *text = service->changed_in > since || since == 0
+                         ? MvDeployment_EncodeService(service, digest)
+                         : NULL;
+        json_array_append_new(services,
+                              text ? json_loads(text, 0, NULL) : json_null());
+        free(text);
     }
-    g_free(services);
+    json_t *bundle = json_pack("{s:o,s:o}", "root", json_loads(root, 0, NULL),
+                               "services", services);
+    char *text = json_dumps(bundle, JSON_COMPACT | JSON_SORT_KEYS);
+    json_decref(bundle);
     free(root);
-    return bundle;
+    return text;
 }
--- a/packages/config/src/generate.c
+++ b/packages/config/src/generate.c
@@ -1,5 +1,6 @@
 #include "masticvane/config.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 static const mv_service_t *
@@ -67,6 +68,38 @@
     }
 }
 
+/* A service whose document is the same was not changed. */
+static void
+note_change(mv_service_t *service, const mv_service_t *previous,
+            uint64_t version)
+{
+    free(MvDeployment_EncodeService(service, service->digest));
+    bool same = previous && !strcmp(service->digest, previous->digest);
+    service->changed_in = same ? previous->changed_in : version;
+}
+
+static void
+note_recent(mv_deployment_t *next, const mv_deployment_t *previous)
+{
+    g_strlcpy(next->recent_changes[0], next->change_id, MV_CHANGE_ID_MAX);
+    for (int i = 1; previous && i < MV_RECENT_CHANGES; i++) {
+        g_strlcpy(next->recent_changes[i], previous->recent_changes[i - 1],
+                  MV_CHANGE_ID_MAX);
+    }
+}
+
+bool
+MvDeployment_HasChange(const mv_deployment_t *deployment,
+                       const char *change_id)
+{
+    for (int i = 0; i < MV_RECENT_CHANGES; i++) {
+        if (!strcmp(deployment->recent_changes[i], change_id)) {
+            return true;
+        }
+    }
+    return !strcmp(deployment->change_id, change_id);
+}
+
 void
 MvDeployment_Generate(mv_deployment_t *answers,
                       const mv_deployment_t *previous, int64_t now,
@@ -82,5 +115,7 @@
         service->id = old ? old->id : ++answers->last_service_id;
         number_endpoints(service, old);
         assign_buckets(service, old, now);
+        note_change(service, old, answers->version);
     }
+    note_recent(answers, previous);
 }
--- a/packages/config/test/config_test.cc
+++ b/packages/config/test/config_test.cc
@@ -133,18 +133,20 @@
     for (const char *path : kExamples) {
         mv_deployment_t *deployment = parse(read_file(path));
         MvDeployment_Generate(deployment, nullptr, kNow, "one");
-        char *bundle = MvDeployment_Encode(deployment);
+        char *bundle = MvDeployment_EncodeSince(deployment, 0);
         mv_deployment_t *copy =
-            MvDeployment_Decode(bundle, strlen(bundle), nullptr);
+            MvDeployment_Decode(bundle, strlen(bundle), nullptr, nullptr);
         ASSERT_NE(copy, nullptr);
-        char *again = MvDeployment_Encode(copy);
+        char *again = MvDeployment_EncodeSince(copy, 0);
         EXPECT_STREQ(bundle, again);
         /* One digit of a service changed: the digest no longer matches. */
         std::string forged = replace(bundle, "\"slots\":", "\"slots\":1");
-        EXPECT_EQ(MvDeployment_Decode(forged.c_str(), forged.size(), nullptr),
+        EXPECT_EQ(MvDeployment_Decode(forged.c_str(), forged.size(), nullptr,
+                                      nullptr),
                   nullptr);
         for (size_t cut = 0; cut < strlen(bundle); cut += 997) {
-            EXPECT_EQ(MvDeployment_Decode(bundle, cut, nullptr), nullptr);
+            EXPECT_EQ(MvDeployment_Decode(bundle, cut, nullptr, nullptr),
+                      nullptr);
         }
         free(bundle);
         free(again);
@@ -153,6 +155,43 @@
     }
 }
 
+/* A peer that has an older version gets what changed since, and nothing that
+ * it decodes differs from the whole. */
+TEST(Codec, ChangesSinceAVersionGiveTheWholeOnTheRightBaseOnly)
+{
+    std::string text = read_file(kExamples[0]);
+    mv_deployment_t *first = parse(text);
+    MvDeployment_Generate(first, nullptr, kNow, "one");
+    mv_deployment_t *second = parse(replace(text, "share = 50", "share = 60"));
+    MvDeployment_Generate(second, first, kNow, "two");
+    mv_deployment_t *third = parse(replace(text, "port = 443", "port = 444"));
+    MvDeployment_Generate(third, second, kNow, "three");
+    char *whole = MvDeployment_EncodeSince(second, 0);
+    char *since = MvDeployment_EncodeSince(second, 1);
+    EXPECT_LT(strlen(since), strlen(whole));
+    mv_deployment_t *good =
+        MvDeployment_Decode(since, strlen(since), first, nullptr);
+    ASSERT_NE(good, nullptr);
+    char *again = MvDeployment_EncodeSince(good, 0);
+    EXPECT_STREQ(again, whole);
+    EXPECT_TRUE(MvDeployment_HasChange(third, "one"));
+    EXPECT_FALSE(MvDeployment_HasChange(second, "three"));
+    /* Without a base, or on one that differs where it was left out. */
+    EXPECT_EQ(MvDeployment_Decode(since, strlen(since), nullptr, nullptr),
+              nullptr);
+    mv_deployment_t *other = parse(replace(
+        text, "[service docs]\naddress = ", "[service docs]\naddress = 1"));
+    MvDeployment_Generate(other, nullptr, kNow, "other");
+    EXPECT_EQ(MvDeployment_Decode(since, strlen(since), other, nullptr),
+              nullptr);
+    free(whole);
+    free(since);
+    free(again);
+    for (auto *d : {first, second, third, good, other}) {
+        MvDeployment_Unref(d);
+    }
+}
+
 struct danger_case {
     const char *from;
     const char *to;
--- a/packages/core/include/masticvane/core.h
+++ b/packages/core/include/masticvane/core.h
@@ -28,6 +28,11 @@
 #define MV_NO_ENDPOINT UINT16_MAX
 #define MV_NO_NODE UINT16_MAX
 #define MV_MAX_BUCKETS 4096
+#define MV_CHANGE_ID_MAX 40
+/** Bytes of a hex digest with its end. */
+#define MV_DIGEST_MAX 33
+/** Changes that a configuration remembers, itself included. */
+#define MV_RECENT_CHANGES 16
 
 /** typedef mv_node_id_t - Number of an entry VM, unique in a deployment. */
 typedef uint16_t mv_node_id_t;
@@ -91,6 +96,8 @@
  * @bucket_count: power of two, entries in @before and @target
  * @before: endpoint index of each bucket before this change
  * @target: endpoint index each bucket moves to
+ * @changed_in: version of the configuration that last changed it
+ * @digest: hex digest of its document, empty while it is not complete
  */
 typedef struct mv_service {
     uint16_t id;
@@ -106,6 +113,8 @@
     uint16_t bucket_count;
     uint16_t *before;
     uint16_t *target;
+    uint64_t changed_in;
+    char digest[MV_DIGEST_MAX];
 } mv_service_t;
 
 /**
@@ -131,14 +140,13 @@
  * @services: owned array
  * @member_count: entries in @members
  * @members: owned array
- * @source: the bytes it was decoded from, for peers that ask
- * @source_length: bytes in @source
+ * @recent_changes: change ids of the last versions, newest first
  */
 typedef struct mv_deployment {
     int references;
     char name[MV_NAME_MAX];
     uint64_t version;
-    char change_id[40];
+    char change_id[MV_CHANGE_ID_MAX];
     int64_t accepted_at;
     uint32_t flow_idle_seconds;
     uint16_t last_service_id;
@@ -146,8 +154,7 @@
     mv_service_t *services;
     uint16_t member_count;
     mv_member_weight_t *members;
-    char *source;
-    size_t source_length;
+    char recent_changes[MV_RECENT_CHANGES][MV_CHANGE_ID_MAX];
 } mv_deployment_t;
 
 /** MvDeployment_Ref() - Take a reference; safe from any thread. */
@@ -432,14 +439,19 @@
 /**
  * struct mv_effects_ops - Actions of a node.
  * @send: send @message to @to; the message is only valid during the call
- * @decode: decode configuration bytes from a peer; one reference or NULL
+ * @encode: bytes of a configuration for a peer that has version @since in
+ *          force, 0 for none; freed with free()
+ * @decode: decode such bytes; @base is in force here, or NULL; one reference,
+ *          or NULL when they are not a configuration or need another base
  * @event: a numbered event for the log, about @node
  */
 typedef struct mv_effects_ops {
     void (*send)(mv_effects_t *effects, mv_node_id_t to,
                  const mv_message_t *message);
+    char *(*encode)(mv_effects_t *effects, const mv_deployment_t *deployment,
+                    uint64_t since, size_t *length);
     mv_deployment_t *(*decode)(mv_effects_t *effects, const char *bytes,
-                               size_t length);
+                               size_t length, const mv_deployment_t *base);
     void (*event)(mv_effects_t *effects, mv_log_event_t event,
                   mv_node_id_t node, uint64_t detail);
 } mv_effects_ops_t;
--- a/packages/core/src/deployment.c
+++ b/packages/core/src/deployment.c
@@ -29,7 +29,6 @@
     }
     g_free(deployment->services);
     g_free(deployment->members);
-    g_free(deployment->source);
     g_free(deployment);
 }
 
--- a/packages/core/src/handover.c
+++ b/packages/core/src/handover.c
@@ -391,11 +391,7 @@
 {
     mv_node_id_t to = (mv_node_id_t)message->from;
     if (node->deployment && node->deployment->version > message->version) {
-        mv_message_t config = {.kind = MV_MESSAGE_CONFIG,
-                               .version = node->deployment->version,
-                               .blob = node->deployment->source,
-                               .blob_length = node->deployment->source_length};
-        MvNode_Send(node, to, &config);
+        MvSpread_SendConfig(node, to, message->version);
     }
     MvBuckets_SendAll(node, to);
     MvHandover_HomesChanged(node, now);
--- a/packages/core/src/node_private.h
+++ b/packages/core/src/node_private.h
@@ -171,6 +171,7 @@
     /* Configuration. */
     mv_deployment_t *deployment;
     mv_time_t next_pull;
+    bool pull_whole;
 
     /* Buckets. */
     GPtrArray *services;
@@ -225,6 +226,7 @@
 
 /* spread.c */
 void MvSpread_Message(mv_node_t *node, mv_time_t now, const mv_message_t *m);
+void MvSpread_SendConfig(mv_node_t *node, mv_node_id_t to, uint64_t since);
 void MvSpread_Timer(mv_node_t *node, mv_time_t now);
 
 /* buckets.c */
--- a/packages/core/src/spread.c
+++ b/packages/core/src/spread.c
@@ -1,6 +1,8 @@
 /* How an accepted configuration reaches every node and never reverts. */
 #include "node_private.h"
 
+#include <stdlib.h>
+
 #define PULL_INTERVAL (200 * MV_MILLISECOND)
 #define EAGER_FANOUT 4
 
@@ -50,17 +52,30 @@
     return true;
 }
 
-static void
-answer_pull(mv_node_t *node, const mv_message_t *message)
+void
+MvSpread_SendConfig(mv_node_t *node, mv_node_id_t to, uint64_t since)
 {
-    if (!node->deployment || node->deployment->version <= message->version) {
-        return;
+    size_t length = 0;
+    char *bytes = node->effects->ops->encode(node->effects, node->deployment,
+                                             since, &length);
+    if (!bytes) {
+        return; /* Asked again. */
     }
     mv_message_t answer = {.kind = MV_MESSAGE_CONFIG,
                            .version = node->deployment->version,
-                           .blob = node->deployment->source,
-                           .blob_length = node->deployment->source_length};
-    MvNode_Send(node, (mv_node_id_t)message->from, &answer);
+                           .blob = bytes,
+                           .blob_length = length};
+    MvNode_Send(node, to, &answer);
+    free(bytes);
+}
+
+static void
+answer_pull(mv_node_t *node, const mv_message_t *message)
+{
+    if (node->deployment && node->deployment->version > message->version) {
+        MvSpread_SendConfig(node, (mv_node_id_t)message->from,
+                            message->version);
+    }
 }
 
 static void
@@ -71,7 +86,9 @@
         return;
     }
     mv_deployment_t *deployment = node->effects->ops->decode(
-        node->effects, message->blob, message->blob_length);
+        node->effects, message->blob, message->blob_length, node->deployment);
+    /* What was left out may not be what is in force here. */
+    node->pull_whole = deployment == NULL;
     if (deployment) {
         MvNode_Config(node, now, deployment);
         MvDeployment_Unref(deployment);
@@ -87,7 +104,8 @@
         return;
     }
     node->next_pull = now + PULL_INTERVAL;
-    mv_message_t pull = {.kind = MV_MESSAGE_CONFIG_PULL, .version = have};
+    mv_message_t pull = {.kind = MV_MESSAGE_CONFIG_PULL,
+                         .version = node->pull_whole ? 0 : have};
     MvNode_Send(node, from, &pull);
 }
 
--- a/packages/core/test/fleet.cc
+++ b/packages/core/test/fleet.cc
@@ -6,6 +6,7 @@
 #include <cstring>
 #include <netinet/ip.h>
 #include <netinet/tcp.h>
+#include <sstream>
 
 namespace {
 
@@ -150,8 +151,6 @@
         }
     }
     d->services[0].endpoints[0].connection_limit = options_.first_limit;
-    d->source = g_strdup_printf("%d", (int)d->version);
-    d->source_length = strlen(d->source);
     versions_[d->version] = d;
     accepted_ = d;
     /* Two watchers hear of it; the others learn from them, unless the
@@ -213,11 +212,28 @@
     m->owner->send(m->id, to, message);
 }
 
+char *
+fleet::effect_encode(mv_effects_t *, const mv_deployment_t *deployment,
+                     uint64_t since, size_t *length)
+{
+    std::string text =
+        std::to_string(deployment->version) + " " + std::to_string(since);
+    *length = text.size();
+    return strdup(text.c_str());
+}
+
+/* What changed since a version needs that version or a later one. */
 mv_deployment_t *
-fleet::effect_decode(mv_effects_t *effects, const char *bytes, size_t length)
+fleet::effect_decode(mv_effects_t *effects, const char *bytes, size_t length,
+                     const mv_deployment_t *base)
 {
     auto *m = reinterpret_cast<member *>(effects);
-    uint64_t version = std::stoull(std::string(bytes, length));
+    uint64_t version = 0;
+    uint64_t since = 0;
+    std::istringstream(std::string(bytes, length)) >> version >> since;
+    if (since > (base ? base->version : 0)) {
+        return nullptr;
+    }
     return MvDeployment_Ref(m->owner->versions_.at(version));
 }
 
@@ -231,16 +247,6 @@
     }
 }
 
-static const mv_effects_ops_t *
-effect_table(void (*send)(mv_effects_t *, mv_node_id_t, const mv_message_t *),
-             mv_deployment_t *(*decode)(mv_effects_t *, const char *, size_t),
-             void (*event)(mv_effects_t *, mv_log_event_t, mv_node_id_t,
-                           uint64_t))
-{
-    static const mv_effects_ops_t table = {send, decode, event};
-    return &table;
-}
-
 void
 fleet::start_node(mv_node_id_t id)
 {
@@ -251,7 +257,9 @@
             peers.push_back((mv_node_id_t)i);
         }
     }
-    m->effects.ops = effect_table(effect_send, effect_decode, effect_event);
+    static const mv_effects_ops_t table = {effect_send, effect_encode,
+                                           effect_decode, effect_event};
+    m->effects.ops = &table;
     m->owner = this;
     m->id = id;
     m->life = ++order_;
--- a/packages/core/test/fleet.h
+++ b/packages/core/test/fleet.h
@@ -159,8 +159,10 @@
 
     static void effect_send(mv_effects_t *, mv_node_id_t,
                             const mv_message_t *);
-    static mv_deployment_t *effect_decode(mv_effects_t *, const char *,
-                                          size_t);
+    static char *effect_encode(mv_effects_t *, const mv_deployment_t *,
+                               uint64_t, size_t *);
+    static mv_deployment_t *effect_decode(mv_effects_t *, const char *, size_t,
+                                          const mv_deployment_t *);
     static void effect_event(mv_effects_t *, mv_log_event_t, mv_node_id_t,
                              uint64_t);
 
--- a/packages/masticvane/src/change.c
+++ b/packages/masticvane/src/change.c
@@ -139,7 +139,7 @@
     change_t change = {.store = NULL};
     int status = prepare(options, argc, argv, &change);
     if (status == MV_EXIT_OK && options->json) {
-        char *bundle = MvDeployment_Encode(change.next);
+        char *bundle = MvDeployment_EncodeSince(change.next, 0);
         (void)puts(bundle);
         free(bundle);
     }
--- a/packages/masticvaned/src/control.c
+++ b/packages/masticvaned/src/control.c
@@ -50,12 +50,24 @@
     MvLinks_Send(control->links, to, message);
 }
 
+static char *
+effect_encode(mv_effects_t *effects, const mv_deployment_t *deployment,
+              uint64_t since, size_t *length)
+{
+    char *bytes = MvDeployment_EncodeSince(deployment, since);
+    (void)effects;
+    *length = bytes ? strlen(bytes) : 0;
+    return bytes;
+}
+
 static mv_deployment_t *
-effect_decode(mv_effects_t *effects, const char *bytes, size_t length)
+effect_decode(mv_effects_t *effects, const char *bytes, size_t length,
+              const mv_deployment_t *base)
 {
     control_t *control = MV_CONTAINER_OF(effects, control_t, effects);
     GError *error = NULL;
-    mv_deployment_t *deployment = MvDeployment_Decode(bytes, length, &error);
+    mv_deployment_t *deployment =
+        MvDeployment_Decode(bytes, length, base, &error);
     if (!deployment) {
         MvLog_Write(control->daemon->log, MV_EVENT_CONFIG_REFUSED,
                     "why=\"%s\"", error->message);
@@ -75,6 +87,7 @@
 
 static const mv_effects_ops_t effect_ops = {
     .send = effect_send,
+    .encode = effect_encode,
     .decode = effect_decode,
     .event = effect_event,
 };
--- a/packages/platform/src/accepted.c
+++ b/packages/platform/src/accepted.c
@@ -54,7 +54,7 @@
     else {
         char *bundle = MvDeployment_Bundle(root, documents, count, error);
         if (bundle) {
-            result = MvDeployment_Decode(bundle, strlen(bundle), error);
+            result = MvDeployment_Decode(bundle, strlen(bundle), NULL, error);
         }
         free(bundle);
     }
@@ -91,9 +91,7 @@
     bool same = false;
     for (uint16_t i = 0; previous && !same && i < previous->service_count;
          i++) {
-        char old[33];
-        free(MvDeployment_EncodeService(&previous->services[i], old));
-        same = !strcmp(old, digest);
+        same = !strcmp(previous->services[i].digest, digest);
     }
     return same;
 }
@@ -155,7 +153,7 @@
         g_clear_error(&problem);
         if (known) {
             bool ours =
-                current && !strcmp(current->change_id, next->change_id);
+                current && MvDeployment_HasChange(current, next->change_id);
             if (!ours && seen == index) {
                 g_set_error(error, MV_ERROR, MV_ERROR_UNAVAILABLE,
                             "the change did not take effect; nothing "
@@ -304,7 +302,8 @@
     char *bundle =
         MvDeployment_Bundle(watch->root, watch->documents, watch->got, NULL);
     mv_deployment_t *deployment =
-        bundle ? MvDeployment_Decode(bundle, strlen(bundle), NULL) : NULL;
+        bundle ? MvDeployment_Decode(bundle, strlen(bundle), NULL, NULL)
+               : NULL;
     free(bundle);
     drop_reading(watch);
     watch->busy = false;
--- a/packages/platform/test/platform_test.cc
+++ b/packages/platform/test/platform_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <fstream>
+#include <functional>
 #include <map>
 #include <sstream>
 
@@ -18,6 +19,7 @@
     bool down = false;
     /* The write takes effect, and its answer is lost. */
     unsigned lose_root_answers = 0;
+    std::function<void()> on_root_answer_lost = [] {};
     /* The write never arrives, and nobody can tell. */
     unsigned lose_root_writes = 0;
 };
@@ -63,6 +65,7 @@
     if (root && s->lose_root_writes > 0) {
         s->lose_root_writes--;
         reply.outcome = MV_STORE_UNKNOWN;
+        s->on_root_answer_lost();
         done(context, &reply);
         return;
     }
@@ -75,6 +78,7 @@
     if (root && s->lose_root_answers > 0) {
         s->lose_root_answers--;
         reply.outcome = MV_STORE_UNKNOWN;
+        s->on_root_answer_lost();
     }
     done(context, &reply);
 }
@@ -105,6 +109,8 @@
     unsigned lose_answers;
     unsigned lose_writes;
     bool race;
+    /* Others accepted after ours, before its answer is read back. */
+    unsigned later;
     int code;
 };
 
@@ -113,12 +119,16 @@
 TEST(Confirm, OperatorIsNeverToldFailedOfAChangeThatTookEffect)
 {
     const confirm_case cases[] = {
-        {"plain", false, 0, 0, false, -1},
-        {"answer lost", false, 1, 0, false, -1},
-        {"write lost", false, 0, 1, false, MV_ERROR_UNAVAILABLE},
-        {"store down", true, 0, 0, false, MV_ERROR_UNAVAILABLE},
-        {"race", false, 0, 0, true, MV_ERROR_CONFLICT},
-        {"race and answer lost", false, 0, 1, true, MV_ERROR_CONFLICT},
+        {"plain", false, 0, 0, false, 0, -1},
+        {"answer lost", false, 1, 0, false, 0, -1},
+        {"write lost", false, 0, 1, false, 0, MV_ERROR_UNAVAILABLE},
+        {"store down", true, 0, 0, false, 0, MV_ERROR_UNAVAILABLE},
+        {"race", false, 0, 0, true, 0, MV_ERROR_CONFLICT},
+        {"race and answer lost", false, 0, 1, true, 0, MV_ERROR_CONFLICT},
+        {"answer lost, one change on top", false, 1, 0, false, 1, -1},
+        {"answer lost, five changes on top", false, 1, 0, false, 5, -1},
+        {"race, write lost, one on top", false, 0, 1, true, 1,
+         MV_ERROR_CONFLICT},
     };
     for (const auto &c : cases) {
         fake_store store;
@@ -132,6 +142,15 @@
                                            other_index, 0, nullptr));
             MvDeployment_Unref(theirs);
         }
+        store.on_root_answer_lost = [&] {
+            for (unsigned i = 0; i < c.later; i++) {
+                uint64_t later_index = 0;
+                mv_deployment_t *later = plan(store, "later", &later_index);
+                EXPECT_TRUE(MvAccepted_Confirm(&store.base, nullptr, later,
+                                               later_index, 0, nullptr));
+                MvDeployment_Unref(later);
+            }
+        };
         store.down = c.down;
         store.lose_root_answers = c.lose_answers;
         store.lose_root_writes = c.lose_writes;
@@ -148,7 +167,7 @@
         uint64_t seen = 0;
         mv_deployment_t *current =
             MvAccepted_Load(&store.base, mine->name, &seen, nullptr);
-        bool ours = current && !strcmp(current->change_id, "mine");
+        bool ours = current && MvDeployment_HasChange(current, "mine");
         EXPECT_EQ(ours, accepted) << c.name;
         g_clear_error(&error);
         MvDeployment_Unref(current);
