Each data centre keeps a copy of the named flows and goes on alone

Cause: when a data centre was cut off, flows whose home and second home were both on the far side lost their name on the near one. The fleet also let packets be relayed across a cut that stopped all messages; they are lost now.

Change: the best node of up to two further data centres keeps a copy; it is the one that rendezvous makes home when its data centre is alone. Homes are updated where a keeper changed, could be outscored, or a data centre has none.

--- a/bench/src/flows_bench.cc
+++ b/bench/src/flows_bench.cc
@@ -116,6 +116,7 @@
                    "(baseline: plain consistent table, by arithmetic)");
     for (const auto &e : kEvents) {
         double broken = 0;
+        double broken_open = 0;
         double opened = 0;
         uint64_t wrong = 0;
         for (uint64_t seed = 1; seed <= 2; seed++) {
@@ -123,8 +124,10 @@
             f.run_for(4 * MV_SECOND);
             f.traffic(kRate, kLife, kGap);
             f.run_for(120 * MV_SECOND);
+            f.mark_flows();
             e.run(f);
             f.run_for(60 * MV_SECOND);
+            broken_open += (double)f.seen().broken_marked;
             broken += (double)f.seen().broken_flows;
             opened += kRate * kLife;
             wrong += f.seen().wrong_service;
@@ -135,6 +138,10 @@
                    broken / opened,
                    plain_table_broken(drains, uneven,
                                       !strcmp(e.name, "endpoint join")));
+        if (std::string(e.name).find("cut") != std::string::npos) {
+            report.row(std::string(e.name) + ", flows open before it",
+                       "< 0.001", 0.001, broken_open / opened);
+        }
         if (wrong) {
             report.row(std::string(e.name) + ": wrong service", "0", 0,
                        (double)wrong);
--- a/packages/core/src/handover.c
+++ b/packages/core/src/handover.c
@@ -75,8 +75,11 @@
 {
     bool any = false;
     for (uint32_t g = 0; g < MV_GROUPS; g++) {
-        bool changed = before->home[g] != after->home[g] ||
-                       before->second[g] != after->second[g];
+        mv_node_id_t old[MV_KEEPERS];
+        mv_node_id_t now[MV_KEEPERS];
+        MvHomes_Keepers(before, g, old);
+        MvHomes_Keepers(after, g, now);
+        bool changed = memcmp(old, now, sizeof(old)) != 0;
         groups[g] = groups[g] || changed;
         any = any || changed;
     }
@@ -172,8 +175,9 @@
 add_copies(copy_round_t *round, uint32_t group, const mv_flow_record_t *record)
 {
     const mv_node_t *node = round->node;
-    mv_node_id_t to[] = {node->homes.home[group], node->homes.second[group],
-                         node->future.home[group], node->future.second[group]};
+    mv_node_id_t to[2 * MV_KEEPERS];
+    MvHomes_Keepers(&node->homes, group, to);
+    MvHomes_Keepers(&node->future, group, to + MV_KEEPERS);
     for (size_t i = 0; i < G_N_ELEMENTS(to); i++) {
         bool repeated = false;
         for (size_t j = 0; j < i; j++) {
@@ -294,9 +298,8 @@
     const mv_node_t *node = expiry->node;
     mv_node_id_t self = node->settings.id;
     bool keeps_copy = node->homes.home[group] != self &&
-                      (node->homes.second[group] == self ||
-                       node->future.home[group] == self ||
-                       node->future.second[group] == self);
+                      (MvHomes_Keeps(&node->homes, group, self) ||
+                       MvHomes_Keeps(&node->future, group, self));
     uint32_t idle = MvFlow_IdleMilliseconds(expiry->now_ms, entry->seen_ms);
     bool closed = (entry->flags & MV_FLOW_CLOSED) && idle > CLOSED_LINGER_MS;
     return !keeps_copy && (idle > expiry->idle_ms || closed);
--- a/packages/core/src/view.c
+++ b/packages/core/src/view.c
@@ -19,15 +19,50 @@
     return XXH3_64bits(key, sizeof(key));
 }
 
-/* Best of @nodes, leaving out node @without and data centre @apart. */
+/**
+ * struct choice - Keepers of a group chosen so far.
+ * @nodes: they
+ * @count: how many
+ * @spread: data centres that have one
+ */
+typedef struct choice {
+    const mv_request_member_t *nodes[MV_KEEPERS];
+    size_t count;
+    uint8_t spread;
+} choice_t;
+
+static bool
+is_chosen(const choice_t *choice, const mv_request_member_t *node)
+{
+    for (size_t i = 0; i < choice->count; i++) {
+        if (choice->nodes[i] == node) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_covered(const choice_t *choice, uint32_t data_centre)
+{
+    for (size_t i = 0; i < choice->count; i++) {
+        if (choice->nodes[i]->data_centre == data_centre) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Best of @nodes that is not chosen; with @apart in a new data centre. */
 static const mv_request_member_t *
 best_node(uint32_t group, const mv_request_member_t *nodes, size_t count,
-          const mv_request_member_t *without, uint32_t apart)
+          const choice_t *choice, bool apart)
 {
     const mv_request_member_t *best = NULL;
     uint64_t best_score = 0;
     for (size_t i = 0; i < count; i++) {
-        if (&nodes[i] == without || (apart && nodes[i].data_centre == apart)) {
+        if (is_chosen(choice, &nodes[i]) ||
+            (apart && is_covered(choice, nodes[i].data_centre))) {
             continue;
         }
         uint64_t score = rendezvous_score(group, (mv_node_id_t)nodes[i].id);
@@ -39,20 +74,65 @@
     return best;
 }
 
+static bool
+choose(choice_t *choice, const mv_request_member_t *node)
+{
+    if (node) {
+        choice->spread += !is_covered(choice, node->data_centre);
+        choice->nodes[choice->count++] = node;
+    }
+    return node != NULL;
+}
+
+static mv_node_id_t
+chosen_id(const choice_t *choice, size_t position)
+{
+    return position < choice->count ? (mv_node_id_t)choice->nodes[position]->id
+                                    : MV_NO_NODE;
+}
+
 static void
 choose_homes(mv_homes_t *homes, uint32_t group,
              const mv_request_member_t *nodes, size_t count)
 {
-    const mv_request_member_t *home = best_node(group, nodes, count, NULL, 0);
-    const mv_request_member_t *second = NULL;
-    if (home && home->data_centre) {
-        second = best_node(group, nodes, count, home, home->data_centre);
+    choice_t choice = {.count = 0};
+    choose(&choice, best_node(group, nodes, count, &choice, false));
+    if (!choose(&choice, best_node(group, nodes, count, &choice, true))) {
+        choose(&choice, best_node(group, nodes, count, &choice, false));
+    }
+    while (choice.count < MV_KEEPERS &&
+           choose(&choice, best_node(group, nodes, count, &choice, true))) {
     }
-    if (home && !second) {
-        second = best_node(group, nodes, count, home, 0);
+    homes->home[group] = chosen_id(&choice, 0);
+    homes->second[group] = chosen_id(&choice, 1);
+    for (size_t i = 0; i < MV_FURTHER; i++) {
+        homes->further[group][i] = chosen_id(&choice, 2 + i);
     }
-    homes->home[group] = home ? (mv_node_id_t)home->id : MV_NO_NODE;
-    homes->second[group] = second ? (mv_node_id_t)second->id : MV_NO_NODE;
+    homes->spread[group] = choice.spread;
+}
+
+void
+MvHomes_Keepers(const mv_homes_t *homes, uint32_t group,
+                mv_node_id_t out[MV_KEEPERS])
+{
+    out[0] = homes->home[group];
+    out[1] = homes->second[group];
+    for (size_t i = 0; i < MV_FURTHER; i++) {
+        out[2 + i] = homes->further[group][i];
+    }
+}
+
+bool
+MvHomes_Keeps(const mv_homes_t *homes, uint32_t group, mv_node_id_t id)
+{
+    mv_node_id_t keepers[MV_KEEPERS];
+    MvHomes_Keepers(homes, group, keepers);
+    for (size_t i = 0; i < MV_KEEPERS; i++) {
+        if (keepers[i] == id) {
+            return true;
+        }
+    }
+    return false;
 }
 
 void
@@ -64,27 +144,48 @@
     }
 }
 
-/* Could @changed be, or have been, home or second home of the group? */
+/* Data centres of @nodes, as far as keepers can be spread over them. */
+static uint8_t
+count_data_centres(const mv_request_member_t *nodes, size_t count)
+{
+    choice_t one_each = {.count = 0};
+    for (size_t i = 0; i < count && one_each.count < MV_KEEPERS; i++) {
+        if (!is_covered(&one_each, nodes[i].data_centre)) {
+            choose(&one_each, &nodes[i]);
+        }
+    }
+    return one_each.spread;
+}
+
+/* Could @changed be, or have been, a keeper of the group? */
 static bool
-concerns(const mv_homes_t *homes, uint32_t group, mv_node_id_t changed)
+concerns(const mv_homes_t *homes, uint32_t group, uint8_t data_centres,
+         mv_node_id_t changed)
 {
-    mv_node_id_t home = homes->home[group];
-    mv_node_id_t second = homes->second[group];
-    if (home == changed || second == changed || home == MV_NO_NODE ||
-        second == MV_NO_NODE) {
+    mv_node_id_t keepers[MV_KEEPERS];
+    MvHomes_Keepers(homes, group, keepers);
+    if (keepers[0] == MV_NO_NODE || keepers[1] == MV_NO_NODE ||
+        homes->spread[group] < data_centres) {
         return true;
     }
     uint64_t score = rendezvous_score(group, changed);
-    return score >= rendezvous_score(group, second) ||
-           score >= rendezvous_score(group, home);
+    for (size_t i = 0; i < MV_KEEPERS; i++) {
+        if (keepers[i] == changed ||
+            (keepers[i] != MV_NO_NODE &&
+             score >= rendezvous_score(group, keepers[i]))) {
+            return true;
+        }
+    }
+    return false;
 }
 
 void
 MvHomes_Update(mv_homes_t *homes, const mv_request_member_t *nodes,
                size_t count, mv_node_id_t changed)
 {
+    uint8_t data_centres = count_data_centres(nodes, count);
     for (uint32_t group = 0; group < MV_GROUPS; group++) {
-        if (concerns(homes, group, changed)) {
+        if (concerns(homes, group, data_centres, changed)) {
             choose_homes(homes, group, nodes, count);
         }
     }
--- a/packages/core/src/view.h
+++ b/packages/core/src/view.h
@@ -14,6 +14,8 @@
 
 /** Buckets of all services share this many homes. */
 #define MV_GROUPS 256
+/** Data centres beside those of home and second home that keep a copy. */
+#define MV_FURTHER 2
 
 /**
  * struct mv_view_bucket - A bucket as packets see it.
@@ -47,15 +49,30 @@
 } mv_view_service_t;
 
 /**
- * struct mv_homes - Who is home and second home of each group of buckets.
+ * struct mv_homes - Who keeps the named flows of each group of buckets.
  * @home: first choice
  * @second: second choice, MV_NO_NODE when alone
+ * @further: keep a copy each in further data centres, which go on with them
+ *           when they are cut off; MV_NO_NODE where there is none
+ * @spread: data centres that have a keeper
  */
 typedef struct mv_homes {
     mv_node_id_t home[MV_GROUPS];
     mv_node_id_t second[MV_GROUPS];
+    mv_node_id_t further[MV_GROUPS][MV_FURTHER];
+    uint8_t spread[MV_GROUPS];
 } mv_homes_t;
 
+/** Most keepers of a group. */
+#define MV_KEEPERS (2 + MV_FURTHER)
+
+/** MvHomes_Keepers() - Home, second and further ones, some MV_NO_NODE. */
+void MvHomes_Keepers(const mv_homes_t *homes, uint32_t group,
+                     mv_node_id_t out[MV_KEEPERS]);
+
+/** MvHomes_Keeps() - Node @id is one of them. */
+bool MvHomes_Keeps(const mv_homes_t *homes, uint32_t group, mv_node_id_t id);
+
 /**
  * struct mv_view - Everything a traffic thread reads.
  * @epoch: publication number
--- a/packages/core/test/fleet.cc
+++ b/packages/core/test/fleet.cc
@@ -558,6 +558,7 @@
     }
     f.broken = true;
     totals_.broken_flows++;
+    totals_.broken_marked += f.number < first_unmarked_;
     if (on_broken) {
         on_broken(f, why);
     }
@@ -643,7 +644,8 @@
             hops = v.hops;
             totals_.max_hops = std::max<uint64_t>(totals_.max_hops, hops);
             auto it = members_.find(v.node);
-            if (it == members_.end() || !it->second->alive) {
+            bool lost = is_cut_ && is_cut_(m->id, v.node);
+            if (lost || it == members_.end() || !it->second->alive) {
                 /* Lost on the way to a dead node: the sender's TCP sends
                  * it again, which this fake does with the next packet. */
                 totals_.dropped++;
--- a/packages/core/test/fleet.h
+++ b/packages/core/test/fleet.h
@@ -61,6 +61,8 @@
         uint64_t max_hops = 0;
         uint64_t wrong_service = 0;
         uint64_t broken_flows = 0;
+        /* Of them, opened before mark_flows(). */
+        uint64_t broken_marked = 0;
         uint64_t opened = 0;
         uint64_t dropped = 0;
         uint64_t dead_endpoint = 0;
@@ -117,6 +119,11 @@
     /** Flows: @rate a second, each living @seconds on average. */
     void traffic(double rate, double seconds, mv_time_t packet_gap);
     void stop_traffic();
+    void
+    mark_flows()
+    {
+        first_unmarked_ = next_flow_;
+    }
     totals &
     seen()
     {
@@ -179,6 +186,7 @@
     std::function<bool(mv_node_id_t, mv_node_id_t)> is_cut_;
     std::map<uint32_t, flow> flows_;
     uint32_t next_flow_ = 0;
+    uint32_t first_unmarked_ = 0;
     double rate_ = 0;
     double seconds_ = 0;
     mv_time_t gap_ = 0;
--- a/packages/core/test/flows_test.cc
+++ b/packages/core/test/flows_test.cc
@@ -351,6 +351,37 @@
     }
 }
 
+/* Each data centre has a copy of the names, so that it goes on alone. */
+TEST(Flows, OpenFlowsSurviveADataCentreCut)
+{
+    for (unsigned data_centres : {3u, 4u}) {
+        for (uint64_t seed = 1; seed <= 3; seed++) {
+            fleet_options options;
+            options.seed = seed;
+            options.nodes = 8;
+            options.data_centres = data_centres;
+            options.idle_seconds = 10;
+            fleet f(options);
+            f.run_for(4 * MV_SECOND);
+            f.traffic(200, 30, MV_SECOND);
+            f.run_for(30 * MV_SECOND);
+            f.drain(1, 3);
+            f.run_for(6 * MV_SECOND);
+            f.mark_flows();
+            f.cut([=](mv_node_id_t a, mv_node_id_t b) {
+                return (a % data_centres == 1) != (b % data_centres == 1);
+            });
+            f.run_for(10 * MV_SECOND);
+            f.cut(nullptr);
+            f.run_for(30 * MV_SECOND);
+            /* 0.1% of about 6,000. */
+            EXPECT_LE(f.seen().broken_marked, 6u)
+                << data_centres << " data centres, seed " << seed;
+            EXPECT_EQ(f.seen().wrong_service, 0u);
+        }
+    }
+}
+
 TEST(Config, OlderOneIsNeverPutInForce)
 {
     fleet_options options;
