Data races checked, parsers fuzzed, and a test for acknowledged moves

Cause: no test ran traffic threads beside the control thread; nothing fuzzed what comes from outside; and a planted fault survived: without waiting for acknowledgements every flow test stayed green. Found: a race. They are atomic now. Conclusion: acknowledgement is needed, and now a test says so.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build demo check test sanitize bench capacity lint format \
-	clean install
+.PHONY: all deps build demo check test sanitize mutants bench capacity lint \
+	format clean install
 
 all: build
 
@@ -21,15 +21,27 @@
 
 test: check
 
-# The tests again, built by clang with address and undefined-behaviour checks.
+# The tests again, built by clang with address and undefined-behaviour checks,
+# and the published view with data race checks.
 sanitize: deps
 	@cmake -S . -B $(BUILD)-sanitize -G Ninja -DCMAKE_BUILD_TYPE=Debug \
-	    -DMV_SANITIZE=ON -DCMAKE_C_COMPILER=clang \
+	    -DMV_SANITIZE=ON -DMV_FUZZ=ON -DCMAKE_C_COMPILER=clang \
 	    -DCMAKE_CXX_COMPILER=clang++ >/dev/null
 	@cmake --build $(BUILD)-sanitize -j $(JOBS)
 	@scripts/check.sh $(BUILD)-sanitize \
 	    'FlowEvents|process|Flows.Dead|Flows.Leaving|Flows.Paused|Floods'
 
+	@cmake -S . -B $(BUILD)-threads -G Ninja -DCMAKE_BUILD_TYPE=Debug \
+	    -DMV_SANITIZE_THREADS=ON -DCMAKE_C_COMPILER=clang \
+	    -DCMAKE_CXX_COMPILER=clang++ >/dev/null
+	@cmake --build $(BUILD)-threads -j $(JOBS) --target threads_test
+	@$(BUILD)-threads/bin/threads_test
+	@scripts/fuzz.sh $(BUILD)-sanitize
+
+# Faults planted one at a time: a test must go red for each (about 10 min).
+mutants: build
+	@scripts/mutants.py
+
 bench: build
 	@$(BUILD)/bin/masticvane-bench all docs/results/bench.md
 
--- /dev/null
+++ b/fuzz/fuzz.cc
@@ -0,0 +1,107 @@
+/* Untrusted bytes, one parser a kind; the first byte of the input says which.
+ *
+ * Built with -DMV_FUZZ=ON by clang.  scripts/fuzz.sh runs it with fixed seeds
+ * on inputs that it makes from the examples. */
+#include "masticvane/config.h"
+#include "masticvane/net.h"
+
+#include <cstdint>
+#include <cstring>
+#include <string>
+
+extern "C" {
+#include "packet.h"
+}
+
+namespace {
+
+const int64_t kNow = 1800000000;
+
+void
+packet(const uint8_t *data, size_t size)
+{
+    mv_packet_t parsed;
+    mv_counter_id_t reason;
+    MvPacket_Parse(data, size, &parsed, &reason);
+}
+
+void
+message(const uint8_t *data, size_t size)
+{
+    mv_message_t *decoded = MvMessage_Decode(data, size);
+    if (decoded) {
+        mv_buffer_t again = {};
+        MvMessage_Encode(decoded, &again);
+        MvBuffer_Clear(&again);
+    }
+    MvMessage_Free(decoded);
+}
+
+mv_keyring_t *
+keys(mv_findings_t *findings)
+{
+    std::string text = "1 " + std::string(64, '0') + "\n";
+    return MvKeyring_Parse("keys", text.c_str(), "d", findings);
+}
+
+/* Most fail at the MAC: what comes before it is the matter. */
+void
+frame(const uint8_t *data, size_t size)
+{
+    mv_findings_t *findings = MvFindings_Create();
+    mv_keyring_t *keyring = keys(findings);
+    mv_sealer_t *sealer = MvSealer_Create(keyring, 1, 0, 1);
+    mv_frame_t opened;
+    uint8_t hops = 0;
+    MvSealer_Open(sealer, data, size, &opened);
+    MvRelay_Read(keyring, data, size, &hops);
+    MvSealer_Destroy(sealer);
+    MvKeyring_Destroy(keyring);
+    MvFindings_Destroy(findings);
+}
+
+void
+answers(const uint8_t *data, size_t size)
+{
+    std::string text(reinterpret_cast<const char *>(data), size);
+    mv_findings_t *findings = MvFindings_Create();
+    mv_deployment_t *parsed =
+        MvAnswers_Parse("answers", text.c_str(), kNow, findings);
+    if (parsed) {
+        MvDeployment_Generate(parsed, nullptr, kNow, "change");
+    }
+    MvDeployment_Unref(parsed);
+    MvFindings_Destroy(findings);
+}
+
+/* What the store or a peer gives, on a base that it may refer to. */
+void
+configuration(const uint8_t *data, size_t size)
+{
+    const char *bytes = reinterpret_cast<const char *>(data);
+    mv_deployment_t *whole =
+        MvDeployment_Decode(bytes, size, nullptr, nullptr);
+    mv_deployment_t *on_base =
+        MvDeployment_Decode(bytes, size, whole, nullptr);
+    MvDeployment_Unref(on_base);
+    MvDeployment_Unref(whole);
+    std::string text(bytes, size);
+    GPtrArray *pairs = MvDeployment_RootServices(text.c_str(), nullptr);
+    if (pairs) {
+        g_ptr_array_unref(pairs);
+    }
+}
+
+} // namespace
+
+extern "C" int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    static void (*const kinds[])(const uint8_t *, size_t) = {
+        packet, message, frame, answers, configuration};
+    if (size > 0) {
+        size_t kind = data[0] % (sizeof(kinds) / sizeof(kinds[0]));
+        kinds[kind](data + 1, size - 1);
+    }
+    return 0;
+}
--- a/packages/core/src/flow_table.c
+++ b/packages/core/src/flow_table.c
@@ -32,6 +32,33 @@
     return XXH3_64bits_withSeed(&key, sizeof(key), HASH_SEED);
 }
 
+/* Count and mark are written under the lock, and read without it to pass over
+ * a shard that has nothing. */
+static uint32_t
+shard_count(const shard_t *shard)
+{
+    return __atomic_load_n(&shard->count, __ATOMIC_RELAXED);
+}
+
+static void
+shard_add(shard_t *shard, int change)
+{
+    __atomic_store_n(&shard->count, shard->count + (uint32_t)change,
+                     __ATOMIC_RELAXED);
+}
+
+static bool
+shard_has_uncopied(const shard_t *shard)
+{
+    return __atomic_load_n(&shard->has_uncopied, __ATOMIC_RELAXED);
+}
+
+static void
+shard_mark(shard_t *shard, bool has_uncopied)
+{
+    __atomic_store_n(&shard->has_uncopied, has_uncopied, __ATOMIC_RELAXED);
+}
+
 static void
 shard_lock(shard_t *shard)
 {
@@ -140,8 +167,10 @@
                                    .seen_ms = now_ms,
                                    .endpoint = endpoint,
                                    .flags = flags};
-        shard->count++;
-        shard->has_uncopied |= (flags & MV_FLOW_UNCOPIED) != 0;
+        shard_add(shard, 1);
+        if (flags & MV_FLOW_UNCOPIED) {
+            shard_mark(shard, true);
+        }
     }
     shard_unlock(shard);
     return endpoint;
@@ -152,7 +181,7 @@
 shard_remove(shard_t *shard, uint32_t hole)
 {
     uint32_t at = hole;
-    shard->count--;
+    shard_add(shard, -1);
     for (;;) {
         shard->slots[hole].endpoint = NO_ENTRY;
         for (;;) {
@@ -175,7 +204,7 @@
 shard_sweep(shard_t *shard, mv_flow_visit_t visit, void *context)
 {
     uint32_t i = 0;
-    shard->has_uncopied = false;
+    bool has_uncopied = false;
     while (i <= shard->mask) {
         mv_flow_entry_t *entry = &shard->slots[i];
         if (entry->endpoint != NO_ENTRY && !visit(context, entry)) {
@@ -183,10 +212,11 @@
             shard_remove(shard, i);
             continue;
         }
-        shard->has_uncopied |=
-            entry->endpoint != NO_ENTRY && (entry->flags & MV_FLOW_UNCOPIED);
+        has_uncopied = has_uncopied || (entry->endpoint != NO_ENTRY &&
+                                        (entry->flags & MV_FLOW_UNCOPIED));
         i++;
     }
+    shard_mark(shard, has_uncopied);
 }
 
 static void
@@ -195,7 +225,8 @@
 {
     for (unsigned i = 0; i < SHARDS; i++) {
         shard_t *shard = &table->shards[i];
-        if (shard->count == 0 || (only_uncopied && !shard->has_uncopied)) {
+        if (shard_count(shard) == 0 ||
+            (only_uncopied && !shard_has_uncopied(shard))) {
             continue;
         }
         shard_lock(shard);
@@ -222,7 +253,7 @@
 {
     size_t count = 0;
     for (unsigned i = 0; i < SHARDS; i++) {
-        count += table->shards[i].count;
+        count += shard_count(&table->shards[i]);
     }
     return count;
 }
--- a/packages/core/test/fleet.cc
+++ b/packages/core/test/fleet.cc
@@ -52,6 +52,7 @@
     bool alive = true;
     mv_time_t paused_until = 0;
     mv_time_t next_read = 0;
+    mv_time_t streams_silent_until = 0;
     mv_time_t config_delay = 0;
     mv_time_t started = 0;
     std::map<mv_node_id_t, mv_time_t> last_arrival;
@@ -367,6 +368,12 @@
     members_.at(id)->config_delay = delay;
 }
 
+void
+fleet::silence_streams(mv_node_id_t id, mv_time_t duration)
+{
+    members_.at(id)->streams_silent_until = now_ + duration;
+}
+
 void
 fleet::cut(std::function<bool(mv_node_id_t, mv_node_id_t)> is_cut)
 {
@@ -452,7 +459,8 @@
     if (!datagram && members_.count(to)) {
         /* A stream keeps its order. */
         mv_time_t &last = members_.at(to)->last_arrival[from];
-        arrival = std::max(arrival, last + 1);
+        arrival = std::max(
+            {arrival, last + 1, members_.at(to)->streams_silent_until});
         last = arrival;
     }
     at(arrival, [this, to, copy] { deliver(to, copy); });
--- a/packages/core/test/fleet.h
+++ b/packages/core/test/fleet.h
@@ -109,6 +109,8 @@
     void kill_node(mv_node_id_t id);
     /** Its control thread stands still; its packet threads go on. */
     void pause_control(mv_node_id_t id, mv_time_t duration);
+    /** What comes to it by stream waits; datagrams go on. */
+    void silence_streams(mv_node_id_t id, mv_time_t duration);
     void delay_config(mv_node_id_t id, mv_time_t delay);
     void cut(std::function<bool(mv_node_id_t, mv_node_id_t)> is_cut);
     /** Who reaches the platform's store; nobody when it is down. */
--- a/packages/core/test/flows_test.cc
+++ b/packages/core/test/flows_test.cc
@@ -351,6 +351,25 @@
     }
 }
 
+/* A member that is alive but does not hear of a move: it is waited for. */
+TEST(Flows, MovesWaitForAMemberWhoseStreamsAreSilent)
+{
+    for (uint64_t seed = 1; seed <= 3; seed++) {
+        fleet_options options;
+        options.seed = seed;
+        options.idle_seconds = 10;
+        fleet f(options);
+        f.run_for(4 * MV_SECOND);
+        f.traffic(250, 6, 250 * MV_MILLISECOND);
+        f.run_for(8 * MV_SECOND);
+        f.silence_streams(5, 6 * MV_SECOND);
+        f.drain(1, 3);
+        f.run_for(30 * MV_SECOND);
+        EXPECT_EQ(f.seen().broken_flows, 0u) << seed;
+        EXPECT_EQ(f.seen().wrong_service, 0u) << seed;
+    }
+}
+
 /* Each data centre has a copy of the names, so that it goes on alone. */
 TEST(Flows, OpenFlowsSurviveADataCentreCut)
 {
--- /dev/null
+++ b/scripts/fuzz.sh
@@ -0,0 +1,41 @@
+#!/bin/bash
+# Short runs over each parser with fixed seeds.  fuzz.sh BUILD [RUNS]
+set -eu
+BUILD=${1:-build-sanitize}
+RUNS=${2:-20000}
+CORPUS=$(mktemp -d)
+trap 'rm -rf "$CORPUS"' EXIT
+examples=$(dirname "$0")/../examples
+python3 - "$CORPUS" "$examples" "$BUILD/bin/masticvane" <<'P'
+import pathlib, struct, subprocess, sys
+corpus, examples, masticvane = pathlib.Path(sys.argv[1]), pathlib.Path(sys.argv[2]), sys.argv[3]
+def add(kind, name, data):
+    (corpus / name).write_bytes(bytes([kind]) + data)
+ip = struct.pack("!BBHHHBBH4s4s", 0x45, 0, 40, 0, 0, 64, 6, 0, bytes([1, 2, 3, 4]), bytes([10, 20, 0, 1]))
+tcp = struct.pack("!HHIIBBHHH", 1024, 443, 0, 0, 0x50, 2, 0, 0, 0)
+add(0, "plain", ip + tcp)
+add(0, "options", bytes([0x47]) + ip[1:] + bytes([1] * 8) + tcp)
+add(0, "fragment", ip[:6] + bytes([0x20, 0x10]) + ip[8:] + tcp)
+add(0, "truncated", (ip + tcp)[:33])
+add(1, "message", bytes([0x9c]) + bytes([1, 2, 3]) + bytes([0x90] * 9))
+add(2, "frame", struct.pack("!IBBBBHHQ", 32, 1, 1, 1, 0, 1, 0, 1) + bytes(32))
+for path in examples.glob("*.ini"):
+    text = path.read_bytes()
+    add(3, path.stem, text)
+    # The smallest part that is whole: a service with its endpoints.
+    add(3, path.stem + "-head", text[:1200])
+root = b'{"root":{"name":"d","version":1,"services":[{"name":"a","digest":"00"}]},"services":[null]}'
+add(4, "bundle", root)
+P
+for seed in 1 2 3; do
+    "$BUILD/bin/masticvane-fuzz" -runs="$RUNS" -seed=$seed -max_len=4096 -rss_limit_mb=2048 \
+        -print_final_stats=0 -artifact_prefix="$CORPUS/" "$CORPUS" >"$CORPUS.log" 2>&1 || {
+        tail -40 "$CORPUS.log"
+        rm -f "$CORPUS.log"
+        echo "fuzz: seed $seed failed"
+        exit 1
+    }
+    tail -1 "$CORPUS.log"
+done
+rm -f "$CORPUS.log"
+echo "fuzz: 3 seeds, $RUNS runs each, nothing found"
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -14,7 +14,7 @@
 # promise, file, from, to, test program, filter
 MUTANTS = [
     ("moves wait for acknowledgement", CORE + "buckets.c",
-     "        if (member->state == MV_MEMBER_ALIVE &&\n", "        if (false &&\n", "flows_test", "*FlowEvents*:*FlowSchedules*"),
+     "        if (member->state == MV_MEMBER_ALIVE &&\n", "        if (false &&\n", "flows_test", "*Silent*"),
     ("moves wait for a SYN sent again", CORE + "buckets.c",
      "now - batch->complete_at >= node->settings.announce_dwell", "true", "flows_test", "Flows.*"),
     ("moving buckets are relayed to their home", CORE + "steer.c",
@@ -114,7 +114,7 @@
     survivors = []
     with tempfile.TemporaryDirectory() as folder:
         subprocess.run(["git", "clone", "-q", str(root), folder], check=True)
-        subprocess.run(["cmake", "-S", ".", "-B", "build", "-G", "Ninja", "-DCMAKE_C_FLAGS=-Wno-error", "-DCMAKE_BUILD_TYPE=RelWithDebInfo"], cwd=folder,
+        subprocess.run(["cmake", "-S", ".", "-B", "build", "-G", "Ninja", "-DCMAKE_C_FLAGS=-w", "-DCMAKE_BUILD_TYPE=RelWithDebInfo"], cwd=folder,
                        check=True, stdout=subprocess.DEVNULL)
         subprocess.run(["cmake", "--build", "build"], cwd=folder, check=True, stdout=subprocess.DEVNULL)
         for promise, name, before, after, program, tests in MUTANTS:
