--- a/packages/core/src/claims.c
+++ b/packages/core/src/claims.c
@@ -7,7 +7,6 @@
 #include <string.h>
 
 #define SWEEP_INTERVAL (1 * MV_SECOND)
-#define SYNC_INTERVAL (300 * MV_MILLISECOND)
 
 static void
 free_view(gpointer view)
@@ -83,9 +82,9 @@
 static void take_record(mv_claims_t *claims, mv_time_t now, mv_node_id_t from,
                         const mv_claim_record_t *record, uint64_t epoch);
 
-static void
-send_all(mv_claims_t *claims, mv_node_id_t to, mv_claim_record_t *records,
-         size_t count)
+void
+MvClaims_SendAll(mv_claims_t *claims, mv_node_id_t to,
+                 mv_claim_record_t *records, size_t count)
 {
     mv_requests_t *requests = claims->requests;
     mv_message_t message = {.kind = MV_MESSAGE_CLAIMS,
@@ -104,11 +103,11 @@
         take_record(claims, now, to, &record, claims->epoch);
         return;
     }
-    send_all(claims, to, &record, 1);
+    MvClaims_SendAll(claims, to, &record, 1);
 }
 
-static mv_claim_record_t
-record_of(const claim_t *claim, uint32_t op, mv_time_t now)
+mv_claim_record_t
+MvClaim_Record(const claim_t *claim, uint32_t op, mv_time_t now)
 {
     return (mv_claim_record_t){
         .op = op,
@@ -218,7 +217,7 @@
 answer_state(mv_claims_t *claims, mv_time_t now, mv_node_id_t to,
              mv_request_id_t request, const claim_t *claim)
 {
-    mv_claim_record_t record = record_of(claim, MV_CLAIM_STATE, now);
+    mv_claim_record_t record = MvClaim_Record(claim, MV_CLAIM_STATE, now);
     record.request = request;
     send(claims, now, to, record);
 }
@@ -242,10 +241,10 @@
     if (claim->copied || second == MV_NO_NODE) {
         claim->granted = true;
         send(claims, now, claim->node,
-             record_of(claim, MV_CLAIM_GRANTED, now));
+             MvClaim_Record(claim, MV_CLAIM_GRANTED, now));
         return;
     }
-    send(claims, now, second, record_of(claim, MV_CLAIM_COPY, now));
+    send(claims, now, second, MvClaim_Record(claim, MV_CLAIM_COPY, now));
 }
 
 static void
@@ -327,7 +326,7 @@
     if (claim && claim->state != MV_CLAIM_NOT_RUN &&
         !is_same_claim(claim, record)) {
         /* The owner lacks what is known here: tell it instead. */
-        send(claims, now, from, record_of(claim, MV_CLAIM_RECORD, now));
+        send(claims, now, from, MvClaim_Record(claim, MV_CLAIM_RECORD, now));
         return;
     }
     if (claim) {
@@ -489,112 +488,6 @@
     }
 }
 
-/* Members change: everyone tells the new owners what it knows */
-
-static void
-send_sync_end(mv_claims_t *claims, mv_time_t now, mv_node_id_t to)
-{
-    GArray *records = g_array_new(FALSE, FALSE, sizeof(mv_claim_record_t));
-    MvQuorum_Tell(claims, now, records);
-    mv_claim_record_t end = {.op = MV_CLAIM_SYNC_END,
-                             .state = claims->leaving,
-                             .node = claims->requests->self};
-    g_array_append_val(records, end);
-    send_all(claims, to, (mv_claim_record_t *)(void *)records->data,
-             records->len);
-    g_array_unref(records);
-}
-
-/* Send every record to its owners, or only those that @only should have. */
-static void
-send_records(mv_claims_t *claims, mv_time_t now, mv_node_id_t only)
-{
-    mv_requests_t *requests = claims->requests;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, claims->claims);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        claim_t *claim = value;
-        mv_node_id_t who[2];
-        MvEvidence_Owners(claims, claim->key, who);
-        claim->copied = claim->copied && only != MV_NO_NODE;
-        for (int i = 0; i < 2; i++) {
-            bool wanted = only == MV_NO_NODE || only == who[i];
-            if (wanted && who[i] != MV_NO_NODE && who[i] != requests->self) {
-                send(claims, now, who[i],
-                     record_of(claim, MV_CLAIM_RECORD, now));
-            }
-        }
-    }
-    for (size_t i = 0; i < requests->member_count; i++) {
-        mv_node_id_t id = (mv_node_id_t)requests->members[i].id;
-        bool wanted = only == MV_NO_NODE || only == id;
-        if (wanted && id != requests->self) {
-            send_sync_end(claims, now, id);
-        }
-    }
-}
-
-/* A word of theirs may have been lost: ask those that are missing. */
-static void
-ask_unsynced(mv_claims_t *claims, mv_time_t now)
-{
-    mv_requests_t *requests = claims->requests;
-    for (size_t i = 0; i < requests->member_count; i++) {
-        mv_node_id_t id = (mv_node_id_t)requests->members[i].id;
-        if (id != requests->self && !MvEvidence_IsSyncedWith(claims, id)) {
-            send(claims, now, id,
-                 (mv_claim_record_t){.op = MV_CLAIM_SYNC_ASK,
-                                     .node = requests->self});
-        }
-    }
-}
-
-void
-MvClaims_View(mv_claims_t *claims, mv_time_t now,
-              const mv_request_member_t *old, size_t old_count)
-{
-    uint64_t epoch = MvEvidence_Epoch(claims->requests);
-    if (epoch == claims->epoch) {
-        return;
-    }
-    MvEvidence_NoteLosses(claims, now, old, old_count);
-    MvEvidence_DropReturned(claims);
-    MvEvidence_NoteArrivals(claims, now, claims->epoch == 0);
-    if (claims->epoch == 0) {
-        MvQuorum_NoteExpected(claims, now);
-    }
-    MvQuorum_Update(claims);
-    claims->epoch = epoch;
-    MvEvidence_RememberView(claims);
-    send_records(claims, now, MV_NO_NODE);
-    claims->next_sync = now + SYNC_INTERVAL;
-}
-
-void
-MvClaims_Leave(mv_claims_t *claims, mv_time_t now)
-{
-    claims->leaving = true;
-    send_records(claims, now, MV_NO_NODE);
-}
-
-static void
-take_sync_end(mv_claims_t *claims, mv_node_id_t from,
-              const mv_claim_record_t *record, uint64_t epoch)
-{
-    const mv_requests_t *requests = claims->requests;
-    uint64_t *kept = g_new0(uint64_t, 1);
-    *kept = epoch;
-    g_hash_table_insert(claims->synced, GUINT_TO_POINTER(from), kept);
-    for (size_t i = 0; record->state && i < requests->member_count; i++) {
-        const mv_request_member_t *member = &requests->members[i];
-        if (member->id == from) {
-            g_hash_table_add(claims->handed_over,
-                             GUINT_TO_POINTER(member->life ^ member->id));
-        }
-    }
-}
-
 /* Messages in */
 
 static void
@@ -634,10 +527,10 @@
         merge(claims, now, record);
         break;
     case MV_CLAIM_SYNC_ASK:
-        send_records(claims, now, from);
+        MvClaims_SendRecords(claims, now, from);
         break;
     case MV_CLAIM_SYNC_END:
-        take_sync_end(claims, from, record, epoch);
+        MvClaims_TakeSyncEnd(claims, from, record, epoch);
         break;
     default:
         break; /* RETRY: asked again by the timer. */
@@ -665,16 +558,9 @@
 void
 MvClaims_Timer(mv_claims_t *claims, mv_time_t now)
 {
-    if (now >= claims->next_sync) {
-        claims->next_sync = now + SYNC_INTERVAL;
-        if (MvEvidence_IsSynced(claims)) {
-            MvEvidence_NoteSynced(claims);
-        }
-        ask_unsynced(claims, now);
-    }
-    if (now < claims->next_sweep) {
-        return;
+    MvClaims_SyncTimer(claims, now);
+    if (now >= claims->next_sweep) {
+        claims->next_sweep = now + SWEEP_INTERVAL;
+        g_hash_table_foreach_remove(claims->claims, is_old, &now);
     }
-    claims->next_sweep = now + SWEEP_INTERVAL;
-    g_hash_table_foreach_remove(claims->claims, is_old, &now);
 }
--- a/packages/core/src/claims_private.h
+++ b/packages/core/src/claims_private.h
@@ -2,6 +2,7 @@
  * DOC: What claims.c and evidence.c share.
  *
  * claims.c    claims of keys at owner, second and asker
+ * claims_sync.c  telling each other when members change
  * evidence.c  who keeps a key's claim, and whether all of it is known here
  * quorum.c    whether this side of a partition may claim unknown keys
  */
@@ -62,6 +63,26 @@
     bool leaving;
 };
 
+/** MvClaims_SendAll() - Send records to another member in one message. */
+void MvClaims_SendAll(mv_claims_t *claims, mv_node_id_t to,
+                      mv_claim_record_t *records, size_t count);
+
+/** MvClaim_Record() - A claim as a record; its bytes are only lent. */
+mv_claim_record_t MvClaim_Record(const claim_t *claim, uint32_t op,
+                                 mv_time_t now);
+
+/** MvClaims_SendRecords() - Send every record to its owners, or with a member
+ * @only those that it should have. */
+void MvClaims_SendRecords(mv_claims_t *claims, mv_time_t now,
+                          mv_node_id_t only);
+
+/** MvClaims_TakeSyncEnd() - Member @from has told all it knows. */
+void MvClaims_TakeSyncEnd(mv_claims_t *claims, mv_node_id_t from,
+                          const mv_claim_record_t *record, uint64_t epoch);
+
+/** MvClaims_SyncTimer() - Ask those whose word is missing. */
+void MvClaims_SyncTimer(mv_claims_t *claims, mv_time_t now);
+
 /** MvEvidence_OwnersAmong() - Owner and second of a key among @members. */
 void MvEvidence_OwnersAmong(const mv_claims_t *claims, mv_key_hash_t key,
                             const mv_request_member_t *members, size_t count,
--- /dev/null
+++ b/packages/core/src/claims_sync.c
@@ -0,0 +1,127 @@
+/* Members change: everyone tells the new owners what it knows. */
+#include "claims_private.h"
+
+#define SYNC_INTERVAL (300 * MV_MILLISECOND)
+
+static void
+send_one(mv_claims_t *claims, mv_node_id_t to, mv_claim_record_t record)
+{
+    MvClaims_SendAll(claims, to, &record, 1);
+}
+
+static void
+send_sync_end(mv_claims_t *claims, mv_time_t now, mv_node_id_t to)
+{
+    GArray *records = g_array_new(FALSE, FALSE, sizeof(mv_claim_record_t));
+    MvQuorum_Tell(claims, now, records);
+    mv_claim_record_t end = {.op = MV_CLAIM_SYNC_END,
+                             .state = claims->leaving,
+                             .node = claims->requests->self};
+    g_array_append_val(records, end);
+    MvClaims_SendAll(claims, to, (mv_claim_record_t *)(void *)records->data,
+                     records->len);
+    g_array_unref(records);
+}
+
+/* Send every record to its owners, or only those that @only should have. */
+void
+MvClaims_SendRecords(mv_claims_t *claims, mv_time_t now, mv_node_id_t only)
+{
+    mv_requests_t *requests = claims->requests;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, claims->claims);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        claim_t *claim = value;
+        mv_node_id_t who[2];
+        MvEvidence_Owners(claims, claim->key, who);
+        claim->copied = claim->copied && only != MV_NO_NODE;
+        for (int i = 0; i < 2; i++) {
+            bool wanted = only == MV_NO_NODE || only == who[i];
+            if (wanted && who[i] != MV_NO_NODE && who[i] != requests->self) {
+                send_one(claims, who[i],
+                         MvClaim_Record(claim, MV_CLAIM_RECORD, now));
+            }
+        }
+    }
+    for (size_t i = 0; i < requests->member_count; i++) {
+        mv_node_id_t id = (mv_node_id_t)requests->members[i].id;
+        bool wanted = only == MV_NO_NODE || only == id;
+        if (wanted && id != requests->self) {
+            send_sync_end(claims, now, id);
+        }
+    }
+}
+
+/* A word of theirs may have been lost: ask those that are missing. */
+static void
+ask_unsynced(mv_claims_t *claims)
+{
+    mv_requests_t *requests = claims->requests;
+    for (size_t i = 0; i < requests->member_count; i++) {
+        mv_node_id_t id = (mv_node_id_t)requests->members[i].id;
+        if (id != requests->self && !MvEvidence_IsSyncedWith(claims, id)) {
+            send_one(claims, id,
+                     (mv_claim_record_t){.op = MV_CLAIM_SYNC_ASK,
+                                         .node = requests->self});
+        }
+    }
+}
+
+void
+MvClaims_View(mv_claims_t *claims, mv_time_t now,
+              const mv_request_member_t *old, size_t old_count)
+{
+    uint64_t epoch = MvEvidence_Epoch(claims->requests);
+    if (epoch == claims->epoch) {
+        return;
+    }
+    MvEvidence_NoteLosses(claims, now, old, old_count);
+    MvEvidence_DropReturned(claims);
+    MvEvidence_NoteArrivals(claims, now, claims->epoch == 0);
+    if (claims->epoch == 0) {
+        MvQuorum_NoteExpected(claims, now);
+    }
+    MvQuorum_Update(claims);
+    claims->epoch = epoch;
+    MvEvidence_RememberView(claims);
+    MvClaims_SendRecords(claims, now, MV_NO_NODE);
+    claims->next_sync = now + SYNC_INTERVAL;
+}
+
+void
+MvClaims_Leave(mv_claims_t *claims, mv_time_t now)
+{
+    claims->leaving = true;
+    MvClaims_SendRecords(claims, now, MV_NO_NODE);
+}
+
+void
+MvClaims_TakeSyncEnd(mv_claims_t *claims, mv_node_id_t from,
+                     const mv_claim_record_t *record, uint64_t epoch)
+{
+    const mv_requests_t *requests = claims->requests;
+    uint64_t *kept = g_new0(uint64_t, 1);
+    *kept = epoch;
+    g_hash_table_insert(claims->synced, GUINT_TO_POINTER(from), kept);
+    for (size_t i = 0; record->state && i < requests->member_count; i++) {
+        const mv_request_member_t *member = &requests->members[i];
+        if (member->id == from) {
+            g_hash_table_add(claims->handed_over,
+                             GUINT_TO_POINTER(member->life ^ member->id));
+        }
+    }
+}
+
+void
+MvClaims_SyncTimer(mv_claims_t *claims, mv_time_t now)
+{
+    if (now < claims->next_sync) {
+        return;
+    }
+    claims->next_sync = now + SYNC_INTERVAL;
+    if (MvEvidence_IsSynced(claims)) {
+        MvEvidence_NoteSynced(claims);
+    }
+    ask_unsynced(claims);
+}
--- a/packages/core/test/request_fleet.cc
+++ b/packages/core/test/request_fleet.cc
@@ -708,6 +708,18 @@
     return servers_[endpoint].last_start;
 }
 
+double
+jain_index(const std::vector<double> &got)
+{
+    double sum = 0;
+    double squares = 0;
+    for (double g : got) {
+        sum += g;
+        squares += g * g;
+    }
+    return sum * sum / ((double)got.size() * squares);
+}
+
 /* The checker */
 
 std::vector<std::string>
--- a/packages/core/test/request_fleet.h
+++ b/packages/core/test/request_fleet.h
@@ -216,6 +216,9 @@
     uint32_t next_life_ = 1;
 };
 
+/** Jain's index: 1 when all got the same, 1/n when one got all. */
+double jain_index(const std::vector<double> &got);
+
 /** Check a finished history; returns what is wrong. */
 std::vector<std::string> check_history(request_fleet &fleet,
                                        bool members_agreed);
--- a/packages/core/test/retirement_test.cc
+++ b/packages/core/test/retirement_test.cc
@@ -40,6 +40,17 @@
            event == MV_EVENT_ENDPOINT_GONE || event == MV_EVENT_ENDPOINT_LATE;
 }
 
+void
+record_steps(fleet &f, std::vector<step_seen> &steps)
+{
+    f.on_event = [&](mv_log_event_t event, mv_node_id_t about,
+                     uint64_t detail) {
+        if (is_step(event) && about == kLast && detail == 1) {
+            steps.push_back({event, f.now()});
+        }
+    };
+}
+
 /* Flows that the entry VMs name as left on the endpoint. */
 size_t
 named_flows(fleet &f)
@@ -73,12 +84,7 @@
         options.idle_seconds = 5;
         fleet f(options);
         std::vector<step_seen> steps;
-        f.on_event = [&](mv_log_event_t event, mv_node_id_t about,
-                         uint64_t detail) {
-            if (is_step(event) && about == kLast && detail == 1) {
-                steps.push_back({event, f.now()});
-            }
-        };
+        record_steps(f, steps);
         f.run_for(4 * MV_SECOND);
         f.traffic(100, c.flow_seconds, 500 * MV_MILLISECOND);
         f.run_for(10 * MV_SECOND);
@@ -123,12 +129,7 @@
     options.idle_seconds = 5;
     fleet f(options);
     std::vector<step_seen> steps;
-    f.on_event = [&](mv_log_event_t event, mv_node_id_t about,
-                     uint64_t detail) {
-        if (is_step(event) && about == kLast && detail == 1) {
-            steps.push_back({event, f.now()});
-        }
-    };
+    record_steps(f, steps);
     f.run_for(4 * MV_SECOND);
     f.traffic(60, 30, 2 * MV_SECOND);
     f.run_for(15 * MV_SECOND);
--- a/packages/masticvaned/src/proxy.c
+++ b/packages/masticvaned/src/proxy.c
@@ -1,5 +1,6 @@
 /* The traffic thread for requests: HTTP/2 on both sides. */
 #include "daemon.h"
+#include "retained.h"
 
 #include <apr_network_io.h>
 #include <arpa/inet.h>
@@ -253,59 +254,6 @@
 
 /* Backend servers */
 
-/* An answer as it is kept for a repeated key: fields, empty line, body. */
-static mv_buffer_t
-flatten(const mv_http_message_t *answer)
-{
-    mv_buffer_t out = {.data = NULL};
-    for (guint i = 0; i < answer->fields->len; i++) {
-        const mv_http_field_t *one =
-            &g_array_index(answer->fields, mv_http_field_t, i);
-        char *line = g_strdup_printf("%s\n%s\n", one->name, one->value);
-        MvBuffer_Append(&out, line, strlen(line));
-        g_free(line);
-    }
-    MvBuffer_Append(&out, "\n", 1);
-    MvBuffer_Append(&out, answer->body.data, answer->body.length);
-    return out;
-}
-
-/* Return: the text up to the next line end, or NULL. */
-static char *
-take_line(const char **at, const char *end)
-{
-    const char *stop = memchr(*at, '\n', (size_t)(end - *at));
-    if (!stop) {
-        return NULL;
-    }
-    char *line = g_strndup(*at, (gsize)(stop - *at));
-    *at = stop + 1;
-    return line;
-}
-
-static mv_http_message_t *
-unflatten(const char *bytes, size_t length)
-{
-    mv_http_message_t *answer = MvHttpMessage_Create();
-    const char *at = bytes;
-    const char *end = bytes + length;
-    for (;;) {
-        char *name = take_line(&at, end);
-        if (!name || !*name) {
-            g_free(name);
-            break;
-        }
-        char *value = take_line(&at, end);
-        if (value) {
-            MvHttpMessage_Add(answer, name, value);
-        }
-        g_free(name);
-        g_free(value);
-    }
-    MvBuffer_Append(&answer->body, at, (size_t)(end - at));
-    return answer;
-}
-
 static void
 settle(backend_t *backend, int32_t stream, mv_result_t result,
        mv_http_message_t *answer)
@@ -321,7 +269,7 @@
     mv_request_id_t id = exchange->id;
     mv_buffer_t kept = {.data = NULL};
     if (answer) {
-        kept = flatten(answer);
+        kept = MvRetained_Pack(answer);
     }
     bool give = MvRequests_Answered(proxy->requests, monotonic(), id, result,
                                     (const char *)kept.data, kept.length);
@@ -473,7 +421,7 @@
     if (!exchange) {
         return;
     }
-    mv_http_message_t *answer = unflatten(bytes, length);
+    mv_http_message_t *answer = MvRetained_Unpack(bytes, length);
     MvHttpMessage_Add(answer, HEADER_OUTCOME, "replayed");
     give_answer(exchange, answer);
     MvHttpMessage_Destroy(answer);
