--- a/packages/core/src/handover.c
+++ b/packages/core/src/handover.c
@@ -326,7 +326,8 @@
         return false;
     }
     bucket->named += entry->endpoint != bucket->endpoint;
-    if (entry->endpoint < service->load_slots &&
+    bool open = (entry->flags & MV_FLOW_CLOSED) == 0;
+    if (open && entry->endpoint < service->load_slots &&
         MvBuckets_IsHome(expiry->node, service, number)) {
         service->health[entry->endpoint].named_here++;
     }
--- a/packages/core/src/retirement.c
+++ b/packages/core/src/retirement.c
@@ -267,6 +267,7 @@
         MvBuckets_Service(listing->node, entry->key.service);
     bool wanted = state && entry->key.service == listing->one->service &&
                   entry->endpoint == listing->one->endpoint &&
+                  !(entry->flags & MV_FLOW_CLOSED) &&
                   json_array_size(listing->flows) < LATE_FLOWS_LISTED;
     if (!wanted) {
         return true;
