--- a/packages/core/test/flows_test.cc
+++ b/packages/core/test/flows_test.cc
@@ -193,6 +193,45 @@
 #include "../src/view.h"
 }
 
+/* Services that share an address or a port, and neighbours of theirs that
+ * are nobody's. */
+TEST(View, PacketsFindTheirOwnServiceOnly)
+{
+    const uint16_t kServices = 300;
+    mv_deployment_t *d = g_new0(mv_deployment_t, 1);
+    d->references = 1;
+    d->service_count = kServices;
+    d->services = g_new0(mv_service_t, kServices);
+    std::vector<mv_view_service_t *> views;
+    for (uint16_t i = 0; i < kServices; i++) {
+        mv_service_t *service = &d->services[i];
+        service->id = (uint16_t)(i + 1);
+        service->address = 0x0a140000u + i / 3;
+        service->port = (uint16_t)(1000 + i % 3 * 2);
+        service->bucket_count = 1;
+        auto *open =
+            static_cast<int32_t *>(g_atomic_rc_box_alloc0(sizeof(int32_t)));
+        views.push_back(MvViewService_Create(d, service, open));
+        g_atomic_rc_box_release(open);
+    }
+    mv_view_t *view = MvView_Create(views.data(), kServices);
+    for (uint16_t i = 0; i < kServices; i++) {
+        const mv_service_t *service = &d->services[i];
+        const auto *found = MvView_Find(view, service->address, service->port);
+        ASSERT_NE(found, nullptr);
+        EXPECT_EQ(found->service->id, service->id);
+        uint16_t next = (uint16_t)(service->port + 1);
+        EXPECT_EQ(MvView_Find(view, service->address, next), nullptr);
+        uint32_t far = service->address + kServices;
+        EXPECT_EQ(MvView_Find(view, far, service->port), nullptr);
+    }
+    for (auto *one : views) {
+        MvViewService_Unref(one);
+    }
+    MvView_Destroy(view);
+    MvDeployment_Unref(d);
+}
+
 TEST(Homes, UpdateGivesWhatComputingAnewGives)
 {
     std::mt19937 random(1);
