--- a/packages/core/src/digests.c
+++ b/packages/core/src/digests.c
@@ -15,13 +15,15 @@
 /* What is younger may still be on its way. */
 #define SETTLED_AGE (3 * MV_SECOND)
 
-typedef uint32_t digests_t[MV_GROUPS];
+typedef uint16_t digests_t[MV_GROUPS];
 
-static uint32_t
-digest_of(uint16_t service, uint32_t bucket, uint64_t version)
+/* With another @until each time, so that no two states stay alike by chance.
+ */
+static uint16_t
+digest_of(uint16_t service, uint32_t bucket, uint64_t version, uint64_t until)
 {
-    uint64_t key[2] = {(uint64_t)service << 32 | bucket, version};
-    return (uint32_t)XXH3_64bits(key, sizeof(key));
+    uint64_t key[3] = {(uint64_t)service << 32 | bucket, version, until};
+    return (uint16_t)XXH3_64bits(key, sizeof(key));
 }
 
 /* Of all states up to version @until; defaults have no version. */
@@ -35,12 +37,12 @@
         for (uint32_t b = 0; b < state->count; b++) {
             uint64_t version = state->buckets[b].version;
             if (version > 0 && version <= until) {
-                out[MvGroup_Of(id, b)] ^= digest_of(id, b, version);
+                out[MvGroup_Of(id, b)] ^= digest_of(id, b, version, until);
             }
         }
     }
     for (uint32_t group = 0; group < MV_GROUPS; group++) {
-        out[group] = GUINT32_TO_LE(out[group]);
+        out[group] = GUINT16_TO_LE(out[group]);
     }
 }
 
--- a/packages/core/src/node.c
+++ b/packages/core/src/node.c
@@ -18,7 +18,7 @@
         .suspect_timeout = 2 * MV_SECOND,
         .announce_dwell = 1200 * MV_MILLISECOND,
         .copy_interval = 50 * MV_MILLISECOND,
-        .digest_interval = 2 * MV_SECOND,
+        .digest_interval = 4 * MV_SECOND,
         .load_interval = 2 * MV_SECOND,
         .flow_capacity = 1u << 20,
         .balance_limit_percent = 4,
