The store's package is called store

Cause: the users' platform gets one folder named platform/; a package of the same name would make one word mean two things. Change: packages/platform becomes packages/store, header and library with it; no behaviour changes. Conclusion: the folder platform/ is free for what translates.

--- a/packages/masticvane/src/command.h
+++ b/packages/masticvane/src/command.h
@@ -5,7 +5,7 @@
 #define MASTICVANE_COMMAND_H
 
 #include "masticvane/net.h"
-#include "masticvane/platform.h"
+#include "masticvane/store.h"
 
 /** enum mv_exit - Exit codes, documented in docs/operators. */
 typedef enum mv_exit {
--- a/packages/masticvaned/src/daemon.h
+++ b/packages/masticvaned/src/daemon.h
@@ -13,7 +13,7 @@
 #include "masticvane/config.h"
 #include "masticvane/core.h"
 #include "masticvane/net.h"
-#include "masticvane/platform.h"
+#include "masticvane/store.h"
 #include "masticvane/requests.h"
 #include "settings.h"
 
--- a/packages/platform/include/masticvane/platform.h
+++ b/packages/store/include/masticvane/store.h
@@ -1,13 +1,13 @@
 /**
- * DOC: masticvane platform library
+ * DOC: masticvane store library
  *
  * The platform's key-value store: check-and-set writes, reads, watches.  A
  * store is used by one thread.  Calls return at once; their outcome arrives
  * by callback from MvStore_Poll().  The accepted configuration is kept as a
  * root value that names immutable service values by digest.
  */
-#ifndef MASTICVANE_PLATFORM_H
-#define MASTICVANE_PLATFORM_H
+#ifndef MASTICVANE_STORE_H
+#define MASTICVANE_STORE_H
 
 #include "masticvane/config.h"
 
--- a/packages/platform/src/accepted.c
+++ b/packages/store/src/accepted.c
@@ -1,5 +1,5 @@
 /* The accepted configuration: a root value and immutable service values. */
-#include "masticvane/platform.h"
+#include "masticvane/store.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/packages/platform/src/store.c
+++ b/packages/store/src/store.c
@@ -1,4 +1,4 @@
-#include "masticvane/platform.h"
+#include "masticvane/store.h"
 
 #define POLL_MS 50
 
--- a/packages/platform/src/store_http.c
+++ b/packages/store/src/store_http.c
@@ -1,5 +1,5 @@
 /* The store behind an HTTP key-value API with check-and-set. */
-#include "masticvane/platform.h"
+#include "masticvane/store.h"
 
 #include <curl/curl.h>
 #include <string.h>
--- a/packages/platform/test/platform_test.cc
+++ b/packages/store/test/store_test.cc
@@ -1,4 +1,4 @@
-#include "masticvane/platform.h"
+#include "masticvane/store.h"
 
 #include <gtest/gtest.h>
 
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -71,10 +71,10 @@
      "        return true;\n    }\n    window->seen |= 1ULL << age;", "        return false;\n    }\n    window->seen |= 1ULL << age;", "net_test", "Frame*"),
     ("half a change is not acted on", "packages/config/src/codec.c",
      "    return !strcmp(service->digest, digest);", "    return digest != NULL;", "config_test", "Codec*"),
-    ("a lost answer is read back", "packages/platform/src/accepted.c",
-     "    case MV_STORE_NOT_SENT:\n        g_set_error(error, MV_ERROR, MV_ERROR_UNAVAILABLE,", "    case MV_STORE_UNKNOWN:\n    case MV_STORE_NOT_SENT:\n        g_set_error(error, MV_ERROR, MV_ERROR_UNAVAILABLE,", "platform_test", "Confirm*"),
-    ("operators do not overwrite each other", "packages/platform/src/accepted.c",
-     "        MvStore_Write(store, key, root, strlen(root), index);", "        MvStore_Write(store, key, root, strlen(root), MvStore_Read(store, key).index);", "platform_test", "Confirm*"),
+    ("a lost answer is read back", "packages/store/src/accepted.c",
+     "    case MV_STORE_NOT_SENT:\n        g_set_error(error, MV_ERROR, MV_ERROR_UNAVAILABLE,", "    case MV_STORE_UNKNOWN:\n    case MV_STORE_NOT_SENT:\n        g_set_error(error, MV_ERROR, MV_ERROR_UNAVAILABLE,", "store_test", "Confirm*"),
+    ("operators do not overwrite each other", "packages/store/src/accepted.c",
+     "        MvStore_Write(store, key, root, strlen(root), index);", "        MvStore_Write(store, key, root, strlen(root), MvStore_Read(store, key).index);", "store_test", "Confirm*"),
     ("the smaller side claims nothing", CORE + "quorum.c",
      "return claims->absent == 0 || claims->has_majority;", "return claims->absent == 0 || true;", "requests_test", "*RequestFaults*"),
     ("members tell of losses", CORE + "quorum.c",
@@ -96,7 +96,7 @@
     ("news of the dead go first", CORE + "members.c",
      "return member->spread_left + (gone ? SPREAD_MAX : 0);", "return member->spread_left + (gone ? 0 : 0);", "flows_test", "Members*"),
     ("a change under later ones is known as accepted", "packages/config/src/generate.c",
-     "        if (!strcmp(deployment->recent_changes[i], change_id)) {", "        if (i < 0) {", "platform_test", "Confirm*"),
+     "        if (!strcmp(deployment->recent_changes[i], change_id)) {", "        if (i < 0) {", "store_test", "Confirm*"),
 ]
 
 
--- a/scripts/shares.sh
+++ b/scripts/shares.sh
@@ -3,7 +3,7 @@
 cd "$(dirname "$0")/.."
 count() { git ls-files "$@" | xargs cat | grep -cvE '^\s*(/?\*|//|$)'; }
 all=$(count 'packages/*/src/*' 'packages/*/include/*' 'standins/*' 'bench/*' 'packages/*/test/*' 'test/*' 'scripts/*')
-decisions=$(count 'packages/core/src/*' 'packages/platform/src/accepted.c')
+decisions=$(count 'packages/core/src/*' 'packages/store/src/accepted.c')
 tests=$(count 'packages/*/test/*' 'test/*')
 scaffolding=$(count 'standins/*' 'bench/*' 'scripts/*')
 for part in decisions tests scaffolding; do
--- a/standins/src/callers.c
+++ b/standins/src/callers.c
@@ -1,7 +1,7 @@
 /* Stand-in for callers and the fabric: flows and requests, checked. */
 #include "answers.h"
 #include "masticvane/net.h"
-#include "masticvane/platform.h"
+#include "masticvane/store.h"
 
 #include <apr_general.h>
 #include <arpa/inet.h>
