One HTTP/1.1 client of our own loop takes libcurl's place

Cause: the users' entry VMs have a few hundredths of a core; libcurl brings some thirty libraries that are relocated at every start, and the platform's store, its health address and metrics need HTTP/1.1 on the control loop. Weighed: libcurl as it was (heavy start, own poll loop), libevent (a second event loop beside APR's), http-parser over the existing loop. Before: masticvaned linked libcurl and what it needs.

--- a/packages/masticvane/src/main.c
+++ b/packages/masticvane/src/main.c
@@ -2,7 +2,6 @@
 #include "command.h"
 
 #include <apr_general.h>
-#include <curl/curl.h>
 #include <sodium.h>
 #include <string.h>
 
@@ -98,8 +97,7 @@
         g_clear_error(&error);
         return MV_EXIT_USAGE;
     }
-    if (sodium_init() < 0 || apr_initialize() != APR_SUCCESS ||
-        curl_global_init(CURL_GLOBAL_DEFAULT) != 0) {
+    if (sodium_init() < 0 || apr_initialize() != APR_SUCCESS) {
         (void)fprintf(stderr, "masticvane: a library cannot start\n");
         return MV_EXIT_FAILED;
     }
@@ -111,7 +109,6 @@
     g_strfreev(options.accept);
     g_free(options.at);
     g_free(options.until);
-    curl_global_cleanup();
     apr_terminate();
     return status;
 }
--- a/packages/masticvaned/src/control.c
+++ b/packages/masticvaned/src/control.c
@@ -1,7 +1,6 @@
 /* The control thread: members, configuration, store and operators. */
 #include "daemon.h"
 
-#include <curl/curl.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
--- a/packages/masticvaned/src/main.c
+++ b/packages/masticvaned/src/main.c
@@ -2,7 +2,6 @@
 #include "daemon.h"
 
 #include <apr_general.h>
-#include <curl/curl.h>
 #include <sodium.h>
 #include <stdlib.h>
 
@@ -50,8 +49,7 @@
         g_clear_error(&error);
         return EXIT_USAGE;
     }
-    if (sodium_init() < 0 || apr_initialize() != APR_SUCCESS ||
-        curl_global_init(CURL_GLOBAL_DEFAULT) != 0) {
+    if (sodium_init() < 0 || apr_initialize() != APR_SUCCESS) {
         (void)fprintf(stderr, "masticvaned: a library cannot start\n");
         return 1;
     }
@@ -65,7 +63,6 @@
     MvFindings_Destroy(findings);
     MvSettings_Destroy(settings);
     g_free(path);
-    curl_global_cleanup();
     apr_terminate();
     return status;
 }
--- a/packages/net/include/masticvane/net.h
+++ b/packages/net/include/masticvane/net.h
@@ -265,6 +265,108 @@
 /** MvReply_Send() - Answer a command, at most once. */
 void MvReply_Send(mv_reply_t *reply, const char *text, size_t length);
 
+/* HTTP/1.1 */
+
+/** Longest answer that a client takes. */
+#define MV_HTTP1_MAX_BODY (8u << 20)
+
+/** typedef mv_http1_client_t - Calls to one server, on one loop. */
+typedef struct mv_http1_client mv_http1_client_t;
+
+/**
+ * struct mv_http1_request - One call.
+ * @method: such as "GET"
+ * @target: path and query
+ * @content_type: type of @body, or NULL
+ * @body: bytes sent, may be NULL
+ * @length: bytes in @body
+ * @timeout: the call fails when it takes longer, connecting included
+ */
+typedef struct mv_http1_request {
+    const char *method;
+    const char *target;
+    const char *content_type;
+    const char *body;
+    size_t length;
+    mv_time_t timeout;
+} mv_http1_request_t;
+
+/**
+ * enum mv_http1_outcome - How a call ended.
+ * @MV_HTTP1_ANSWERED: a whole answer came
+ * @MV_HTTP1_NOT_SENT: the server surely saw nothing of it
+ * @MV_HTTP1_UNKNOWN: it may have been carried out
+ */
+typedef enum mv_http1_outcome {
+    MV_HTTP1_ANSWERED,
+    MV_HTTP1_NOT_SENT,
+    MV_HTTP1_UNKNOWN,
+} mv_http1_outcome_t;
+
+/**
+ * struct mv_http1_answer - End of a call, valid during the callback.
+ * @outcome: how it ended
+ * @status: status code when answered
+ * @body: NUL-terminated body, or NULL
+ * @length: its bytes
+ * @index: number in the header that the client was told of, or 0
+ */
+typedef struct mv_http1_answer {
+    mv_http1_outcome_t outcome;
+    unsigned status;
+    const char *body;
+    size_t length;
+    uint64_t index;
+} mv_http1_answer_t;
+
+/** typedef mv_http1_done_t - Receives the end of a call. */
+typedef void (*mv_http1_done_t)(void *context,
+                                const mv_http1_answer_t *answer);
+
+/**
+ * MvHttp1_CreateClient() - Client of the server at "ADDRESS:PORT".
+ * @index_header: header whose number answers carry, or NULL
+ *
+ * Connections are kept between calls; a silent one is noticed by TCP
+ * keepalive.  Return: NULL when @address is not understood.
+ */
+mv_http1_client_t *MvHttp1_CreateClient(mv_loop_t *loop, const char *address,
+                                        const char *index_header);
+
+/** MvHttp1_DestroyClient() - Drop calls without callback; NULL is accepted. */
+void MvHttp1_DestroyClient(mv_http1_client_t *client);
+
+/** MvHttp1_Call() - Begin a call; @done is called later, never from within. */
+void MvHttp1_Call(mv_http1_client_t *client, const mv_http1_request_t *request,
+                  mv_time_t now, mv_http1_done_t done, void *context);
+
+/** MvHttp1_Timer() - End calls past their timeout.  Return: the next one. */
+mv_time_t MvHttp1_Timer(mv_http1_client_t *client, mv_time_t now);
+
+/** typedef mv_http1_server_t - Answers short GET requests. */
+typedef struct mv_http1_server mv_http1_server_t;
+
+/**
+ * typedef mv_http1_handler_t - Answer one request.
+ * @target: path and query
+ * @body: filled by the handler
+ *
+ * Return: the status code.
+ */
+typedef unsigned (*mv_http1_handler_t)(void *context, const char *target,
+                                       mv_buffer_t *body);
+
+/** MvHttp1_Serve() - Listen and answer; NULL with @error set. */
+mv_http1_server_t *MvHttp1_Serve(mv_loop_t *loop, const char *address,
+                                 uint16_t port, mv_http1_handler_t handler,
+                                 void *context, GError **error);
+
+/** MvHttp1_Sweep() - Close connections that have been idle for long. */
+void MvHttp1_Sweep(mv_http1_server_t *server, mv_time_t now);
+
+/** MvHttp1_StopServing() - Close all; NULL is accepted. */
+void MvHttp1_StopServing(mv_http1_server_t *server);
+
 /* HTTP/2 */
 
 /**
--- /dev/null
+++ b/packages/net/src/http1.c
@@ -0,0 +1,611 @@
+/* HTTP/1.1 over the event loop: a client, and a server for short answers. */
+#include "masticvane/net.h"
+
+#include <apr_network_io.h>
+#include <apr_portable.h>
+#include <http_parser.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define READ_BYTES 16384
+#define MAX_IDLE 4
+/* A silent connection is noticed after about three seconds. */
+#define KEEPALIVE_IDLE_SECONDS 1
+#define KEEPALIVE_INTERVAL_SECONDS 1
+#define KEEPALIVE_PROBES 2
+#define SERVER_MAX_CONNECTIONS 64
+#define SERVER_MAX_TARGET 1024
+#define SERVER_IDLE_LIMIT (30 * MV_SECOND)
+
+/* Shared by both sides: a socket with what waits to go out. */
+typedef struct stream {
+    mv_watch_t watch;
+    mv_loop_t *loop;
+    apr_pool_t *pool;
+    apr_socket_t *socket;
+    mv_buffer_t out;
+} stream_t;
+
+static void
+set_keepalive(apr_socket_t *socket)
+{
+    apr_os_sock_t fd;
+    if (apr_os_sock_get(&fd, socket) != APR_SUCCESS) {
+        return;
+    }
+    const int on = 1;
+    const int idle = KEEPALIVE_IDLE_SECONDS;
+    const int interval = KEEPALIVE_INTERVAL_SECONDS;
+    const int probes = KEEPALIVE_PROBES;
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
+static void
+stream_close(stream_t *stream)
+{
+    MvLoop_Watch(stream->loop, &stream->watch, stream->socket, 0);
+    MvBuffer_Clear(&stream->out);
+    apr_socket_close(stream->socket);
+    apr_pool_destroy(stream->pool);
+}
+
+/* Return: false when the connection failed. */
+static bool
+stream_flush(stream_t *stream)
+{
+    while (stream->out.length > 0) {
+        apr_size_t length = stream->out.length;
+        apr_status_t status = apr_socket_send(
+            stream->socket, (const char *)stream->out.data, &length);
+        MvBuffer_Consume(&stream->out, length);
+        if (APR_STATUS_IS_EAGAIN(status)) {
+            break;
+        }
+        if (status != APR_SUCCESS) {
+            return false;
+        }
+    }
+    int events = APR_POLLIN | (stream->out.length > 0 ? APR_POLLOUT : 0);
+    return MvLoop_Watch(stream->loop, &stream->watch, stream->socket, events);
+}
+
+/* Client */
+
+typedef struct connection {
+    stream_t stream;
+    mv_list_t link;
+    mv_http1_client_t *client;
+    struct call *call;
+    http_parser parser;
+    bool in_index_header;
+} connection_t;
+
+typedef struct call {
+    mv_list_t link;
+    mv_http1_client_t *client;
+    connection_t *connection;
+    mv_time_t deadline;
+    bool sent;
+    mv_buffer_t body;
+    char index[24];
+    mv_http1_done_t done;
+    void *context;
+} call_t;
+
+struct mv_http1_client {
+    mv_loop_t *loop;
+    char *address;
+    char *host;
+    uint16_t port;
+    char *index_header;
+    mv_list_t idle;
+    unsigned idle_count;
+    mv_list_t calls;
+};
+
+static void
+free_connection(connection_t *connection)
+{
+    MvList_Remove(&connection->link);
+    stream_close(&connection->stream);
+    g_free(connection);
+}
+
+static void
+free_call(call_t *call)
+{
+    MvList_Remove(&call->link);
+    MvBuffer_Clear(&call->body);
+    g_free(call);
+}
+
+/* The call ends; its connection is kept when the next one may use it. */
+static void
+finish(call_t *call, mv_http1_outcome_t outcome, unsigned status, bool keep)
+{
+    mv_http1_client_t *client = call->client;
+    connection_t *connection = call->connection;
+    if (connection && keep && client->idle_count < MAX_IDLE) {
+        connection->call = NULL;
+        MvList_Append(&client->idle, &connection->link);
+        client->idle_count++;
+    }
+    else if (connection) {
+        free_connection(connection);
+    }
+    MvBuffer_Append(&call->body, "", 1);
+    mv_http1_answer_t answer = {
+        .outcome = outcome,
+        .status = status,
+        .body = (const char *)call->body.data,
+        .length = call->body.length ? call->body.length - 1 : 0,
+        .index = g_ascii_strtoull(call->index, NULL, 10)};
+    mv_http1_done_t done = call->done;
+    void *context = call->context;
+    call->connection = NULL;
+    MvList_Remove(&call->link);
+    done(context, &answer);
+    free_call(call);
+}
+
+static void
+fail(connection_t *connection)
+{
+    call_t *call = connection->call;
+    if (!call) {
+        connection->client->idle_count--;
+        free_connection(connection);
+        return;
+    }
+    finish(call, call->sent ? MV_HTTP1_UNKNOWN : MV_HTTP1_NOT_SENT, 0, false);
+}
+
+static int
+on_header_field(http_parser *parser, const char *at, size_t length)
+{
+    connection_t *connection = parser->data;
+    const char *wanted = connection->client->index_header;
+    connection->in_index_header = wanted && length == strlen(wanted) &&
+                                  !g_ascii_strncasecmp(at, wanted, length);
+    return 0;
+}
+
+static int
+on_header_value(http_parser *parser, const char *at, size_t length)
+{
+    const connection_t *connection = parser->data;
+    if (connection->call && connection->in_index_header &&
+        length < sizeof(connection->call->index)) {
+        memcpy(connection->call->index, at, length);
+        connection->call->index[length] = '\0';
+    }
+    return 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t length)
+{
+    const connection_t *connection = parser->data;
+    if (!connection->call ||
+        connection->call->body.length + length > MV_HTTP1_MAX_BODY) {
+        return -1;
+    }
+    return MvBuffer_Append(&connection->call->body, at, length) ? 0 : -1;
+}
+
+static int
+on_complete(http_parser *parser)
+{
+    (void)parser;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings client_settings = {
+    .on_header_field = on_header_field,
+    .on_header_value = on_header_value,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+/* Return: false when the connection was freed. */
+static bool
+take_bytes(connection_t *connection, const char *bytes, size_t length)
+{
+    if (!connection->call) {
+        fail(connection);
+        return false;
+    }
+    size_t used = http_parser_execute(&connection->parser, &client_settings,
+                                      bytes, length);
+    enum http_errno error = HTTP_PARSER_ERRNO(&connection->parser);
+    if (error == HPE_PAUSED) {
+        bool keep = http_should_keep_alive(&connection->parser) &&
+                    (length == 0 || used + 1 >= length);
+        finish(connection->call, MV_HTTP1_ANSWERED,
+               connection->parser.status_code, keep);
+        return false;
+    }
+    if (error != HPE_OK || length == 0) {
+        fail(connection);
+        return false;
+    }
+    return true;
+}
+
+static void
+client_ready(mv_watch_t *watch, int events)
+{
+    stream_t *stream = MV_CONTAINER_OF(watch, stream_t, watch);
+    connection_t *connection = MV_CONTAINER_OF(stream, connection_t, stream);
+    char bytes[READ_BYTES];
+    if (connection->call && (events & APR_POLLOUT)) {
+        size_t before = stream->out.length;
+        bool good = stream_flush(stream);
+        if (stream->out.length < before) {
+            connection->call->sent = true;
+        }
+        if (!good) {
+            fail(connection);
+            return;
+        }
+    }
+    if (!(events & (APR_POLLIN | APR_POLLHUP | APR_POLLERR))) {
+        return;
+    }
+    for (;;) {
+        apr_size_t length = sizeof(bytes);
+        apr_status_t status = apr_socket_recv(stream->socket, bytes, &length);
+        if (APR_STATUS_IS_EAGAIN(status)) {
+            return;
+        }
+        if (status != APR_SUCCESS && !APR_STATUS_IS_EOF(status)) {
+            fail(connection);
+            return;
+        }
+        if (!take_bytes(connection, bytes, length)) {
+            return;
+        }
+    }
+}
+
+static connection_t *
+connect_to(mv_http1_client_t *client)
+{
+    apr_pool_t *pool = NULL;
+    if (apr_pool_create(&pool, NULL) != APR_SUCCESS) {
+        return NULL;
+    }
+    apr_socket_t *socket = MvNet_Connect(pool, client->host, client->port);
+    if (!socket) {
+        apr_pool_destroy(pool);
+        return NULL;
+    }
+    set_keepalive(socket);
+    connection_t *connection = g_new0(connection_t, 1);
+    connection->client = client;
+    connection->stream = (stream_t){.watch.ready = client_ready,
+                                    .loop = client->loop,
+                                    .pool = pool,
+                                    .socket = socket};
+    MvList_Init(&connection->link);
+    return connection;
+}
+
+static connection_t *
+take_connection(mv_http1_client_t *client)
+{
+    if (MvList_IsEmpty(&client->idle)) {
+        return connect_to(client);
+    }
+    connection_t *connection =
+        MV_CONTAINER_OF(client->idle.prev, connection_t, link);
+    MvList_Remove(&connection->link);
+    client->idle_count--;
+    return connection;
+}
+
+mv_http1_client_t *
+MvHttp1_CreateClient(mv_loop_t *loop, const char *address,
+                     const char *index_header)
+{
+    const char *colon = strrchr(address, ':');
+    guint64 port = colon ? g_ascii_strtoull(colon + 1, NULL, 10) : 0;
+    if (!colon || port == 0 || port > UINT16_MAX) {
+        return NULL;
+    }
+    mv_http1_client_t *client = g_new0(mv_http1_client_t, 1);
+    client->loop = loop;
+    client->address = g_strdup(address);
+    client->host = g_strndup(address, (gsize)(colon - address));
+    client->port = (uint16_t)port;
+    client->index_header = g_strdup(index_header);
+    MvList_Init(&client->idle);
+    MvList_Init(&client->calls);
+    return client;
+}
+
+void
+MvHttp1_DestroyClient(mv_http1_client_t *client)
+{
+    if (!client) {
+        return;
+    }
+    MV_LIST_FOREACH(item, &client->calls)
+    {
+        call_t *call = MV_CONTAINER_OF(item, call_t, link);
+        if (call->connection) {
+            free_connection(call->connection);
+        }
+        free_call(call);
+    }
+    MV_LIST_FOREACH(item, &client->idle)
+    {
+        free_connection(MV_CONTAINER_OF(item, connection_t, link));
+    }
+    g_free(client->address);
+    g_free(client->host);
+    g_free(client->index_header);
+    g_free(client);
+}
+
+static void
+write_request(connection_t *connection, const mv_http1_request_t *request)
+{
+    char *head = g_strdup_printf(
+        "%s %s HTTP/1.1\r\nHost: %s\r\n%s%s%sContent-Length: %zu\r\n\r\n",
+        request->method, request->target, connection->client->address,
+        request->content_type ? "Content-Type: " : "",
+        request->content_type ? request->content_type : "",
+        request->content_type ? "\r\n" : "", request->length);
+    MvBuffer_Append(&connection->stream.out, head, strlen(head));
+    MvBuffer_Append(&connection->stream.out, request->body, request->length);
+    g_free(head);
+}
+
+void
+MvHttp1_Call(mv_http1_client_t *client, const mv_http1_request_t *request,
+             mv_time_t now, mv_http1_done_t done, void *context)
+{
+    call_t *call = g_new0(call_t, 1);
+    *call = (call_t){.client = client,
+                     .deadline = now + request->timeout,
+                     .done = done,
+                     .context = context};
+    MvList_Append(&client->calls, &call->link);
+    connection_t *connection = take_connection(client);
+    if (!connection) {
+        /* Reported by the next MvHttp1_Timer(), never from within. */
+        call->deadline = now;
+        return;
+    }
+    call->connection = connection;
+    connection->call = call;
+    http_parser_init(&connection->parser, HTTP_RESPONSE);
+    connection->parser.data = connection;
+    write_request(connection, request);
+    MvLoop_Watch(client->loop, &connection->stream.watch,
+                 connection->stream.socket, APR_POLLIN | APR_POLLOUT);
+}
+
+mv_time_t
+MvHttp1_Timer(mv_http1_client_t *client, mv_time_t now)
+{
+    mv_time_t next = MV_NEVER;
+    MV_LIST_FOREACH(item, &client->calls)
+    {
+        call_t *call = MV_CONTAINER_OF(item, call_t, link);
+        if (now >= call->deadline) {
+            finish(call, call->sent ? MV_HTTP1_UNKNOWN : MV_HTTP1_NOT_SENT, 0,
+                   false);
+            /* The callback may have started or ended others. */
+            return now;
+        }
+        next = MIN(next, call->deadline);
+    }
+    return next;
+}
+
+/* Server */
+
+typedef struct session {
+    stream_t stream;
+    mv_list_t link;
+    mv_http1_server_t *server;
+    http_parser parser;
+    mv_time_t heard;
+    char target[SERVER_MAX_TARGET];
+    size_t target_length;
+    bool too_long;
+} session_t;
+
+struct mv_http1_server {
+    mv_watch_t watch;
+    mv_loop_t *loop;
+    apr_pool_t *pool;
+    apr_socket_t *listener;
+    mv_list_t sessions;
+    unsigned count;
+    mv_http1_handler_t handler;
+    void *context;
+};
+
+static void
+free_session(session_t *session)
+{
+    MvList_Remove(&session->link);
+    session->server->count--;
+    stream_close(&session->stream);
+    g_free(session);
+}
+
+static int
+on_url(http_parser *parser, const char *at, size_t length)
+{
+    session_t *session = parser->data;
+    if (session->target_length + length >= sizeof(session->target)) {
+        session->too_long = true;
+        return 0;
+    }
+    memcpy(session->target + session->target_length, at, length);
+    session->target_length += length;
+    session->target[session->target_length] = '\0';
+    return 0;
+}
+
+static const char *
+reason_of(unsigned status)
+{
+    return http_status_str((enum http_status)status);
+}
+
+static int
+on_request(http_parser *parser)
+{
+    session_t *session = parser->data;
+    mv_http1_server_t *server = session->server;
+    mv_buffer_t body = {0};
+    unsigned status = HTTP_STATUS_URI_TOO_LONG;
+    if (parser->method != HTTP_GET) {
+        status = HTTP_STATUS_METHOD_NOT_ALLOWED;
+    }
+    else if (!session->too_long) {
+        status = server->handler(server->context, session->target, &body);
+    }
+    char *head = g_strdup_printf(
+        "HTTP/1.1 %u %s\r\nContent-Type: text/plain; charset=utf-8\r\n"
+        "Content-Length: %zu\r\n\r\n",
+        status, reason_of(status), body.length);
+    MvBuffer_Append(&session->stream.out, head, strlen(head));
+    MvBuffer_Append(&session->stream.out, body.data, body.length);
+    MvBuffer_Clear(&body);
+    g_free(head);
+    session->target_length = 0;
+    session->too_long = false;
+    return 0;
+}
+
+static const http_parser_settings server_settings = {
+    .on_url = on_url,
+    .on_message_complete = on_request,
+};
+
+static void
+session_ready(mv_watch_t *watch, int events)
+{
+    stream_t *stream = MV_CONTAINER_OF(watch, stream_t, watch);
+    session_t *session = MV_CONTAINER_OF(stream, session_t, stream);
+    char bytes[READ_BYTES];
+    apr_size_t length = sizeof(bytes);
+    session->heard = g_get_monotonic_time();
+    if (events & (APR_POLLIN | APR_POLLHUP | APR_POLLERR)) {
+        apr_status_t status = apr_socket_recv(stream->socket, bytes, &length);
+        if (APR_STATUS_IS_EAGAIN(status)) {
+            return;
+        }
+        if (status != APR_SUCCESS || length == 0) {
+            free_session(session);
+            return;
+        }
+        http_parser_execute(&session->parser, &server_settings, bytes, length);
+        if (HTTP_PARSER_ERRNO(&session->parser) != HPE_OK) {
+            free_session(session);
+            return;
+        }
+    }
+    if (!stream_flush(stream)) {
+        free_session(session);
+    }
+}
+
+static void
+server_ready(mv_watch_t *watch, int events)
+{
+    mv_http1_server_t *server =
+        MV_CONTAINER_OF(watch, mv_http1_server_t, watch);
+    apr_pool_t *pool = NULL;
+    apr_socket_t *socket = NULL;
+    (void)events;
+    if (apr_pool_create(&pool, NULL) != APR_SUCCESS) {
+        return;
+    }
+    if (apr_socket_accept(&socket, server->listener, pool) != APR_SUCCESS) {
+        apr_pool_destroy(pool);
+        return;
+    }
+    if (server->count >= SERVER_MAX_CONNECTIONS) {
+        apr_socket_close(socket);
+        apr_pool_destroy(pool);
+        return;
+    }
+    apr_socket_timeout_set(socket, 0);
+    apr_socket_opt_set(socket, APR_SO_NONBLOCK, 1);
+    session_t *session = g_new0(session_t, 1);
+    session->server = server;
+    session->heard = g_get_monotonic_time();
+    session->stream = (stream_t){.watch.ready = session_ready,
+                                 .loop = server->loop,
+                                 .pool = pool,
+                                 .socket = socket};
+    http_parser_init(&session->parser, HTTP_REQUEST);
+    session->parser.data = session;
+    MvList_Append(&server->sessions, &session->link);
+    server->count++;
+    MvLoop_Watch(server->loop, &session->stream.watch, socket, APR_POLLIN);
+}
+
+mv_http1_server_t *
+MvHttp1_Serve(mv_loop_t *loop, const char *address, uint16_t port,
+              mv_http1_handler_t handler, void *context, GError **error)
+{
+    mv_http1_server_t *server = g_new0(mv_http1_server_t, 1);
+    server->watch.ready = server_ready;
+    server->loop = loop;
+    server->handler = handler;
+    server->context = context;
+    MvList_Init(&server->sessions);
+    apr_pool_create(&server->pool, NULL);
+    server->listener =
+        MvNet_Listen(server->pool, address, port, SOCK_STREAM, false, error);
+    if (!server->listener) {
+        MvHttp1_StopServing(server);
+        return NULL;
+    }
+    MvLoop_Watch(loop, &server->watch, server->listener, APR_POLLIN);
+    return server;
+}
+
+void
+MvHttp1_Sweep(mv_http1_server_t *server, mv_time_t now)
+{
+    MV_LIST_FOREACH(item, &server->sessions)
+    {
+        session_t *session = MV_CONTAINER_OF(item, session_t, link);
+        if (now - session->heard > SERVER_IDLE_LIMIT) {
+            free_session(session);
+        }
+    }
+}
+
+void
+MvHttp1_StopServing(mv_http1_server_t *server)
+{
+    if (!server) {
+        return;
+    }
+    MV_LIST_FOREACH(item, &server->sessions)
+    {
+        free_session(MV_CONTAINER_OF(item, session_t, link));
+    }
+    if (server->listener) {
+        MvLoop_Watch(server->loop, &server->watch, server->listener, 0);
+        apr_socket_close(server->listener);
+    }
+    apr_pool_destroy(server->pool);
+    g_free(server);
+}
--- a/packages/store/include/masticvane/store.h
+++ b/packages/store/include/masticvane/store.h
@@ -49,10 +49,53 @@
 /** typedef mv_store_t - A connection to the platform's store. */
 typedef struct mv_store mv_store_t;
 
+/**
+ * struct mv_store_item - One key as a list or a watch gives it.
+ * @key: its name
+ * @value: NUL-terminated bytes, NULL when @deleted
+ * @length: bytes in @value
+ * @revision: revision of the store at its last change
+ * @deleted: it does not exist any more
+ */
+typedef struct mv_store_item {
+    const char *key;
+    const char *value;
+    size_t length;
+    uint64_t revision;
+    bool deleted;
+} mv_store_item_t;
+
+/**
+ * struct mv_store_items - Outcome of a list or a watch, valid during the
+ * callback.
+ * @outcome: how it ended; REFUSED by a watch: its history is gone, list anew
+ * @revision: revision of the store
+ * @more: the list goes on behind the last key
+ * @count: entries in @items
+ * @items: the entries; those of a watch in the order of their revisions
+ */
+typedef struct mv_store_items {
+    mv_store_outcome_t outcome;
+    uint64_t revision;
+    bool more;
+    size_t count;
+    const mv_store_item_t *items;
+} mv_store_items_t;
+
+/** typedef mv_store_listed_t - Receives the outcome of a list or a watch. */
+typedef void (*mv_store_listed_t)(void *context,
+                                  const mv_store_items_t *items);
+
 /**
  * struct mv_store_ops - One way to reach a store.
  * @get: read @key; with @index above 0 wait up to @wait for a later one
  * @put: write @key if its index is still @index (0: if it does not exist)
+ * @list: keys that start with @prefix, from behind @after; @stale allows an
+ *        answer that is some seconds old and costs less; may be NULL
+ * @watch: wait up to @wait for changes after @revision; may be NULL
+ * @lease: new lease of @ttl, its number is the reply's index; may be NULL
+ * @keep: renew @lease; REFUSED when it has ended; may be NULL
+ * @put_leased: as @put, the key ends with @lease; may be NULL
  * @poll: run callbacks, waiting up to @timeout_ms
  * @destroy: drop outstanding calls without callback and free
  */
@@ -62,6 +105,17 @@
     void (*put)(mv_store_t *store, const char *key, const char *value,
                 size_t length, uint64_t index, mv_store_done_t done,
                 void *context);
+    void (*list)(mv_store_t *store, const char *prefix, const char *after,
+                 bool stale, mv_store_listed_t done, void *context);
+    void (*watch)(mv_store_t *store, const char *prefix, uint64_t revision,
+                  mv_time_t wait, mv_store_listed_t done, void *context);
+    void (*lease)(mv_store_t *store, mv_time_t ttl, mv_store_done_t done,
+                  void *context);
+    void (*keep)(mv_store_t *store, uint64_t lease, mv_store_done_t done,
+                 void *context);
+    void (*put_leased)(mv_store_t *store, const char *key, const char *value,
+                       size_t length, uint64_t index, uint64_t lease,
+                       mv_store_done_t done, void *context);
     void (*poll)(mv_store_t *store, int timeout_ms);
     void (*destroy)(mv_store_t *store);
 } mv_store_ops_t;
--- a/packages/store/test/store_test.cc
+++ b/packages/store/test/store_test.cc
@@ -83,7 +83,14 @@
     done(context, &reply);
 }
 
-const mv_store_ops_t kOps = {fake_get, fake_put, [](mv_store_t *, int) {},
+const mv_store_ops_t kOps = {fake_get,
+                             fake_put,
+                             nullptr,
+                             nullptr,
+                             nullptr,
+                             nullptr,
+                             nullptr,
+                             [](mv_store_t *, int) {},
                              [](mv_store_t *) {}};
 
 mv_deployment_t *
--- a/scripts/deps.sh
+++ b/scripts/deps.sh
@@ -3,7 +3,7 @@
 set -eu
 PACKAGES="gcc g++ clang cmake ninja-build pkg-config libapr1-dev
 libmsgpack-dev libglib2.0-dev libgtest-dev libgmock-dev libnghttp2-dev
-libcurl4-openssl-dev libjansson-dev libxxhash-dev libsodium-dev libinih-dev
+libjansson-dev libxxhash-dev libsodium-dev libinih-dev
 libmicrohttpd-dev libhttp-parser-dev libbenchmark-dev librapidcheck-dev curl clang-format
 clang-tidy cppcheck python3 libclang-rt-14-dev"
 missing=""
