Thin path on the users' platform: flow tags, store follower, platform folder

Weighed: buckets (the fabric's endpoints give no state back in time for 8 diskless nodes, and every move costs words between nodes), relays to a home (one more hop for most packets, nothing when the home is dead), tags that both ends give back: no state, any node. Tags chosen for this fabric.

--- a/packages/masticvaned/src/main.c
+++ b/packages/masticvaned/src/main.c
@@ -1,5 +1,6 @@
 /* masticvaned: one process on every entry VM. */
 #include "daemon.h"
+#include "tags_mode.h"
 
 #include <apr_general.h>
 #include <sodium.h>
@@ -7,9 +8,27 @@
 
 #define EXIT_USAGE 2
 
+static int
+run_tags(const mv_settings_t *settings)
+{
+    GError *error = NULL;
+    mv_log_t *log =
+        MvLog_Create(settings->log_file, settings->log_level, &error);
+    int status = log ? MvTagsControl_Run(settings, log, &error) : 1;
+    if (error) {
+        (void)fprintf(stderr, "masticvaned: %s\n", error->message);
+    }
+    g_clear_error(&error);
+    MvLog_Destroy(log);
+    return status;
+}
+
 static int
 run(const mv_settings_t *settings)
 {
+    if (settings->forwarding == MV_FORWARDING_TAGS) {
+        return run_tags(settings);
+    }
     GError *error = NULL;
     mv_daemon_t daemon = {.settings = settings,
                           .started_at = g_get_real_time()};
--- a/packages/masticvaned/src/settings.c
+++ b/packages/masticvaned/src/settings.c
@@ -138,10 +138,91 @@
         reading, "limits", "flow_entries", 1024, MAX_FLOWS, 1 << 20);
     settings->store_addresses =
         g_strdup(MvIni_Text(ini, "store", "addresses", NULL, findings));
-    settings->log_file =
-        g_strdup(MvIni_Text(ini, "log", "file", "", findings));
-    settings->dump_file =
-        g_strdup(MvIni_Text(ini, "log", "dump_file", "", findings));
+}
+
+static mv_forwarding_t
+read_forwarding(const reading_t *reading)
+{
+    const char *mode = MvIni_Text(reading->ini, "node", "forwarding",
+                                  "buckets", reading->findings);
+    if (!strcmp(mode, "tags")) {
+        return MV_FORWARDING_TAGS;
+    }
+    if (strcmp(mode, "buckets") != 0) {
+        add_finding(reading, "node", "forwarding",
+                    "buckets and tags are allowed");
+    }
+    return MV_FORWARDING_BUCKETS;
+}
+
+/* Seconds, with a fraction if need be. */
+static mv_time_t
+seconds(const reading_t *reading, const char *section, const char *key,
+        mv_time_t fallback)
+{
+    const char *text =
+        MvIni_Text(reading->ini, section, key, "", reading->findings);
+    if (!*text) {
+        return fallback;
+    }
+    char *end = NULL;
+    double value = g_ascii_strtod(text, &end);
+    if (*end || !(value > 0) || value > MAX_SECONDS) {
+        add_finding(reading, section, key,
+                    "a number of seconds above 0, at most 86400, is needed");
+        return fallback;
+    }
+    return (mv_time_t)(value * (double)MV_SECOND);
+}
+
+/* "ADDRESS:PORT"; the address is the VM's own, the same everywhere. */
+static uint16_t
+read_listen(const reading_t *reading, const char *key, mv_settings_t *settings)
+{
+    const char *text =
+        MvIni_Text(reading->ini, "listen", key, NULL, reading->findings);
+    const char *colon = strchr(text, ':');
+    char *end = NULL;
+    guint64 number = colon ? g_ascii_strtoull(colon + 1, &end, 10) : 0;
+    if (!colon || *end || number == 0 || number > MAX_PORT) {
+        if (*text) {
+            add_finding(reading, "listen", key, "write ADDRESS:PORT");
+        }
+        return 0;
+    }
+    char *address = g_strndup(text, (gsize)(colon - text));
+    g_strlcpy(settings->self.address, address, INET6_ADDRSTRLEN);
+    g_free(address);
+    return (uint16_t)number;
+}
+
+static void
+read_tags(const reading_t *reading, mv_settings_t *settings)
+{
+    mv_ini_t *ini = reading->ini;
+    mv_findings_t *findings = reading->findings;
+    g_strlcpy(settings->name, MvIni_Text(ini, "node", "name", NULL, findings),
+              MV_NAME_MAX);
+    g_strlcpy(settings->data_centre,
+              MvIni_Text(ini, "node", "data_centre", NULL, findings),
+              MV_NAME_MAX);
+    settings->packet_port = read_listen(reading, "packets", settings);
+    settings->health_port = read_listen(reading, "health", settings);
+    settings->store_addresses =
+        g_strdup(MvIni_Text(ini, "store", "addresses", NULL, findings));
+    settings->stop_limit =
+        seconds(reading, "limits", "stop_seconds", 6 * MV_SECOND);
+    settings->flow_limit =
+        seconds(reading, "limits", "flow_seconds", MV_MINUTE);
+}
+
+static void
+read_log(const reading_t *reading, mv_settings_t *settings)
+{
+    settings->log_file = g_strdup(
+        MvIni_Text(reading->ini, "log", "file", "", reading->findings));
+    settings->dump_file = g_strdup(
+        MvIni_Text(reading->ini, "log", "dump_file", "", reading->findings));
     settings->log_level = read_level(reading);
 }
 
@@ -157,9 +238,16 @@
     mv_settings_t *settings = g_new0(mv_settings_t, 1);
     reading_t reading = {.ini = MvIni_Parse(path, text, findings),
                          .findings = findings};
-    read_node(&reading, settings);
-    read_keys(&reading, settings);
-    read_peers(&reading, settings);
+    settings->forwarding = read_forwarding(&reading);
+    if (settings->forwarding == MV_FORWARDING_TAGS) {
+        read_tags(&reading, settings);
+    }
+    else {
+        read_node(&reading, settings);
+        read_keys(&reading, settings);
+        read_peers(&reading, settings);
+    }
+    read_log(&reading, settings);
     MvIni_ReportUnused(reading.ini, findings);
     MvIni_Destroy(reading.ini);
     g_free(text);
--- a/packages/masticvaned/src/settings.h
+++ b/packages/masticvaned/src/settings.h
@@ -22,8 +22,20 @@
     uint16_t relay_port;
 } mv_peer_settings_t;
 
+/** enum mv_forwarding - Way of keeping flows. */
+typedef enum mv_forwarding {
+    MV_FORWARDING_BUCKETS,
+    MV_FORWARDING_TAGS,
+} mv_forwarding_t;
+
 /**
  * struct mv_settings - All settings.
+ * @forwarding: &enum mv_forwarding; with tags only @name, @self's address,
+ *              @data_centre, the ports of packets and health, the limits,
+ *              the store and the log are read
+ * @name: name of this entry VM
+ * @health_port: TCP port at which the fabric asks whether it takes packets
+ * @flow_limit: a flow older than this may be forgotten
  * @self: this VM's own addresses
  * @data_centre: data centre it runs in
  * @deployment: deployment it belongs to
@@ -42,6 +54,10 @@
  * @peers: owned array
  */
 typedef struct mv_settings {
+    mv_forwarding_t forwarding;
+    char name[MV_NAME_MAX];
+    uint16_t health_port;
+    mv_time_t flow_limit;
     mv_peer_settings_t self;
     char data_centre[MV_NAME_MAX];
     char deployment[MV_NAME_MAX];
--- /dev/null
+++ b/packages/masticvaned/src/tags_control.c
@@ -0,0 +1,323 @@
+/* The control thread in the mode "tags": store, directory, health address. */
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform.h"
+#include "tags_mode.h"
+
+#define MAX_DESCRIPTORS 256
+#define LONGEST_WAIT (250 * MV_MILLISECOND)
+#define SWEEP_INTERVAL (5 * MV_SECOND)
+/* The fabric notices within two of its questions, half a second apart. */
+#define LEAVE_NOTICE (1200 * MV_MILLISECOND)
+/* No packet for so long: the fabric has turned away. */
+#define QUIET (300 * MV_MILLISECOND)
+/* Left of the stop limit for ending the process itself. */
+#define STOP_MARGIN (400 * MV_MILLISECOND)
+/* The traffic thread has written its state by then. */
+#define DUMP_WAIT (200 * MV_MILLISECOND)
+/* Announcements that vanished while the store was away are back by then. */
+#define RETURN_LIMIT (2200 * MV_MILLISECOND)
+
+typedef struct control {
+    mv_tags_daemon_t daemon;
+    apr_pool_t *pool;
+    mv_loop_t *loop;
+    mv_store_t *store;
+    mv_replica_t *replica;
+    mv_follower_t *follower;
+    mv_directory_t *directory;
+    mv_http1_server_t *health;
+    GRand *random;
+    bool is_changed;
+    mv_time_t dump_at;
+    bool was_reachable;
+    bool is_stopping;
+    bool was_ready;
+    mv_time_t lost_at;
+    mv_time_t stop_began;
+    mv_time_t next_sweep;
+} control_t;
+
+static volatile sig_atomic_t stop_signals;
+static volatile sig_atomic_t dump_signals;
+static volatile sig_atomic_t reload_signals;
+
+static void
+on_signal(int signal)
+{
+    switch (signal) {
+    case SIGUSR1:
+        dump_signals++;
+        break;
+    case SIGHUP:
+        reload_signals++;
+        break;
+    default:
+        stop_signals++;
+    }
+}
+
+/* What the store tells */
+
+static void
+log_server(control_t *control, int event, const mv_store_item_t *item)
+{
+    if (event) {
+        MvLog_Write(control->daemon.log, (mv_log_event_t)event,
+                    "server=%s revision=%" PRIu64, item->key, item->revision);
+    }
+}
+
+static void
+take_routing(control_t *control, mv_routing_t *routing, uint64_t revision)
+{
+    uint64_t version = routing->version;
+    unsigned routes = routing->routes->len;
+    uint64_t before = MvDirectory_Version(control->directory);
+    bool is_newer = MvDirectory_Route(control->directory, routing);
+    MvLog_Write(control->daemon.log,
+                is_newer ? MV_EVENT_CONFIG_IN_FORCE : MV_EVENT_CONFIG_OLDER,
+                "version=%" PRIu64 " before=%" PRIu64 " revision=%" PRIu64
+                " routes=%u",
+                version, before, revision, routes);
+}
+
+static void
+take_item(void *context, const mv_store_item_t *item)
+{
+    control_t *control = context;
+    GError *error = NULL;
+    mv_time_t now = g_get_monotonic_time();
+    mv_notice_t notice = MvPlatform_Decode(
+        item->key, item->deleted ? NULL : item->value, item->length, &error);
+    control->is_changed = control->is_changed || notice.kind;
+    if (error) {
+        MvLog_Write(control->daemon.log, MV_EVENT_ITEM_UNREADABLE,
+                    "revision=%" PRIu64 " why=\"%s\"", item->revision,
+                    error->message);
+        g_clear_error(&error);
+    }
+    if (notice.routing) {
+        take_routing(control, notice.routing, item->revision);
+    }
+    if (notice.kind == MV_NOTICE_SERVER) {
+        int event =
+            notice.is_readable
+                ? MvDirectory_Announce(control->directory, now, item->key,
+                                       &notice.server)
+                : MvDirectory_Withdraw(control->directory, now, item->key);
+        log_server(control, event, item);
+    }
+}
+
+static void
+publish(control_t *control, mv_time_t now)
+{
+    if (!control->is_changed) {
+        return;
+    }
+    control->is_changed = false;
+    mv_table_t *table = MvDirectory_Table(control->directory, now);
+    MvTable_Destroy(__atomic_exchange_n(&control->daemon.next_table, table,
+                                        __ATOMIC_ACQ_REL));
+}
+
+static void
+note_reachable(control_t *control, mv_time_t now)
+{
+    bool reachable = MvFollower_IsReachable(control->follower);
+    if (reachable == control->was_reachable) {
+        return;
+    }
+    control->was_reachable = reachable;
+    if (!reachable) {
+        control->lost_at = now;
+        MvLog_Write(control->daemon.log, MV_EVENT_STORE_UNREACHABLE,
+                    "revision=%" PRIu64, MvReplica_Revision(control->replica));
+        return;
+    }
+    MvLog_Write(control->daemon.log, MV_EVENT_STORE_REACHABLE,
+                "revision=%" PRIu64 " gone_ms=%" PRId64,
+                MvReplica_Revision(control->replica),
+                control->lost_at ? (now - control->lost_at) / MV_MILLISECOND
+                                 : 0);
+}
+
+/* Health address */
+
+static bool
+is_ready(const control_t *control)
+{
+    return !control->is_stopping &&
+           MvDirectory_Version(control->directory) > 0 &&
+           MvDirectory_UsableServers(control->directory) > 0;
+}
+
+static unsigned
+answer_health(void *context, const char *target, mv_buffer_t *body)
+{
+    const control_t *control = context;
+    (void)body;
+    if (!MvPlatform_IsReadyTarget(target)) {
+        return 404;
+    }
+    return is_ready(control) ? 200 : 503;
+}
+
+/* Signals */
+
+static void
+dump_state(control_t *control)
+{
+    mv_tags_daemon_t *daemon = &control->daemon;
+    json_t *counters = MvCounters_ToJson(&daemon->counters);
+    char *text = json_dumps(counters, JSON_INDENT(2));
+    pthread_mutex_lock(&daemon->dump_lock);
+    char *state = g_strdup_printf("{\"counters\": %s, \"forwarder\": %s}\n",
+                                  text, daemon->dump ? daemon->dump : "null");
+    pthread_mutex_unlock(&daemon->dump_lock);
+    const char *path = daemon->settings->dump_file;
+    if (*path) {
+        g_file_set_contents(path, state, -1, NULL);
+    }
+    else {
+        (void)fputs(state, stderr);
+    }
+    MvLog_Write(daemon->log, MV_EVENT_STATE_DUMPED, "file=\"%s\"", path);
+    g_free(state);
+    free(text);
+    json_decref(counters);
+}
+
+static void
+take_signals(control_t *control, mv_time_t now)
+{
+    if (dump_signals > 0) {
+        dump_signals = 0;
+        __atomic_store_n(&control->daemon.wants_dump, true, __ATOMIC_RELEASE);
+        control->dump_at = now + DUMP_WAIT;
+    }
+    if (control->dump_at > 0 && now >= control->dump_at) {
+        control->dump_at = 0;
+        dump_state(control);
+    }
+    if (stop_signals > 0 && !control->is_stopping) {
+        control->is_stopping = true;
+        control->stop_began = now;
+        MvLog_Write(control->daemon.log, MV_EVENT_NODE_STOPPING, "node=%s",
+                    control->daemon.settings->name);
+    }
+}
+
+static bool
+should_end(const control_t *control, mv_time_t now)
+{
+    if (!control->is_stopping) {
+        return false;
+    }
+    mv_time_t stopping = now - control->stop_began;
+    mv_time_t last =
+        __atomic_load_n(&control->daemon.last_packet_at, __ATOMIC_RELAXED);
+    return stopping >= control->daemon.settings->stop_limit - STOP_MARGIN ||
+           (stopping >= LEAVE_NOTICE && now - last >= QUIET);
+}
+
+static void
+loop(control_t *control)
+{
+    mv_time_t now = g_get_monotonic_time();
+    while (!should_end(control, now)) {
+        mv_time_t next = MvFollower_Timer(control->follower, now);
+        MvLoop_Run(control->loop, CLAMP(next - now, 0, LONGEST_WAIT));
+        now = g_get_monotonic_time();
+        MvStore_Poll(control->store, 0);
+        publish(control, now);
+        note_reachable(control, now);
+        take_signals(control, now);
+        if (is_ready(control) != control->was_ready) {
+            control->was_ready = !control->was_ready;
+            MvLog_Write(control->daemon.log, MV_EVENT_NODE_READY, "ready=%d",
+                        control->was_ready);
+        }
+        if (now >= control->next_sweep) {
+            control->next_sweep = now + SWEEP_INTERVAL;
+            MvHttp1_Sweep(control->health, now);
+            control->is_changed = true;
+        }
+    }
+}
+
+static bool
+create_parts(control_t *control, GError **error)
+{
+    const mv_settings_t *settings = control->daemon.settings;
+    mv_directory_settings_t directory = {.keep = settings->flow_limit,
+                                         .return_limit = RETURN_LIMIT};
+    mv_follower_settings_t follower = MvFollowerSettings_Default();
+    g_strlcpy(directory.data_centre, settings->data_centre, MV_NAME_MAX);
+    control->directory = MvDirectory_Create(&directory);
+    control->replica = MvReplica_Create(take_item, control);
+    control->store =
+        MvPlatform_CreateStore(control->loop, settings->store_addresses,
+                               &control->daemon.counters, error);
+    if (!control->store) {
+        return false;
+    }
+    control->follower = MvFollower_Create(&follower, control->store,
+                                          control->replica, control->random);
+    control->health =
+        MvHttp1_Serve(control->loop, settings->self.address,
+                      settings->health_port, answer_health, control, error);
+    return control->health != NULL;
+}
+
+static void
+close_all(control_t *control)
+{
+    MvHttp1_StopServing(control->health);
+    MvFollower_Destroy(control->follower);
+    MvStore_Destroy(control->store);
+    MvReplica_Destroy(control->replica);
+    MvDirectory_Destroy(control->directory);
+    MvTable_Destroy(control->daemon.next_table);
+    g_rand_free(control->random);
+    free(control->daemon.dump);
+    apr_pool_destroy(control->pool);
+}
+
+int
+MvTagsControl_Run(const mv_settings_t *settings, mv_log_t *log, GError **error)
+{
+    control_t control = {.daemon = {.settings = settings,
+                                    .log = log,
+                                    .fabric = MvPlatform_Fabric()},
+                         .random = g_rand_new()};
+    mv_tags_packets_t *packets = NULL;
+    pthread_mutex_init(&control.daemon.dump_lock, NULL);
+    apr_pool_create(&control.pool, NULL);
+    control.loop = MvLoop_Create(control.pool, MAX_DESCRIPTORS);
+    signal(SIGTERM, on_signal);
+    signal(SIGINT, on_signal);
+    signal(SIGUSR1, on_signal);
+    signal(SIGHUP, on_signal);
+    signal(SIGPIPE, SIG_IGN);
+    bool good = create_parts(&control, error);
+    if (good) {
+        packets = MvTagsPackets_Start(&control.daemon, error);
+        good = packets != NULL;
+    }
+    if (good) {
+        MvLog_Write(log, MV_EVENT_NODE_STARTED, "node=%s data_centre=%s",
+                    settings->name, settings->data_centre);
+        loop(&control);
+    }
+    __atomic_store_n(&control.daemon.finished, true, __ATOMIC_RELEASE);
+    MvTagsPackets_Join(packets);
+    MvLog_Write(log, good ? MV_EVENT_NODE_STOPPED : MV_EVENT_NODE_FAILED,
+                "node=%s", settings->name);
+    dump_signals = 0;
+    close_all(&control);
+    return good ? 0 : 1;
+}
--- /dev/null
+++ b/packages/masticvaned/src/tags_packets.c
@@ -0,0 +1,290 @@
+/* The traffic thread: packets from callers to backend servers. */
+#include <apr_network_io.h>
+#include <apr_portable.h>
+#include <arpa/inet.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "tags_mode.h"
+
+#define PACKET_MAX 2048
+#define LONGEST_WAIT (100 * MV_MILLISECOND)
+#define BATCH 32
+#define BATCHES_PER_WAKE 8
+#define SOCKET_BUFFER_BYTES (1 << 20)
+
+/* A packet with room in front for what the fabric wants there. */
+typedef struct frame {
+    uint8_t front[MV_FABRIC_HEADROOM];
+    uint8_t packet[PACKET_MAX];
+} frame_t;
+
+struct mv_tags_packets {
+    mv_tags_daemon_t *daemon;
+    pthread_t thread;
+    bool started;
+    apr_pool_t *pool;
+    mv_loop_t *loop;
+    mv_watch_t watch;
+    apr_socket_t *socket;
+    int fd;
+    mv_forwarder_t *forwarder;
+    mv_time_t next_timer;
+    frame_t frames[BATCH];
+    frame_t outgoing[BATCH];
+    unsigned out_count;
+    struct mmsghdr out[BATCH];
+    struct iovec out_parts[BATCH];
+    struct sockaddr_in out_to[BATCH];
+};
+
+/* What the socket does not take at once is lost, as on any network. */
+static void
+flush(mv_tags_packets_t *packets)
+{
+    unsigned sent = 0;
+    while (sent < packets->out_count) {
+        int count = sendmmsg(packets->fd, packets->out + sent,
+                             packets->out_count - sent, MSG_DONTWAIT);
+        if (count <= 0) {
+            MvCounters_Add(&packets->daemon->counters,
+                           MV_COUNTER_PACKETS_UNSENT, 1);
+            count = 1;
+        }
+        sent += (unsigned)count;
+    }
+    packets->out_count = 0;
+}
+
+static void
+post(mv_tags_packets_t *packets, uint32_t address, uint16_t port,
+     uint8_t *data, size_t length)
+{
+    unsigned i = packets->out_count++;
+    packets->out_to[i] =
+        (struct sockaddr_in){.sin_family = AF_INET,
+                             .sin_port = htons(port),
+                             .sin_addr.s_addr = htonl(address)};
+    packets->out_parts[i] = (struct iovec){data, length};
+    packets->out[i] =
+        (struct mmsghdr){.msg_hdr = {.msg_name = &packets->out_to[i],
+                                     .msg_namelen = sizeof(packets->out_to[i]),
+                                     .msg_iov = &packets->out_parts[i],
+                                     .msg_iovlen = 1}};
+    if (packets->out_count == BATCH) {
+        flush(packets);
+    }
+}
+
+static void
+post_forward(mv_tags_packets_t *packets, const mv_flow_verdict_t *verdict,
+             uint8_t *packet, size_t length)
+{
+    size_t front = packets->daemon->fabric->address_to(verdict, packet);
+    post(packets, verdict->address, verdict->port, packet - front,
+         front + length);
+}
+
+static void
+post_reset(mv_tags_packets_t *packets, const mv_flow_packet_t *packet)
+{
+    const mv_settings_t *settings = packets->daemon->settings;
+    uint8_t *bytes = packets->outgoing[packets->out_count].packet;
+    size_t length = packets->daemon->fabric->reset(packet, bytes);
+    MvCounters_Add(&packets->daemon->counters, MV_COUNTER_FLOWS_REFUSED, 1);
+    post(packets, packet->caller, settings->packet_port, bytes, length);
+}
+
+/* An opening packet that was kept goes to another server. */
+static void
+send_kept(void *context, const mv_flow_verdict_t *verdict,
+          const uint8_t *bytes, size_t length)
+{
+    mv_tags_packets_t *packets = context;
+    uint8_t *packet = packets->outgoing[packets->out_count].packet;
+    memcpy(packet, bytes, length);
+    post_forward(packets, verdict, packet, length);
+}
+
+static void
+log_event(void *context, mv_log_event_t event, uint64_t server, int64_t detail)
+{
+    const mv_tags_packets_t *packets = context;
+    MvLog_Write(packets->daemon->log, event,
+                "server=%" PRIx64 " detail=%" PRId64, server, detail);
+}
+
+static const mv_forwarder_ops_t forwarder_ops = {
+    .send = send_kept,
+    .event = log_event,
+};
+
+static void
+handle(mv_tags_packets_t *packets, frame_t *frame, size_t length,
+       mv_time_t now)
+{
+    mv_tags_daemon_t *daemon = packets->daemon;
+    mv_flow_packet_t packet;
+    if (!daemon->fabric->parse(frame->packet, length, &packet)) {
+        MvCounters_Add(&daemon->counters, MV_COUNTER_PACKETS_MALFORMED, 1);
+        return;
+    }
+    mv_flow_verdict_t verdict = MvForwarder_Packet(
+        packets->forwarder, now, &packet, frame->packet, length);
+    if (verdict.kind == MV_FLOW_FORWARD) {
+        post_forward(packets, &verdict, frame->packet, length);
+    }
+    else if (verdict.kind == MV_FLOW_RESET) {
+        post_reset(packets, &packet);
+    }
+}
+
+static int
+receive(mv_tags_packets_t *packets, size_t *lengths)
+{
+    struct mmsghdr messages[BATCH] = {0};
+    struct iovec parts[BATCH];
+    for (int i = 0; i < BATCH; i++) {
+        parts[i] = (struct iovec){packets->frames[i].packet, PACKET_MAX};
+        messages[i].msg_hdr.msg_iov = &parts[i];
+        messages[i].msg_hdr.msg_iovlen = 1;
+    }
+    int count = recvmmsg(packets->fd, messages, BATCH, MSG_DONTWAIT, NULL);
+    for (int i = 0; i < count; i++) {
+        lengths[i] = messages[i].msg_len;
+    }
+    return MAX(count, 0);
+}
+
+static void
+adopt_table(mv_tags_packets_t *packets)
+{
+    mv_table_t *table = __atomic_exchange_n(&packets->daemon->next_table, NULL,
+                                            __ATOMIC_ACQ_REL);
+    if (table) {
+        MvForwarder_Adopt(packets->forwarder, table);
+    }
+}
+
+static void
+socket_ready(mv_watch_t *watch, int events)
+{
+    mv_tags_packets_t *packets =
+        MV_CONTAINER_OF(watch, mv_tags_packets_t, watch);
+    size_t lengths[BATCH];
+    int count = BATCH;
+    (void)events;
+    adopt_table(packets);
+    mv_time_t now = g_get_monotonic_time();
+    __atomic_store_n(&packets->daemon->last_packet_at, now, __ATOMIC_RELAXED);
+    for (int i = 0; i < BATCHES_PER_WAKE && count == BATCH; i++) {
+        count = receive(packets, lengths);
+        for (int p = 0; p < count; p++) {
+            handle(packets, &packets->frames[p], lengths[p], now);
+        }
+        flush(packets);
+    }
+}
+
+static void
+write_dump(mv_tags_packets_t *packets, mv_time_t now)
+{
+    mv_tags_daemon_t *daemon = packets->daemon;
+    if (!__atomic_exchange_n(&daemon->wants_dump, false, __ATOMIC_ACQ_REL)) {
+        return;
+    }
+    json_t *state = MvForwarder_Dump(packets->forwarder, now);
+    char *text = json_dumps(state, JSON_INDENT(2));
+    json_decref(state);
+    pthread_mutex_lock(&daemon->dump_lock);
+    free(daemon->dump);
+    daemon->dump = text;
+    pthread_mutex_unlock(&daemon->dump_lock);
+}
+
+static void *
+run(void *argument)
+{
+    mv_tags_packets_t *packets = argument;
+    mv_tags_daemon_t *daemon = packets->daemon;
+    mv_time_t now = g_get_monotonic_time();
+    while (!__atomic_load_n(&daemon->finished, __ATOMIC_ACQUIRE)) {
+        mv_time_t wait = packets->next_timer - now;
+        MvLoop_Run(packets->loop, CLAMP(wait, 0, LONGEST_WAIT));
+        now = g_get_monotonic_time();
+        adopt_table(packets);
+        if (now >= packets->next_timer ||
+            packets->next_timer - now > LONGEST_WAIT) {
+            packets->next_timer = MvForwarder_Timer(packets->forwarder, now);
+            flush(packets);
+        }
+        write_dump(packets, now);
+    }
+    return NULL;
+}
+
+static bool
+open_socket(mv_tags_packets_t *packets, GError **error)
+{
+    const mv_settings_t *settings = packets->daemon->settings;
+    apr_os_sock_t handle;
+    int size = SOCKET_BUFFER_BYTES;
+    packets->socket =
+        MvNet_Listen(packets->pool, settings->self.address,
+                     settings->packet_port, SOCK_DGRAM, false, error);
+    if (!packets->socket ||
+        apr_os_sock_get(&handle, packets->socket) != APR_SUCCESS) {
+        return false;
+    }
+    packets->fd = handle;
+    setsockopt(handle, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+    packets->watch.ready = socket_ready;
+    return MvLoop_Watch(packets->loop, &packets->watch, packets->socket,
+                        APR_POLLIN);
+}
+
+/* Signals belong to the control thread. */
+static bool
+start_thread(mv_tags_packets_t *packets)
+{
+    sigset_t all;
+    sigset_t before;
+    sigfillset(&all);
+    pthread_sigmask(SIG_BLOCK, &all, &before);
+    packets->started =
+        pthread_create(&packets->thread, NULL, run, packets) == 0;
+    pthread_sigmask(SIG_SETMASK, &before, NULL);
+    return packets->started;
+}
+
+mv_tags_packets_t *
+MvTagsPackets_Start(mv_tags_daemon_t *daemon, GError **error)
+{
+    mv_tags_packets_t *packets = g_new0(mv_tags_packets_t, 1);
+    packets->daemon = daemon;
+    apr_pool_create(&packets->pool, NULL);
+    packets->loop = MvLoop_Create(packets->pool, 2);
+    packets->forwarder = MvForwarder_Create(&forwarder_ops, packets,
+                                            &daemon->counters, g_random_int());
+    if (!packets->loop || !open_socket(packets, error) ||
+        !start_thread(packets)) {
+        MvTagsPackets_Join(packets);
+        return NULL;
+    }
+    return packets;
+}
+
+void
+MvTagsPackets_Join(mv_tags_packets_t *packets)
+{
+    if (!packets) {
+        return;
+    }
+    if (packets->started) {
+        pthread_join(packets->thread, NULL);
+    }
+    MvForwarder_Destroy(packets->forwarder);
+    apr_pool_destroy(packets->pool);
+    g_free(packets);
+}
--- /dev/null
+++ b/packages/tags/src/forwarder.c
@@ -0,0 +1,407 @@
+/* Packets and flows, on one traffic thread. */
+#include "forwarder_private.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define DEFAULT_IDLE (15 * MV_SECOND)
+/* An answer that takes longer has hardly still a slot. */
+#define OUTSTANDING_LIMIT (10 * MV_SECOND)
+/* Late packets of a closed flow still find their server. */
+#define CLOSED_LIMIT (4 * MV_SECOND)
+#define SWEEP_INTERVAL (500 * MV_MILLISECOND)
+/* The last copy of an opening packet is refused aloud, earlier ones not:
+ * a route or a server may become known between them. */
+#define LAST_COPY 2
+
+static guint
+hash_name(gconstpointer key)
+{
+    return (guint)XXH3_64bits(key, sizeof(mv_flow_name_t));
+}
+
+static gboolean
+equal_names(gconstpointer a, gconstpointer b)
+{
+    return memcmp(a, b, sizeof(mv_flow_name_t)) == 0;
+}
+
+mv_forwarder_t *
+MvForwarder_Create(const mv_forwarder_ops_t *ops, void *context,
+                   mv_counters_t *counters, uint32_t seed)
+{
+    mv_forwarder_t *forwarder = g_new0(mv_forwarder_t, 1);
+    forwarder->ops = ops;
+    forwarder->context = context;
+    forwarder->counters = counters;
+    forwarder->random = g_rand_new_with_seed(seed);
+    forwarder->standings = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    forwarder->sites = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    forwarder->flows =
+        g_hash_table_new_full(hash_name, equal_names, NULL, g_free);
+    MvList_Init(&forwarder->opening);
+    MvList_Init(&forwarder->open);
+    MvList_Init(&forwarder->closed);
+    return forwarder;
+}
+
+void
+MvForwarder_Destroy(mv_forwarder_t *forwarder)
+{
+    if (!forwarder) {
+        return;
+    }
+    g_hash_table_unref(forwarder->flows);
+    g_hash_table_unref(forwarder->standings);
+    g_hash_table_unref(forwarder->sites);
+    g_rand_free(forwarder->random);
+    MvTable_Destroy(forwarder->table);
+    g_free(forwarder->by_position);
+    g_free(forwarder);
+}
+
+static gboolean
+is_unknown_now(gpointer key, gpointer value, gpointer context)
+{
+    const mv_forwarder_t *forwarder = context;
+    const mv_standing_t *standing = value;
+    return standing->outstanding == 0 &&
+           MvTable_Server(forwarder->table, GPOINTER_TO_UINT(key)) < 0;
+}
+
+void
+MvForwarder_Adopt(mv_forwarder_t *forwarder, mv_table_t *table)
+{
+    MvTable_Destroy(forwarder->table);
+    forwarder->table = table;
+    g_hash_table_foreach_remove(forwarder->standings, is_unknown_now,
+                                forwarder);
+    g_free(forwarder->by_position);
+    forwarder->by_position = g_new0(mv_standing_t *, table->server_count + 1);
+    for (unsigned i = 0; i < table->server_count; i++) {
+        forwarder->by_position[i] = MvStanding_Of(forwarder, i);
+    }
+}
+
+/* Flows */
+
+void
+MvFlow_Release(mv_flow_t *flow)
+{
+    if (flow->counted) {
+        flow->counted->outstanding--;
+        flow->counted = NULL;
+    }
+}
+
+void
+MvFlow_Forget(mv_forwarder_t *forwarder, mv_flow_t *flow)
+{
+    MvFlow_Release(flow);
+    MvList_Remove(&flow->link);
+    g_hash_table_remove(forwarder->flows, &flow->name);
+}
+
+static void
+set_phase(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_flow_phase_t phase)
+{
+    mv_list_t *lists[] = {
+        [MV_FLOW_OPENING] = &forwarder->opening,
+        [MV_FLOW_OPEN] = &forwarder->open,
+        [MV_FLOW_CLOSED] = &forwarder->closed,
+    };
+    flow->phase = phase;
+    MvList_Remove(&flow->link);
+    MvList_Append(lists[phase], &flow->link);
+}
+
+unsigned
+MvFlow_Service(const mv_table_route_t *route, const mv_flow_name_t *name)
+{
+    if (route->route.share_count < 2 || route->total_weight == 0) {
+        return route->services[0];
+    }
+    uint32_t point =
+        (uint32_t)(XXH3_64bits(name, sizeof(*name)) % route->total_weight);
+    unsigned i = 0;
+    while (i + 1 < route->route.share_count &&
+           point >= route->route.shares[i].weight) {
+        point -= route->route.shares[i++].weight;
+    }
+    return route->services[i];
+}
+
+static mv_flow_verdict_t
+forward_to(const mv_table_server_t *server)
+{
+    return (mv_flow_verdict_t){.kind = MV_FLOW_FORWARD,
+                               .reason = MV_COUNTER_PACKETS_FORWARDED,
+                               .address = server->server.address,
+                               .port = server->server.port,
+                               .server = server->server.id,
+                               .tag = server->tag};
+}
+
+mv_flow_verdict_t
+MvFlow_Offer(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now,
+             unsigned position)
+{
+    mv_standing_t *standing = forwarder->by_position[position];
+    if (flow->offer_count == MV_MAX_OFFERS) {
+        memmove(flow->offers, flow->offers + 1,
+                (MV_MAX_OFFERS - 1) * sizeof(flow->offers[0]));
+        flow->offer_count--;
+    }
+    flow->offers[flow->offer_count++] = standing->tag;
+    flow->offered_at = now;
+    flow->wait = MvSite_Wait(standing->site);
+    MvFlow_Release(flow);
+    flow->counted = standing;
+    standing->outstanding++;
+    return forward_to(&forwarder->table->servers[position]);
+}
+
+static mv_flow_verdict_t
+refuse(const mv_flow_packet_t *packet, mv_counter_id_t reason)
+{
+    bool is_final = packet->is_opening && packet->copy >= LAST_COPY;
+    return (mv_flow_verdict_t){.kind = is_final ? MV_FLOW_RESET : MV_FLOW_DROP,
+                               .reason = reason};
+}
+
+/* Opening packets */
+
+static mv_flow_t *
+begin_flow(mv_forwarder_t *forwarder, const mv_flow_name_t *name,
+           mv_time_t now, const uint8_t *bytes, size_t length)
+{
+    mv_flow_t *flow = g_new0(mv_flow_t, 1);
+    flow->name = *name;
+    flow->began_at = now;
+    flow->seen_at = now;
+    flow->opening_length = (uint8_t)MIN(length, MV_OPENING_MAX);
+    memcpy(flow->opening, bytes, flow->opening_length);
+    MvList_Init(&flow->link);
+    set_phase(forwarder, flow, MV_FLOW_OPENING);
+    g_hash_table_insert(forwarder->flows, &flow->name, flow);
+    MvCounters_Add(forwarder->counters, MV_COUNTER_FLOWS_NEW, 1);
+    return flow;
+}
+
+static void
+judge_copy(mv_forwarder_t *forwarder, const mv_flow_t *flow, mv_time_t now)
+{
+    if (flow->offer_count == 0) {
+        return;
+    }
+    mv_standing_t *standing =
+        MvStanding_Find(forwarder, flow->offers[flow->offer_count - 1]);
+    if (standing && now - flow->offered_at >= MvSite_Wait(standing->site)) {
+        MvStanding_Silent(forwarder, standing, now, flow->offered_at);
+    }
+}
+
+static mv_flow_verdict_t
+open_flow(mv_forwarder_t *forwarder, mv_time_t now,
+          const mv_table_route_t *route, const mv_flow_packet_t *packet,
+          const mv_flow_name_t *name, const uint8_t *bytes, size_t length)
+{
+    mv_flow_t *flow = g_hash_table_lookup(forwarder->flows, name);
+    if (flow && flow->phase != MV_FLOW_OPENING) {
+        if (packet->copy > 0) {
+            /* The answer to another copy has opened it already. */
+            return (mv_flow_verdict_t){.reason = MV_COUNTER_PACKETS_LATE_COPY};
+        }
+        MvFlow_Forget(forwarder, flow);
+        flow = NULL;
+    }
+    if (flow) {
+        judge_copy(forwarder, flow, now);
+    }
+    int position =
+        MvPlacement_Choose(forwarder, now, MvFlow_Service(route, name), flow);
+    if (position < 0) {
+        return refuse(packet, MV_COUNTER_PACKETS_NO_ENDPOINT);
+    }
+    if (!flow) {
+        flow = begin_flow(forwarder, name, now, bytes, length);
+    }
+    return MvFlow_Offer(forwarder, flow, now, (unsigned)position);
+}
+
+/* Further packets */
+
+static void
+note_open(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now,
+          unsigned position)
+{
+    mv_standing_t *standing = forwarder->by_position[position];
+    bool is_last_offer = flow->offers[flow->offer_count - 1] == standing->tag;
+    flow->tag = standing->tag;
+    MvStanding_Heard(forwarder, standing, now,
+                     is_last_offer ? flow->offered_at : 0);
+    if (flow->counted != standing) {
+        MvFlow_Release(flow);
+        flow->counted = standing;
+        standing->outstanding++;
+    }
+    set_phase(forwarder, flow, MV_FLOW_OPEN);
+}
+
+static void
+note_packet(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now,
+            const mv_flow_packet_t *packet, unsigned position)
+{
+    if (flow->phase == MV_FLOW_OPENING) {
+        note_open(forwarder, flow, now, position);
+    }
+    flow->seen_at = now;
+    if (packet->is_closing || packet->is_reset) {
+        MvFlow_Release(flow);
+        MvCounters_Add(forwarder->counters, MV_COUNTER_FLOWS_CLOSED,
+                       flow->phase == MV_FLOW_OPEN);
+        set_phase(forwarder, flow, MV_FLOW_CLOSED);
+        return;
+    }
+    if (flow->phase == MV_FLOW_OPEN) {
+        set_phase(forwarder, flow, MV_FLOW_OPEN);
+    }
+}
+
+static mv_flow_verdict_t
+continue_flow(mv_forwarder_t *forwarder, mv_time_t now,
+              const mv_table_route_t *route, const mv_flow_packet_t *packet,
+              const mv_flow_name_t *name)
+{
+    mv_flow_t *flow = g_hash_table_lookup(forwarder->flows, name);
+    bool is_open = flow && flow->phase != MV_FLOW_OPENING;
+    /* Of two servers that answered the flow is open at the first. */
+    uint32_t tag = is_open ? flow->tag : packet->tag;
+    int position = MvTable_Server(forwarder->table, tag);
+    if (position < 0) {
+        return (mv_flow_verdict_t){.reason = MV_COUNTER_PACKETS_UNKNOWN_TAG};
+    }
+    const mv_table_server_t *server = &forwarder->table->servers[position];
+    if (!MvTable_Allows(route, server->service)) {
+        return (mv_flow_verdict_t){.reason = MV_COUNTER_PACKETS_FOREIGN_TAG};
+    }
+    if (flow) {
+        note_packet(forwarder, flow, now, packet, (unsigned)position);
+    }
+    return forward_to(server);
+}
+
+mv_flow_verdict_t
+MvForwarder_Packet(mv_forwarder_t *forwarder, mv_time_t now,
+                   const mv_flow_packet_t *packet, const uint8_t *bytes,
+                   size_t length)
+{
+    const mv_flow_name_t name = {.caller = packet->caller,
+                                 .address = packet->address,
+                                 .caller_port = packet->caller_port,
+                                 .port = packet->port};
+    mv_flow_verdict_t verdict = {.reason = MV_COUNTER_PACKETS_NO_CONFIG};
+    MvCounters_Add(forwarder->counters, MV_COUNTER_PACKETS_IN, 1);
+    if (forwarder->table && forwarder->table->version > 0) {
+        const mv_table_route_t *route =
+            MvTable_Route(forwarder->table, packet->address, packet->port);
+        if (!route || route->route.share_count == 0) {
+            verdict = refuse(packet, MV_COUNTER_PACKETS_NO_SERVICE);
+        }
+        else if (packet->is_opening) {
+            verdict =
+                open_flow(forwarder, now, route, packet, &name, bytes, length);
+        }
+        else {
+            verdict = continue_flow(forwarder, now, route, packet, &name);
+        }
+    }
+    MvCounters_Add(forwarder->counters, verdict.reason, 1);
+    return verdict;
+}
+
+/* Time */
+
+static void
+sweep_open(mv_forwarder_t *forwarder, mv_time_t now)
+{
+    mv_time_t idle = DEFAULT_IDLE;
+    if (forwarder->table && forwarder->table->flow_idle > 0) {
+        idle = forwarder->table->flow_idle;
+    }
+    MV_LIST_FOREACH(item, &forwarder->open)
+    {
+        mv_flow_t *flow = MV_CONTAINER_OF(item, mv_flow_t, link);
+        mv_time_t silent = now - flow->seen_at;
+        if (silent <= OUTSTANDING_LIMIT) {
+            return;
+        }
+        MvFlow_Release(flow);
+        if (silent > idle) {
+            MvFlow_Forget(forwarder, flow);
+        }
+    }
+}
+
+static void
+sweep_closed(mv_forwarder_t *forwarder, mv_time_t now)
+{
+    MV_LIST_FOREACH(item, &forwarder->closed)
+    {
+        mv_flow_t *flow = MV_CONTAINER_OF(item, mv_flow_t, link);
+        if (now - flow->seen_at <= CLOSED_LIMIT) {
+            return;
+        }
+        MvFlow_Forget(forwarder, flow);
+    }
+}
+
+mv_time_t
+MvForwarder_Timer(mv_forwarder_t *forwarder, mv_time_t now)
+{
+    if (!forwarder->table) {
+        return now + SWEEP_INTERVAL;
+    }
+    mv_time_t next = MvOpenings_Run(forwarder, now);
+    sweep_open(forwarder, now);
+    sweep_closed(forwarder, now);
+    return MIN(next, now + SWEEP_INTERVAL);
+}
+
+size_t
+MvForwarder_FlowCount(const mv_forwarder_t *forwarder)
+{
+    return g_hash_table_size(forwarder->flows);
+}
+
+uint32_t
+MvForwarder_Outstanding(const mv_forwarder_t *forwarder, uint32_t tag)
+{
+    const mv_standing_t *standing = MvStanding_Find(forwarder, tag);
+    return standing ? standing->outstanding : 0;
+}
+
+json_t *
+MvForwarder_Dump(const mv_forwarder_t *forwarder, mv_time_t now)
+{
+    json_t *servers = json_array();
+    const mv_table_t *table = forwarder->table;
+    for (unsigned i = 0; table && i < table->server_count; i++) {
+        const mv_table_server_t *server = &table->servers[i];
+        const mv_standing_t *standing = forwarder->by_position[i];
+        json_array_append_new(
+            servers,
+            json_pack("{s:I,s:I,s:s,s:b,s:I,s:I,s:b}", "server",
+                      (json_int_t)server->server.id, "tag",
+                      (json_int_t)server->tag, "service",
+                      table->services[server->service].name, "takes_new",
+                      (int)server->takes_new, "outstanding",
+                      (json_int_t)standing->outstanding, "failures",
+                      (json_int_t)standing->failures, "silent",
+                      (int)MvStanding_IsSilent(standing, now)));
+    }
+    return json_pack("{s:I,s:I,s:o}", "version",
+                     (json_int_t)(table ? table->version : 0), "flows",
+                     (json_int_t)MvForwarder_FlowCount(forwarder), "servers",
+                     servers);
+}
--- /dev/null
+++ b/packages/tags/src/forwarder_private.h
@@ -0,0 +1,169 @@
+/**
+ * DOC: State of the forwarder, shared by its files.
+ *
+ * forwarder.c  packets and flows
+ * openings.c   opening packets that nothing followed
+ * placement.c  the server of a new flow
+ * judgement.c  which servers and data centres are silent
+ */
+#ifndef MV_TAGS_FORWARDER_PRIVATE_H
+#define MV_TAGS_FORWARDER_PRIVATE_H
+
+#include "table.h"
+
+/** Servers that one flow may be offered to by opening packets of ours. */
+#define MV_MAX_OFFERS 4
+
+/**
+ * struct mv_site - What the forwarder believes of one data centre.
+ * @data_centre: hash of its name
+ * @smoothed: time from an opening packet to the next one, smoothed
+ * @deviation: its mean deviation
+ * @heard_at: last sign of life of one of its servers
+ * @silent_servers: servers found silent since then
+ * @silent_until: it gets no new flows until then, unless nothing else does
+ * @back_off: length of the next such time
+ */
+typedef struct mv_site {
+    uint32_t data_centre;
+    mv_time_t smoothed;
+    mv_time_t deviation;
+    mv_time_t heard_at;
+    unsigned silent_servers;
+    mv_time_t silent_until;
+    mv_time_t back_off;
+} mv_site_t;
+
+/**
+ * struct mv_standing - What the forwarder believes of one server.
+ * @tag: the server's tag
+ * @server: its id
+ * @site: its data centre
+ * @outstanding: flows begun here and not ended
+ * @heard_at: last sign of life
+ * @failures: opening packets in a row that nothing followed
+ * @silent_until: it gets no new flows until then, unless nothing else does
+ * @back_off: length of the next such time
+ */
+typedef struct mv_standing {
+    uint32_t tag;
+    uint64_t server;
+    mv_site_t *site;
+    uint32_t outstanding;
+    mv_time_t heard_at;
+    unsigned failures;
+    mv_time_t silent_until;
+    mv_time_t back_off;
+} mv_standing_t;
+
+/** enum mv_flow_phase - How far a flow has come. */
+typedef enum mv_flow_phase {
+    MV_FLOW_OPENING,
+    MV_FLOW_OPEN,
+    MV_FLOW_CLOSED,
+} mv_flow_phase_t;
+
+/**
+ * struct mv_flow_name - Identity of a flow.
+ */
+typedef struct mv_flow_name {
+    uint32_t caller;
+    uint32_t address;
+    uint16_t caller_port;
+    uint16_t port;
+} mv_flow_name_t;
+
+/**
+ * struct mv_flow - A flow that this node has seen.
+ * @link: in the list of its phase
+ * @name: its identity
+ * @phase: &enum mv_flow_phase
+ * @began_at: its first opening packet came
+ * @offered_at: the last opening packet went out
+ * @seen_at: its last packet came
+ * @offer_count: entries in @offers
+ * @offers: tags of the servers that got an opening packet, newest last
+ * @tag: server at which it is open
+ * @counted: standing that counts it as outstanding, or NULL
+ * @wait: time until the opening packet counts as overdue
+ * @opening_length: bytes in @opening
+ * @opening: the caller's opening packet
+ */
+typedef struct mv_flow {
+    mv_list_t link;
+    mv_flow_name_t name;
+    mv_flow_phase_t phase;
+    mv_time_t began_at;
+    mv_time_t offered_at;
+    mv_time_t seen_at;
+    unsigned offer_count;
+    uint32_t offers[MV_MAX_OFFERS];
+    uint32_t tag;
+    mv_standing_t *counted;
+    mv_time_t wait;
+    uint8_t opening_length;
+    uint8_t opening[MV_OPENING_MAX];
+} mv_flow_t;
+
+struct mv_forwarder {
+    const mv_forwarder_ops_t *ops;
+    void *context;
+    mv_counters_t *counters;
+    GRand *random;
+    mv_table_t *table;
+    GHashTable *standings;
+    GHashTable *sites;
+    mv_standing_t **by_position;
+    GHashTable *flows;
+    mv_list_t opening;
+    mv_list_t open;
+    mv_list_t closed;
+};
+
+/** MvStanding_Of() - Standing of the server at @position of the table. */
+mv_standing_t *MvStanding_Of(mv_forwarder_t *forwarder, unsigned position);
+
+/** MvStanding_Find() - Standing by tag, or NULL. */
+mv_standing_t *MvStanding_Find(const mv_forwarder_t *forwarder, uint32_t tag);
+
+/** MvStanding_Heard() - A caller's packet shows that the server answered. */
+void MvStanding_Heard(mv_forwarder_t *forwarder, mv_standing_t *standing,
+                      mv_time_t now, mv_time_t offered_at);
+
+/** MvStanding_Silent() - Nothing followed an opening packet in time. */
+void MvStanding_Silent(mv_forwarder_t *forwarder, mv_standing_t *standing,
+                       mv_time_t now, mv_time_t offered_at);
+
+/** MvStanding_IsSilent() - New flows avoid it at @now. */
+bool MvStanding_IsSilent(const mv_standing_t *standing, mv_time_t now);
+
+/** MvSite_Wait() - When an opening packet to this data centre is overdue. */
+mv_time_t MvSite_Wait(const mv_site_t *site);
+
+/**
+ * MvPlacement_Choose() - Server for a new flow.
+ * @avoid: flow whose earlier offers are avoided, or NULL
+ *
+ * Return: position in the table, or -1 when the service has none.
+ */
+int MvPlacement_Choose(mv_forwarder_t *forwarder, mv_time_t now,
+                       unsigned service, const mv_flow_t *avoid);
+
+/** MvFlow_Offer() - Send an opening to @position; the verdict says how. */
+mv_flow_verdict_t MvFlow_Offer(mv_forwarder_t *forwarder, mv_flow_t *flow,
+                               mv_time_t now, unsigned position);
+
+/** MvFlow_Service() - Service of a new flow on @route, by weight. */
+unsigned MvFlow_Service(const mv_table_route_t *route,
+                        const mv_flow_name_t *name);
+
+/** MvFlow_Release() - It is not outstanding any more. */
+void MvFlow_Release(mv_flow_t *flow);
+
+/** MvFlow_Forget() - Drop what is known of it. */
+void MvFlow_Forget(mv_forwarder_t *forwarder, mv_flow_t *flow);
+
+/** MvOpenings_Run() - Offer overdue flows anew.  Return: the next time. */
+mv_time_t MvOpenings_Run(mv_forwarder_t *forwarder, mv_time_t now);
+
+#endif
