Log of decisions: bounded, sampled by flow, never waited for

Cause: an on-call engineer has only logs; the forwarder said nothing of flows, and the logger blocked on a full pipe. Change: the logger writes whole lines to standard output only when it takes them, within a budget of lines a second, and says what it left out; the forwarder tells of a sample of flows that is the same on every node, and of every resent, refused or dropped one. Conclusion: decisions can be traced; tests come next.

--- a/packages/base/include/masticvane/base.h
+++ b/packages/base/include/masticvane/base.h
@@ -323,18 +323,28 @@
 typedef struct mv_log mv_log_t;
 
 /**
- * MvLog_Create() - Log to @path, or to standard error when it is NULL.
+ * MvLog_Create() - Log to @path, or to standard output when it is NULL.
  * @level: events below it are left out
  *
  * Return: the log, to be freed with MvLog_Destroy(); NULL with @error set.
  */
 mv_log_t *MvLog_Create(const char *path, mv_log_level_t level, GError **error);
 
+/**
+ * MvLog_SetBudget() - Write so many lines a second at most, 0 for all.
+ *
+ * What is left out is counted and said once in the next second that has a
+ * line.
+ */
+void MvLog_SetBudget(mv_log_t *log, unsigned lines_per_second);
+
 /** MvLog_Destroy() - Close the log; NULL is accepted. */
 void MvLog_Destroy(mv_log_t *log);
 
 /**
  * MvLog_Write() - Write one line "time number level text key=value ...".
+ *
+ * Never waits: a line that a full pipe does not take is lost and counted.
  * @log: the log; NULL drops the event
  * @event: what happened
  * @format: "key=value" pairs, as printf
--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -1,13 +1,29 @@
+/* The event log: whole lines, bounded in number, never waited for. */
 #include "masticvane/base.h"
 
 #include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <pthread.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
+
+/* Lines up to this length are written to a pipe whole or not at all. */
+#define LINE_MAX_BYTES 2048
+#define FILE_MODE 0644
+#define MILLISECOND_NS 1000000
 
 struct mv_log {
-    FILE *file;
+    int fd;
     bool owned;
     mv_log_level_t level;
+    pthread_mutex_t lock;
+    unsigned line_budget;
+    time_t second;
+    unsigned lines;
+    unsigned over_budget;
+    unsigned not_taken;
 };
 
 typedef struct event_text {
@@ -33,12 +49,14 @@
         return NULL;
     }
     log->level = level;
-    log->file = stderr;
+    log->fd = STDOUT_FILENO;
+    pthread_mutex_init(&log->lock, NULL);
     if (path && *path) {
-        log->file = fopen(path, "a");
-        log->owned = true;
+        log->fd =
+            open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, FILE_MODE);
+        log->owned = log->fd >= 0;
     }
-    if (!log->file) {
+    if (log->fd < 0) {
         g_set_error(error, MV_ERROR, MV_ERROR_IO, "cannot open log %s: %s",
                     path, g_strerror(errno));
         MvLog_Destroy(log);
@@ -47,15 +65,22 @@
     return log;
 }
 
+void
+MvLog_SetBudget(mv_log_t *log, unsigned lines_per_second)
+{
+    log->line_budget = lines_per_second;
+}
+
 void
 MvLog_Destroy(mv_log_t *log)
 {
     if (!log) {
         return;
     }
-    if (log->owned && log->file) {
-        (void)fclose(log->file);
+    if (log->owned) {
+        close(log->fd);
     }
+    pthread_mutex_destroy(&log->lock);
     g_free(log);
 }
 
@@ -70,6 +95,70 @@
     return &event_texts[0];
 }
 
+/* A reader that does not read loses lines; the process goes on. */
+static void
+write_line(mv_log_t *log, const char *line, size_t length)
+{
+    struct pollfd writable = {.fd = log->fd, .events = POLLOUT};
+    if (poll(&writable, 1, 0) != 1 || !(writable.revents & POLLOUT) ||
+        write(log->fd, line, length) != (ssize_t)length) {
+        log->not_taken++;
+    }
+}
+
+static size_t
+format_head(char *line, const event_text_t *event, const struct timespec *now)
+{
+    struct tm utc;
+    char stamp[32];
+    gmtime_r(&now->tv_sec, &utc);
+    strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &utc);
+    return (size_t)snprintf(line, LINE_MAX_BYTES, "%s.%03ldZ %d %s \"%s\" ",
+                            stamp, now->tv_nsec / MILLISECOND_NS,
+                            event->number, level_names[event->level],
+                            event->text);
+}
+
+static void
+finish_line(mv_log_t *log, char *line, size_t length)
+{
+    length = MIN(length, LINE_MAX_BYTES - 2);
+    line[length++] = '\n';
+    write_line(log, line, length);
+}
+
+static void
+report_left_out(mv_log_t *log, const struct timespec *now)
+{
+    char line[LINE_MAX_BYTES];
+    size_t length = format_head(line, find_event(MV_EVENT_LINES_LEFT_OUT), now);
+    length += (size_t)snprintf(line + length, LINE_MAX_BYTES - length,
+                               "over_budget=%u not_taken=%u", log->over_budget,
+                               log->not_taken);
+    log->over_budget = 0;
+    log->not_taken = 0;
+    finish_line(log, line, length);
+}
+
+/* Return: false when this second's lines are used up. */
+static bool
+take_from_budget(mv_log_t *log, const struct timespec *now)
+{
+    if (now->tv_sec != log->second) {
+        log->second = now->tv_sec;
+        log->lines = 0;
+        if (log->over_budget + log->not_taken > 0) {
+            report_left_out(log, now);
+        }
+    }
+    if (log->line_budget > 0 && log->lines >= log->line_budget) {
+        log->over_budget++;
+        return false;
+    }
+    log->lines++;
+    return true;
+}
+
 void
 MvLog_Write(mv_log_t *log, mv_log_event_t event, const char *format, ...)
 {
@@ -82,17 +171,16 @@
     }
     struct timespec now;
     clock_gettime(CLOCK_REALTIME, &now);
-    struct tm utc;
-    gmtime_r(&now.tv_sec, &utc);
-    char stamp[32];
-    strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &utc);
-    va_list args;
-    va_start(args, format);
-    char *pairs = g_strdup_vprintf(format, args);
-    va_end(args);
-    (void)fprintf(log->file, "%s.%03ldZ %d %s \"%s\" %s\n", stamp,
-                  now.tv_nsec / 1000000, known->number,
-                  level_names[known->level], known->text, pairs);
-    (void)fflush(log->file);
-    g_free(pairs);
+    pthread_mutex_lock(&log->lock);
+    if (take_from_budget(log, &now)) {
+        char line[LINE_MAX_BYTES];
+        size_t length = format_head(line, known, &now);
+        va_list args;
+        va_start(args, format);
+        length += (size_t)vsnprintf(line + length, LINE_MAX_BYTES - length,
+                                    format, args);
+        va_end(args);
+        finish_line(log, line, length);
+    }
+    pthread_mutex_unlock(&log->lock);
 }
--- a/packages/masticvaned/src/main.c
+++ b/packages/masticvaned/src/main.c
@@ -14,6 +14,9 @@
     GError *error = NULL;
     mv_log_t *log =
         MvLog_Create(settings->log_file, settings->log_level, &error);
+    if (log) {
+        MvLog_SetBudget(log, settings->line_budget);
+    }
     int status = log ? MvTagsControl_Run(settings, log, &error) : 1;
     if (error) {
         (void)fprintf(stderr, "masticvaned: %s\n", error->message);
--- a/packages/masticvaned/src/settings.c
+++ b/packages/masticvaned/src/settings.c
@@ -7,6 +7,7 @@
 #define MAX_THREADS 64
 #define MAX_FLOWS (1 << 28)
 #define MAX_SECONDS 86400
+#define MAX_LINES 1000000
 
 typedef struct reading {
     mv_ini_t *ini;
@@ -224,6 +225,11 @@
     settings->dump_file = g_strdup(
         MvIni_Text(reading->ini, "log", "dump_file", "", reading->findings));
     settings->log_level = read_level(reading);
+    settings->line_budget =
+        (unsigned)number(reading, "log", "lines_per_second", 0, MAX_LINES,
+                         settings->forwarding == MV_FORWARDING_TAGS ? 50 : 0);
+    settings->flow_sample =
+        (unsigned)number(reading, "log", "flow_sample", 0, MAX_FLOWS, 256);
 }
 
 mv_settings_t *
--- a/packages/masticvaned/src/settings.h
+++ b/packages/masticvaned/src/settings.h
@@ -35,6 +35,8 @@
  *              the store and the log are read
  * @name: name of this entry VM
  * @health_port: TCP port at which the fabric asks whether it takes packets
+ * @line_budget: log lines a second at most, 0 for all
+ * @flow_sample: one flow in so many is logged, 0 for none but rare ones
  * @flow_limit: a flow older than this may be forgotten
  * @self: this VM's own addresses
  * @data_centre: data centre it runs in
@@ -58,6 +60,8 @@
     char name[MV_NAME_MAX];
     uint16_t health_port;
     mv_time_t flow_limit;
+    unsigned line_budget;
+    unsigned flow_sample;
     mv_peer_settings_t self;
     char data_centre[MV_NAME_MAX];
     char deployment[MV_NAME_MAX];
--- a/packages/masticvaned/src/tags_packets.c
+++ b/packages/masticvaned/src/tags_packets.c
@@ -115,9 +115,38 @@
                 "server=%" PRIx64 " detail=%" PRId64, server, detail);
 }
 
+/* "10.0.0.7:40001>198.18.0.1:443", as both ends know the flow. */
+static void
+format_name(const mv_flow_name_t *name, char *out, size_t size)
+{
+    const struct in_addr caller = {htonl(name->caller)};
+    const struct in_addr address = {htonl(name->address)};
+    char from[INET_ADDRSTRLEN];
+    char to[INET_ADDRSTRLEN];
+    inet_ntop(AF_INET, &caller, from, sizeof(from));
+    inet_ntop(AF_INET, &address, to, sizeof(to));
+    (void)snprintf(out, size, "%s:%u>%s:%u", from, name->caller_port, to,
+                   name->port);
+}
+
+static void
+log_decision(void *context, const mv_flow_decision_t *decision)
+{
+    const mv_tags_packets_t *packets = context;
+    char name[64];
+    format_name(&decision->name, name, sizeof(name));
+    MvLog_Write(packets->daemon->log, decision->event,
+                "flow=%s server=%" PRIx64 " why=%s version=%" PRIu64
+                " candidates=%u outstanding=%u offers=%u took_us=%" PRId64,
+                name, decision->server, MvCounters_Name(decision->reason),
+                decision->version, decision->candidates, decision->outstanding,
+                decision->offers, decision->took);
+}
+
 static const mv_forwarder_ops_t forwarder_ops = {
     .send = send_kept,
     .event = log_event,
+    .decided = log_decision,
 };
 
 static void
@@ -267,6 +296,7 @@
     packets->loop = MvLoop_Create(packets->pool, 2);
     packets->forwarder = MvForwarder_Create(&forwarder_ops, packets,
                                             &daemon->counters, g_random_int());
+    MvForwarder_SetSample(packets->forwarder, daemon->settings->flow_sample);
     if (!packets->loop || !open_socket(packets, error) ||
         !start_thread(packets)) {
         MvTagsPackets_Join(packets);
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -241,16 +241,59 @@
 /** typedef mv_forwarder_t - Decisions of one traffic thread. */
 typedef struct mv_forwarder mv_forwarder_t;
 
+/**
+ * struct mv_flow_name - Identity of a flow, the same at both ends.
+ * @caller: caller's address, host byte order
+ * @address: address that the caller uses
+ * @caller_port: caller's port
+ * @port: port that the caller uses
+ */
+typedef struct mv_flow_name {
+    uint32_t caller;
+    uint32_t address;
+    uint16_t caller_port;
+    uint16_t port;
+} mv_flow_name_t;
+
+/**
+ * struct mv_flow_decision - One decision about a flow, for the log.
+ * @event: what was decided
+ * @name: the flow
+ * @is_rare: it is worth a line whatever the sample
+ * @server: id of the server, 0 when none
+ * @reason: counter that tells why
+ * @candidates: servers that were considered
+ * @outstanding: flows begun at the server and not ended, as counted here
+ * @offers: opening packets sent so far
+ * @version: configuration that decided
+ * @took: time since the flow's first packet
+ */
+typedef struct mv_flow_decision {
+    mv_log_event_t event;
+    mv_flow_name_t name;
+    bool is_rare;
+    uint64_t server;
+    mv_counter_id_t reason;
+    unsigned candidates;
+    unsigned outstanding;
+    unsigned offers;
+    uint64_t version;
+    mv_time_t took;
+} mv_flow_decision_t;
+
 /**
  * struct mv_forwarder_ops - What the forwarder asks and tells.
  * @send: send kept opening bytes as @verdict says
  * @event: a numbered event about a server or a data centre
+ * @decided: a decision about a flow; called for those in the sample, which is
+ *           the same on every node, and for rare ones
  */
 typedef struct mv_forwarder_ops {
     void (*send)(void *context, const mv_flow_verdict_t *verdict,
                  const uint8_t *bytes, size_t length);
     void (*event)(void *context, mv_log_event_t event, uint64_t server,
                   int64_t detail);
+    void (*decided)(void *context, const mv_flow_decision_t *decision);
 } mv_forwarder_ops_t;
 
 /**
@@ -266,6 +309,9 @@
 /** MvForwarder_Destroy() - Free, the table included; NULL is accepted. */
 void MvForwarder_Destroy(mv_forwarder_t *forwarder);
 
+/** MvForwarder_SetSample() - Tell of one flow in @one_in; 0 for none. */
+void MvForwarder_SetSample(mv_forwarder_t *forwarder, unsigned one_in);
+
 /** MvForwarder_Adopt() - Use @table from now on; the old one is freed. */
 void MvForwarder_Adopt(mv_forwarder_t *forwarder, mv_table_t *table);
 
--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -83,6 +83,72 @@
     }
 }
 
+void
+MvForwarder_SetSample(mv_forwarder_t *forwarder, unsigned one_in)
+{
+    forwarder->sample = one_in;
+}
+
+/* What is told */
+
+static bool
+is_told(const mv_forwarder_t *forwarder, const mv_flow_name_t *name,
+        bool is_rare)
+{
+    return is_rare || (forwarder->sample > 0 &&
+                       hash_name(name) % forwarder->sample == 0);
+}
+
+void
+MvFlow_Tell(const mv_forwarder_t *forwarder, const mv_flow_t *flow,
+            mv_time_t now, mv_log_event_t event, bool is_rare)
+{
+    if (!is_told(forwarder, &flow->name, is_rare)) {
+        return;
+    }
+    uint32_t tag = flow->tag ? flow->tag : flow->offers[flow->offer_count - 1];
+    const mv_standing_t *standing = MvStanding_Find(forwarder, tag);
+    int position = MvTable_Server(forwarder->table, tag);
+    const mv_flow_decision_t decision = {
+        .event = event,
+        .name = flow->name,
+        .is_rare = is_rare,
+        .server = standing ? standing->server : 0,
+        .reason = MV_COUNTER_PACKETS_FORWARDED,
+        .candidates =
+            position < 0
+                ? 0
+                : forwarder->table
+                      ->services[forwarder->table->servers[position].service]
+                      .count,
+        .outstanding = standing ? standing->outstanding : 0,
+        .offers = flow->offer_count,
+        .version = forwarder->table->version,
+        .took = now - flow->began_at,
+    };
+    forwarder->ops->decided(forwarder->context, &decision);
+}
+
+/* A packet that went nowhere; copies that come late are no news. */
+static void
+tell_refusal(const mv_forwarder_t *forwarder, const mv_flow_name_t *name,
+             const mv_flow_verdict_t *verdict)
+{
+    if (verdict->kind == MV_FLOW_FORWARD ||
+        verdict->reason == MV_COUNTER_PACKETS_LATE_COPY) {
+        return;
+    }
+    const mv_flow_decision_t decision = {
+        .event = verdict->kind == MV_FLOW_RESET ? MV_EVENT_FLOW_REFUSED
+                                                : MV_EVENT_PACKET_DROPPED,
+        .name = *name,
+        .is_rare = true,
+        .reason = verdict->reason,
+        .version = forwarder->table ? forwarder->table->version : 0,
+    };
+    forwarder->ops->decided(forwarder->context, &decision);
+}
+
 /* Flows */
 
 void
@@ -226,7 +292,13 @@
     if (!flow) {
         flow = begin_flow(forwarder, name, now, bytes, length);
     }
-    return MvFlow_Offer(forwarder, flow, now, (unsigned)position);
+    mv_flow_verdict_t verdict =
+        MvFlow_Offer(forwarder, flow, now, (unsigned)position);
+    bool is_again = flow->offer_count > 1;
+    MvFlow_Tell(forwarder, flow, now,
+                is_again ? MV_EVENT_FLOW_RESENT : MV_EVENT_FLOW_PLACED,
+                is_again);
+    return verdict;
 }
 
 /* Further packets */
@@ -246,6 +318,19 @@
         standing->outstanding++;
     }
     set_phase(forwarder, flow, MV_FLOW_OPEN);
+    MvFlow_Tell(forwarder, flow, now, MV_EVENT_FLOW_OPENED,
+                flow->offer_count > 1);
+}
+
+static void
+end_flow(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now)
+{
+    if (flow->phase == MV_FLOW_OPEN) {
+        MvCounters_Add(forwarder->counters, MV_COUNTER_FLOWS_CLOSED, 1);
+        MvFlow_Tell(forwarder, flow, now, MV_EVENT_FLOW_CLOSED, false);
+    }
+    MvFlow_Release(flow);
+    set_phase(forwarder, flow, MV_FLOW_CLOSED);
 }
 
 static void
@@ -257,10 +342,7 @@
     }
     flow->seen_at = now;
     if (packet->is_closing || packet->is_reset) {
-        MvFlow_Release(flow);
-        MvCounters_Add(forwarder->counters, MV_COUNTER_FLOWS_CLOSED,
-                       flow->phase == MV_FLOW_OPEN);
-        set_phase(forwarder, flow, MV_FLOW_CLOSED);
+        end_flow(forwarder, flow, now);
         return;
     }
     if (flow->phase == MV_FLOW_OPEN) {
@@ -317,6 +399,7 @@
         }
     }
     MvCounters_Add(forwarder->counters, verdict.reason, 1);
+    tell_refusal(forwarder, &name, &verdict);
     return verdict;
 }
 
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -63,16 +63,6 @@
     MV_FLOW_CLOSED,
 } mv_flow_phase_t;
 
-/**
- * struct mv_flow_name - Identity of a flow.
- */
-typedef struct mv_flow_name {
-    uint32_t caller;
-    uint32_t address;
-    uint16_t caller_port;
-    uint16_t port;
-} mv_flow_name_t;
-
 /**
  * struct mv_flow - A flow that this node has seen.
  * @link: in the list of its phase
@@ -110,6 +100,7 @@
     void *context;
     mv_counters_t *counters;
     GRand *random;
+    unsigned sample;
     mv_table_t *table;
     GHashTable *standings;
     GHashTable *sites;
@@ -163,6 +154,10 @@
 /** MvFlow_Forget() - Drop what is known of it. */
 void MvFlow_Forget(mv_forwarder_t *forwarder, mv_flow_t *flow);
 
+/** MvFlow_Tell() - Report a decision about @flow when it is in the sample. */
+void MvFlow_Tell(const mv_forwarder_t *forwarder, const mv_flow_t *flow,
+                 mv_time_t now, mv_log_event_t event, bool is_rare);
+
 /** MvOpenings_Run() - Offer overdue flows anew.  Return: the next time. */
 mv_time_t MvOpenings_Run(mv_forwarder_t *forwarder, mv_time_t now);
 
--- a/packages/tags/src/openings.c
+++ b/packages/tags/src/openings.c
@@ -32,6 +32,7 @@
     mv_flow_verdict_t verdict =
         MvFlow_Offer(forwarder, flow, now, (unsigned)position);
     MvCounters_Add(forwarder->counters, MV_COUNTER_OPENINGS_RESENT, 1);
+    MvFlow_Tell(forwarder, flow, now, MV_EVENT_FLOW_RESENT, true);
     forwarder->ops->send(forwarder->context, &verdict, flow->opening,
                          flow->opening_length);
 }
@@ -41,6 +42,7 @@
 attend(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now)
 {
     if (now - flow->began_at > OPENING_LIMIT) {
+        MvFlow_Tell(forwarder, flow, now, MV_EVENT_FLOW_LAPSED, true);
         MvFlow_Forget(forwarder, flow);
         return MV_NEVER;
     }
