Flow tags: nobody is blamed while the fabric deals anew; trials one at a time; tests

After a pause all servers of a silent data centre were tried at once. Ruled out: slow servers (they answered within 10 ms on the nodes that kept the flow). Change: a packet of a flow that began elsewhere shows that the fabric deals anew; for a second after it no opening is judged or sent again. After a pause one flow tries a silent server or data centre. A free slot nearby goes before one far away. tags_test: 22 tests of placement, judgement, tags and routes.

--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -9,6 +9,8 @@
 #define OUTSTANDING_LIMIT (10 * MV_SECOND)
 /* Late packets of a closed flow still find their server. */
 #define CLOSED_LIMIT (4 * MV_SECOND)
+/* Flows that were open when the fabric dealt anew have shown up by then. */
+#define SETTLING MV_SECOND
 #define SWEEP_INTERVAL (500 * MV_MILLISECOND)
 /* The last copy of an opening packet is refused aloud, earlier ones not:
  * a route or a server may become known between them. */
@@ -95,8 +97,8 @@
 is_told(const mv_forwarder_t *forwarder, const mv_flow_name_t *name,
         bool is_rare)
 {
-    return is_rare || (forwarder->sample > 0 &&
-                       hash_name(name) % forwarder->sample == 0);
+    return is_rare ||
+           (forwarder->sample > 0 && hash_name(name) % forwarder->sample == 0);
 }
 
 void
@@ -224,6 +226,7 @@
     MvFlow_Release(flow);
     flow->counted = standing;
     standing->outstanding++;
+    MvStanding_Offered(standing, now);
     return forward_to(&forwarder->table->servers[position]);
 }
 
@@ -238,26 +241,53 @@
 /* Opening packets */
 
 static mv_flow_t *
-begin_flow(mv_forwarder_t *forwarder, const mv_flow_name_t *name,
-           mv_time_t now, const uint8_t *bytes, size_t length)
+add_flow(mv_forwarder_t *forwarder, const mv_flow_name_t *name, mv_time_t now,
+         mv_flow_phase_t phase)
 {
     mv_flow_t *flow = g_new0(mv_flow_t, 1);
     flow->name = *name;
     flow->began_at = now;
     flow->seen_at = now;
-    flow->opening_length = (uint8_t)MIN(length, MV_OPENING_MAX);
-    memcpy(flow->opening, bytes, flow->opening_length);
     MvList_Init(&flow->link);
-    set_phase(forwarder, flow, MV_FLOW_OPENING);
+    set_phase(forwarder, flow, phase);
     g_hash_table_insert(forwarder->flows, &flow->name, flow);
+    return flow;
+}
+
+static mv_flow_t *
+begin_flow(mv_forwarder_t *forwarder, const mv_flow_name_t *name,
+           mv_time_t now, const uint8_t *bytes, size_t length)
+{
+    mv_flow_t *flow = add_flow(forwarder, name, now, MV_FLOW_OPENING);
+    flow->opening_length = (uint8_t)MIN(length, MV_OPENING_MAX);
+    memcpy(flow->opening, bytes, flow->opening_length);
     MvCounters_Add(forwarder->counters, MV_COUNTER_FLOWS_NEW, 1);
     return flow;
 }
 
+/* A flow that began at another node; this one has it from now on. */
+static void
+take_stray(mv_forwarder_t *forwarder, const mv_flow_name_t *name,
+           mv_time_t now, const mv_flow_packet_t *packet, uint32_t tag)
+{
+    mv_flow_phase_t phase =
+        packet->is_closing || packet->is_reset ? MV_FLOW_CLOSED : MV_FLOW_OPEN;
+    mv_flow_t *flow = add_flow(forwarder, name, now, phase);
+    flow->tag = tag;
+    forwarder->stray_at = now;
+    MvCounters_Add(forwarder->counters, MV_COUNTER_FLOWS_STRAY, 1);
+}
+
+bool
+MvForwarder_IsSettled(const mv_forwarder_t *forwarder, mv_time_t now)
+{
+    return forwarder->stray_at == 0 || now - forwarder->stray_at > SETTLING;
+}
+
 static void
 judge_copy(mv_forwarder_t *forwarder, const mv_flow_t *flow, mv_time_t now)
 {
-    if (flow->offer_count == 0) {
+    if (flow->offer_count == 0 || !MvForwarder_IsSettled(forwarder, now)) {
         return;
     }
     mv_standing_t *standing =
@@ -370,6 +400,9 @@
     if (flow) {
         note_packet(forwarder, flow, now, packet, (unsigned)position);
     }
+    else {
+        take_stray(forwarder, name, now, packet, tag);
+    }
     return forward_to(server);
 }
 
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -22,6 +22,7 @@
  * @heard_at: last sign of life of one of its servers
  * @silent_servers: servers found silent since then
  * @silent_until: it gets no new flows until then, unless nothing else does
+ * @trial_until: one flow tries it after such a time; others wait until then
  * @back_off: length of the next such time
  */
 typedef struct mv_site {
@@ -31,6 +32,7 @@
     mv_time_t heard_at;
     unsigned silent_servers;
     mv_time_t silent_until;
+    mv_time_t trial_until;
     mv_time_t back_off;
 } mv_site_t;
 
@@ -43,6 +45,7 @@
  * @heard_at: last sign of life
  * @failures: opening packets in a row that nothing followed
  * @silent_until: it gets no new flows until then, unless nothing else does
+ * @trial_until: as a data centre's
  * @back_off: length of the next such time
  */
 typedef struct mv_standing {
@@ -53,6 +56,7 @@
     mv_time_t heard_at;
     unsigned failures;
     mv_time_t silent_until;
+    mv_time_t trial_until;
     mv_time_t back_off;
 } mv_standing_t;
 
@@ -101,6 +105,7 @@
     mv_counters_t *counters;
     GRand *random;
     unsigned sample;
+    mv_time_t stray_at;
     mv_table_t *table;
     GHashTable *standings;
     GHashTable *sites;
@@ -125,9 +130,21 @@
 void MvStanding_Silent(mv_forwarder_t *forwarder, mv_standing_t *standing,
                        mv_time_t now, mv_time_t offered_at);
 
+/** MvStanding_Offered() - An opening packet goes to it. */
+void MvStanding_Offered(mv_standing_t *standing, mv_time_t now);
+
 /** MvStanding_IsSilent() - New flows avoid it at @now. */
 bool MvStanding_IsSilent(const mv_standing_t *standing, mv_time_t now);
 
+/**
+ * MvForwarder_IsSettled() - The fabric sends packets of one flow here.
+ *
+ * False for a while after packets of flows that began elsewhere have come:
+ * the fabric deals anew, and packets that follow an opening may go to another
+ * node, which says nothing about the server.
+ */
+bool MvForwarder_IsSettled(const mv_forwarder_t *forwarder, mv_time_t now);
+
 /** MvSite_Wait() - When an opening packet to this data centre is overdue. */
 mv_time_t MvSite_Wait(const mv_site_t *site);
 
--- a/packages/tags/src/judgement.c
+++ b/packages/tags/src/judgement.c
@@ -96,10 +96,12 @@
     standing->heard_at = now;
     standing->failures = 0;
     standing->silent_until = 0;
+    standing->trial_until = 0;
     standing->back_off = FIRST_BACK_OFF;
     site->heard_at = now;
     site->silent_servers = 0;
     site->silent_until = 0;
+    site->trial_until = 0;
     site->back_off = FIRST_BACK_OFF;
 }
 
@@ -142,8 +144,22 @@
     standing->back_off = MIN(2 * standing->back_off, LONGEST_BACK_OFF);
 }
 
+void
+MvStanding_Offered(mv_standing_t *standing, mv_time_t now)
+{
+    mv_site_t *site = standing->site;
+    if (standing->failures >= SURE_FAILURES) {
+        standing->trial_until = now + LONGEST_WAIT;
+    }
+    if (site->silent_servers >= SITE_SERVERS) {
+        site->trial_until = now + LONGEST_WAIT;
+    }
+}
+
 bool
 MvStanding_IsSilent(const mv_standing_t *standing, mv_time_t now)
 {
-    return now < standing->silent_until || now < standing->site->silent_until;
+    const mv_site_t *site = standing->site;
+    return now < MAX(standing->silent_until, standing->trial_until) ||
+           now < MAX(site->silent_until, site->trial_until);
 }
--- a/packages/tags/src/openings.c
+++ b/packages/tags/src/openings.c
@@ -52,8 +52,11 @@
     if (now < flow->offered_at + flow->wait) {
         return flow->offered_at + flow->wait;
     }
-    judge_offer(forwarder, flow, now);
-    if (flow->offer_count > MAX_RESENT) {
+    bool is_settled = MvForwarder_IsSettled(forwarder, now);
+    if (is_settled) {
+        judge_offer(forwarder, flow, now);
+    }
+    if (flow->offer_count > MAX_RESENT || !is_settled) {
         flow->wait = MV_NEVER;
         return flow->began_at + OPENING_LIMIT;
     }
--- a/packages/tags/src/placement.c
+++ b/packages/tags/src/placement.c
@@ -3,8 +3,9 @@
 
 /* A cold server takes about this much longer. */
 #define COLD_FACTOR 1.6
-/* Share of a server's slots that a way into another data centre is worth. */
-#define FAR_COST 0.4
+/* A way into another data centre is worth a little more than a full server's
+ * next flow, so that a free slot nearby goes first. */
+#define FAR_COST 0.6
 /* Costs closer than this are equal; one of the equals is drawn. */
 #define EQUAL 1e-9
 
--- /dev/null
+++ b/packages/tags/test/tags_test.cc
@@ -0,0 +1,399 @@
+#include "tags_world.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+#include <unordered_map>
+
+namespace {
+
+/* Two services, three servers each; booking in casa, casa and rabat. */
+struct Tags : testing::Test {
+    Tags()
+    {
+        prepare(world);
+    }
+
+    static void
+    prepare(tags_world &w)
+    {
+        w.announce(w.server(1, "booking", "casa"));
+        w.announce(w.server(2, "booking", "casa"));
+        w.announce(w.server(3, "booking", "rabat"));
+        w.announce(w.server(11, "docs", "casa"));
+        w.route(5, {{443, "booking"}, {80, "docs"}});
+        w.publish();
+    }
+
+    tags_world world;
+};
+
+TEST_F(Tags, NewFlowsGoWhereFewestAreOutstandingAndNear)
+{
+    std::map<uint64_t, int> flows;
+    for (uint16_t port = 1; port <= 4; port++) {
+        mv_flow_verdict_t verdict = world.open(port);
+        ASSERT_EQ(verdict.kind, MV_FLOW_FORWARD);
+        flows[verdict.server]++;
+    }
+    EXPECT_EQ(flows[1], 2);
+    EXPECT_EQ(flows[2], 2);
+    /* Both near ones are full: the far one is the soonest to start it. */
+    EXPECT_EQ(world.open(5).server, 3u);
+}
+
+TEST_F(Tags, AnyNodeFindsTheServerByTheTagAlone)
+{
+    uint32_t tag = world.serve(1);
+    tags_world other("rabat", 99);
+    prepare(other);
+    mv_flow_verdict_t here = world.go_on(1, tag);
+    mv_flow_verdict_t there = other.go_on(1, tag);
+    EXPECT_EQ(there.kind, MV_FLOW_FORWARD);
+    EXPECT_EQ(there.server, here.server);
+    EXPECT_EQ(there.tag, tag);
+}
+
+TEST_F(Tags, PacketsThatMustNotBeForwarded)
+{
+    uint32_t booking = world.serve(1);
+    struct {
+        const char *what;
+        uint32_t tag;
+        uint16_t to;
+        mv_counter_id_t reason;
+    } const cases[] = {
+        {"a tag of another service", booking, 80,
+         MV_COUNTER_PACKETS_FOREIGN_TAG},
+        {"a tag nobody knows", booking + 1, 443,
+         MV_COUNTER_PACKETS_UNKNOWN_TAG},
+        {"no tag", 0, 443, MV_COUNTER_PACKETS_UNKNOWN_TAG},
+        {"no route", booking, 8080, MV_COUNTER_PACKETS_NO_SERVICE},
+    };
+    for (const auto &c : cases) {
+        mv_flow_verdict_t verdict = world.go_on(77, c.tag, c.to);
+        EXPECT_EQ(verdict.kind, MV_FLOW_DROP) << c.what;
+        EXPECT_EQ(verdict.reason, c.reason) << c.what;
+    }
+}
+
+TEST_F(Tags, RefusedAloudOnlyWithTheLastCopy)
+{
+    EXPECT_EQ(world.open(1, 8080, 0).kind, MV_FLOW_DROP);
+    EXPECT_EQ(world.open(1, 8080, 1).kind, MV_FLOW_DROP);
+    EXPECT_EQ(world.open(1, 8080, 2).kind, MV_FLOW_RESET);
+    /* A route that becomes known between the copies serves the flow. */
+    EXPECT_EQ(world.open(2, 8080, 0).kind, MV_FLOW_DROP);
+    world.route(6, {{443, "booking"}, {8080, "docs"}});
+    world.publish();
+    EXPECT_EQ(world.open(2, 8080, 1).kind, MV_FLOW_FORWARD);
+}
+
+TEST_F(Tags, ALeavingServerKeepsItsFlowsAndGetsNoNewOnes)
+{
+    uint32_t tag = world.serve(1);
+    uint64_t id = world.go_on(1, tag).server;
+    mv_server_t leaving = world.server(id, "booking", "casa");
+    leaving.state = MV_SERVER_DRAINING;
+    world.announce(leaving);
+    world.publish();
+    for (uint16_t port = 100; port < 140; port++) {
+        EXPECT_NE(world.open(port).server, id);
+    }
+    EXPECT_EQ(world.go_on(1, tag).server, id);
+    world.withdraw(id);
+    world.publish();
+    EXPECT_EQ(world.go_on(1, tag).server, id);
+    world.now += 2 * MV_MINUTE;
+    world.publish();
+    EXPECT_EQ(world.go_on(1, tag).kind, MV_FLOW_DROP);
+}
+
+TEST_F(Tags, ARestartUnderTheSameIdIsAnotherServer)
+{
+    uint32_t tag = world.serve(1);
+    uint64_t id = world.go_on(1, tag).server;
+    mv_server_t again = world.server(id, "booking", "casa");
+    again.started_at += 5000;
+    world.announce(again);
+    world.publish();
+    std::set<uint32_t> tags;
+    for (uint16_t port = 100; port < 120; port++) {
+        tags.insert(world.open(port).tag);
+    }
+    EXPECT_FALSE(tags.count(tag));
+    EXPECT_TRUE(tags.count(MvServer_Tag(&again)));
+}
+
+TEST_F(Tags, AnAddressUsedAgainByAnotherServiceNeverGetsTheOldOnesFlows)
+{
+    uint32_t tag = world.serve(1);
+    uint64_t id = world.go_on(1, tag).server;
+    mv_server_t old = world.server(id, "booking", "casa");
+    world.withdraw(id);
+    mv_server_t heir = world.server(50, "docs", "casa");
+    heir.address = old.address;
+    world.announce(heir);
+    world.publish();
+    mv_flow_verdict_t verdict = world.go_on(1, tag);
+    /* The number in front names the old life: the heir ignores it. */
+    EXPECT_EQ(verdict.server, id);
+    EXPECT_NE(verdict.server, heir.id);
+    EXPECT_NE(verdict.tag, MvServer_Tag(&heir));
+}
+
+TEST_F(Tags, OfTwoServersThatAnswerTheFlowIsOpenAtTheFirst)
+{
+    mv_flow_verdict_t first = world.open(1);
+    world.advance(200 * MV_MILLISECOND);
+    mv_flow_verdict_t second = world.open(1, 443, 1);
+    ASSERT_NE(first.server, second.server);
+    EXPECT_EQ(world.go_on(1, first.tag).server, first.server);
+    /* The second answer's tag comes back: the flow stays at the first. */
+    mv_flow_verdict_t late = world.go_on(1, second.tag);
+    EXPECT_EQ(late.server, first.server);
+    EXPECT_EQ(late.tag, first.tag);
+    EXPECT_EQ(world.open(1, 443, 2).kind, MV_FLOW_DROP);
+}
+
+TEST_F(Tags, AnOverdueOpeningGoesToAnotherServerSoon)
+{
+    for (uint16_t port = 1; port <= 20; port++) {
+        world.go_on(port, world.serve(port), 443, true);
+    }
+    mv_flow_verdict_t first = world.open(100);
+    mv_time_t before = world.now;
+    while (world.sent.empty() && world.now < before + MV_SECOND) {
+        world.advance(MV_MILLISECOND);
+    }
+    ASSERT_EQ(world.sent.size(), 1u);
+    /* Long before the caller's own copy after 200 ms. */
+    EXPECT_LT(world.now - before, 100 * MV_MILLISECOND);
+    EXPECT_NE(world.sent[0].verdict.server, first.server);
+    EXPECT_EQ(world.sent[0].bytes.size(), 34u);
+    EXPECT_EQ(world.go_on(100, world.sent[0].verdict.tag).server,
+              world.sent[0].verdict.server);
+    EXPECT_EQ(MvForwarder_Outstanding(world.forwarder, first.tag), 0u);
+}
+
+/* Servers in @silent never answer: how many of the new flows get them? */
+int
+flows_to_silent(tags_world &world, const std::set<uint64_t> &silent, int count)
+{
+    int result = 0;
+    for (int i = 0; i < count; i++) {
+        auto port = (uint16_t)(1000 + i);
+        mv_flow_verdict_t verdict = world.open(port);
+        result += (int)silent.count(verdict.server);
+        world.advance(10 * MV_MILLISECOND);
+        if (!silent.count(verdict.server)) {
+            world.go_on(port, verdict.tag);
+            world.go_on(port, verdict.tag, 443, true);
+        }
+    }
+    return result;
+}
+
+TEST_F(Tags, ASilentServerIsFoundWithoutProbesAndTriedAgainRarely)
+{
+    /* 5 s with 100 new flows a second; blind choice would give it 250. */
+    EXPECT_LE(flows_to_silent(world, {1}, 500), 12);
+    EXPECT_GT(world.counter(MV_COUNTER_SERVERS_SILENT), 1u);
+}
+
+TEST_F(Tags, ASilentServerThatAnswersAgainGetsItsShare)
+{
+    flows_to_silent(world, {1}, 100);
+    world.advance(5 * MV_SECOND);
+    int got = 0;
+    for (uint16_t port = 5000; port < 5100; port++) {
+        mv_flow_verdict_t verdict = world.open(port);
+        got += verdict.server == 1;
+        world.advance(8 * MV_MILLISECOND);
+        world.go_on(port, verdict.tag);
+        world.go_on(port, verdict.tag, 443, true);
+    }
+    EXPECT_GE(got, 30);
+}
+
+TEST_F(Tags, OneLostPacketDoesNotCondemnAServer)
+{
+    uint64_t unlucky = world.open(1).server;
+    world.advance(100 * MV_MILLISECOND);
+    ASSERT_EQ(world.sent.size(), 1u);
+    uint32_t tag = world.sent[0].verdict.tag;
+    world.go_on(1, tag);
+    world.go_on(1, tag, 443, true);
+    world.advance(300 * MV_MILLISECOND);
+    std::set<uint64_t> chosen;
+    for (uint16_t port = 10; port < 14; port++) {
+        chosen.insert(world.open(port).server);
+    }
+    EXPECT_TRUE(chosen.count(unlucky));
+}
+
+TEST_F(Tags, WhenAllAreSilentFlowsStillGoSomewhere)
+{
+    flows_to_silent(world, {1, 2, 3}, 50);
+    EXPECT_EQ(world.open(9000).kind, MV_FLOW_FORWARD);
+}
+
+TEST_F(Tags, AWholeDataCentreIsInferredFromFew)
+{
+    tags_world far("casa");
+    for (uint64_t id = 1; id <= 20; id++) {
+        far.announce(far.server(id, "booking", "rabat"));
+    }
+    for (uint64_t id = 30; id <= 32; id++) {
+        far.announce(far.server(id, "booking", "tanger"));
+    }
+    far.route(1, {{443, "booking"}});
+    far.publish();
+    std::set<uint64_t> silent;
+    for (uint64_t id = 1; id <= 20; id++) {
+        silent.insert(id);
+    }
+    /* Without inference each of the twenty would be tried twice or more. */
+    EXPECT_LE(flows_to_silent(far, silent, 400), 20);
+    EXPECT_TRUE(std::count(far.events.begin(), far.events.end(),
+                           MV_EVENT_SITE_SILENT));
+}
+
+TEST_F(Tags, NobodyIsBlamedWhileTheFabricDealsAnew)
+{
+    uint32_t tag =
+        MvServer_Tag(&(const mv_server_t &)world.server(2, "booking", "casa"));
+    for (uint16_t port = 1; port <= 10; port++) {
+        world.open(port);
+    }
+    world.go_on(500, tag);
+    world.advance(180 * MV_MILLISECOND);
+    EXPECT_EQ(world.counter(MV_COUNTER_SERVERS_SILENT), 0u);
+    EXPECT_TRUE(world.sent.empty());
+    EXPECT_EQ(world.counter(MV_COUNTER_FLOWS_STRAY), 1u);
+}
+
+TEST_F(Tags, AnnouncementsThatVanishTogetherAreUsedUntilTheyMustBeBack)
+{
+    world.withdraw(1);
+    world.withdraw(2);
+    world.withdraw(3);
+    world.publish();
+    EXPECT_EQ(world.open(1).kind, MV_FLOW_FORWARD);
+    world.now += 3 * MV_SECOND;
+    EXPECT_EQ(world.open(2).kind, MV_FLOW_DROP);
+    EXPECT_EQ(world.open(2, 443, 2).kind, MV_FLOW_RESET);
+}
+
+TEST_F(Tags, ASingleServerThatVanishesGetsNothingMore)
+{
+    world.withdraw(1);
+    world.publish();
+    for (uint16_t port = 1; port < 40; port++) {
+        EXPECT_NE(world.open(port).server, 1u);
+    }
+}
+
+TEST_F(Tags, TheConnectionLimitHolds)
+{
+    mv_routing_t *routing = MvRouting_Create();
+    routing->version = 9;
+    mv_route_t route = {};
+    route.address = 0xc6120001;
+    route.port = 443;
+    route.share_count = 1;
+    g_strlcpy(route.shares[0].service, "booking", MV_NAME_MAX);
+    g_array_append_val(routing->routes, route);
+    mv_connection_limit_t limit = {};
+    g_strlcpy(limit.service, "booking", MV_NAME_MAX);
+    limit.flows = 4;
+    g_array_append_val(routing->limits, limit);
+    MvDirectory_Route(world.directory, routing);
+    world.publish();
+    std::map<uint64_t, int> flows;
+    for (uint16_t port = 1; port <= 12; port++) {
+        flows[world.open(port).server]++;
+    }
+    EXPECT_EQ(flows[1], 4);
+    EXPECT_EQ(flows[2], 4);
+    EXPECT_EQ(flows[3], 4);
+    EXPECT_EQ(world.open(13).kind, MV_FLOW_DROP);
+}
+
+TEST_F(Tags, AnOlderConfigurationNeverComesBack)
+{
+    world.route(4, {{8080, "docs"}});
+    EXPECT_EQ(MvDirectory_Version(world.directory), 5u);
+    world.route(7, {{8080, "docs"}});
+    EXPECT_EQ(MvDirectory_Version(world.directory), 7u);
+}
+
+TEST_F(Tags, OutstandingFlowsAreGivenBack)
+{
+    uint32_t tag = world.serve(1);
+    EXPECT_EQ(MvForwarder_Outstanding(world.forwarder, tag), 1u);
+    world.go_on(1, tag, 443, true);
+    EXPECT_EQ(MvForwarder_Outstanding(world.forwarder, tag), 0u);
+    world.go_on(1, tag, 443, true);
+    EXPECT_EQ(MvForwarder_Outstanding(world.forwarder, tag), 0u);
+    uint32_t forgotten = world.serve(2);
+    world.advance(11 * MV_SECOND);
+    EXPECT_EQ(MvForwarder_Outstanding(world.forwarder, forgotten), 0u);
+    world.advance(20 * MV_SECOND);
+    EXPECT_EQ(MvForwarder_FlowCount(world.forwarder), 0u);
+}
+
+/* Two lives whose tags are equal, found by trying. */
+std::pair<mv_server_t, mv_server_t>
+find_collision(tags_world &world)
+{
+    std::unordered_map<uint32_t, uint64_t> seen;
+    for (uint64_t id = 1;; id++) {
+        mv_server_t server = world.server(id, "booking", "casa");
+        uint32_t tag = MvServer_Tag(&server);
+        auto found = seen.find(tag);
+        if (found != seen.end()) {
+            return {world.server(found->second, "booking", "casa"), server};
+        }
+        seen[tag] = id;
+    }
+}
+
+TEST(TagCollisions, TheElderKeepsTheTagAndTheYoungerGetsNoFlows)
+{
+    for (bool elder_first : {true, false}) {
+        tags_world world;
+        auto [elder, younger] = find_collision(world);
+        world.announce(elder_first ? elder : younger);
+        world.announce(elder_first ? younger : elder);
+        world.announce(world.server(99999999, "booking", "casa"));
+        world.route(1, {{443, "booking"}});
+        world.publish();
+        for (uint16_t port = 1; port < 20; port++) {
+            EXPECT_NE(world.open(port).server, younger.id);
+        }
+        EXPECT_EQ(world.go_on(500, MvServer_Tag(&elder)).server, elder.id);
+    }
+}
+
+TEST(Placement, NoServerIsLeftBehindAndColdOnesGetLess)
+{
+    tags_world world;
+    for (uint64_t id = 1; id <= 4; id++) {
+        mv_server_t server = world.server(id, "booking", "casa");
+        server.slots = 4;
+        server.cold_left = id == 4 ? MV_MINUTE : 0;
+        world.announce(server);
+    }
+    world.route(1, {{443, "booking"}});
+    world.publish();
+    std::map<uint64_t, int> flows;
+    for (uint16_t port = 1; port <= 145; port++) {
+        flows[world.open(port).server]++;
+    }
+    EXPECT_NEAR(flows[1], 40, 2);
+    EXPECT_NEAR(flows[2], 40, 2);
+    EXPECT_NEAR(flows[4], 25, 3);
+}
+
+} // namespace
--- /dev/null
+++ b/packages/tags/test/tags_world.cc
@@ -0,0 +1,158 @@
+#include "tags_world.h"
+
+#include <cstring>
+
+namespace {
+
+const uint32_t kCaller = 0x64400007;
+const uint32_t kAddress = 0xc6120001;
+
+void
+keep_sent(void *context, const mv_flow_verdict_t *verdict,
+          const uint8_t *bytes, size_t length)
+{
+    auto *world = static_cast<tags_world *>(context);
+    world->sent.push_back(
+        {*verdict, std::string((const char *)bytes, length)});
+}
+
+void
+keep_event(void *context, mv_log_event_t event, uint64_t, int64_t)
+{
+    static_cast<tags_world *>(context)->events.push_back(event);
+}
+
+void
+keep_decision(void *context, const mv_flow_decision_t *decision)
+{
+    static_cast<tags_world *>(context)->decisions.push_back(*decision);
+}
+
+const mv_forwarder_ops_t kOps = {keep_sent, keep_event, keep_decision};
+
+std::string
+key_of(uint64_t id)
+{
+    return "server-" + std::to_string(id);
+}
+
+} // namespace
+
+tags_world::tags_world(const char *data_centre, uint32_t seed)
+{
+    mv_directory_settings_t settings = {};
+    g_strlcpy(settings.data_centre, data_centre, MV_NAME_MAX);
+    settings.keep = MV_MINUTE;
+    settings.return_limit = 2 * MV_SECOND;
+    directory = MvDirectory_Create(&settings);
+    forwarder = MvForwarder_Create(&kOps, this, &counters, seed);
+}
+
+tags_world::~tags_world()
+{
+    MvForwarder_Destroy(forwarder);
+    MvDirectory_Destroy(directory);
+}
+
+mv_server_t
+tags_world::server(uint64_t id, const char *service, const char *place)
+{
+    mv_server_t server = {};
+    server.id = id;
+    server.started_at = 1000 + (int64_t)id;
+    g_strlcpy(server.service, service, MV_NAME_MAX);
+    g_strlcpy(server.data_centre, place, MV_NAME_MAX);
+    server.address = 0x0a800000 + (uint32_t)id;
+    server.port = 8080;
+    server.slots = 2;
+    return server;
+}
+
+void
+tags_world::announce(const mv_server_t &server)
+{
+    MvDirectory_Announce(directory, now, key_of(server.id).c_str(), &server);
+}
+
+void
+tags_world::withdraw(uint64_t id)
+{
+    MvDirectory_Withdraw(directory, now, key_of(id).c_str());
+}
+
+void
+tags_world::route(uint64_t version, std::map<uint16_t, std::string> services)
+{
+    mv_routing_t *routing = MvRouting_Create();
+    routing->version = version;
+    routing->flow_idle = 15 * MV_SECOND;
+    for (const auto &[port, service] : services) {
+        mv_route_t route = {};
+        route.address = kAddress;
+        route.port = port;
+        route.share_count = 1;
+        route.shares[0].weight = 1;
+        g_strlcpy(route.shares[0].service, service.c_str(), MV_NAME_MAX);
+        g_array_append_val(routing->routes, route);
+    }
+    MvDirectory_Route(directory, routing);
+}
+
+void
+tags_world::publish()
+{
+    MvForwarder_Adopt(forwarder, MvDirectory_Table(directory, now));
+}
+
+mv_flow_verdict_t
+tags_world::open(uint16_t port, uint16_t to, uint32_t copy)
+{
+    mv_flow_packet_t packet = {};
+    packet.caller = kCaller;
+    packet.caller_port = port;
+    packet.address = kAddress;
+    packet.port = to;
+    packet.copy = copy;
+    packet.is_opening = true;
+    const uint8_t bytes[34] = {0x80};
+    return MvForwarder_Packet(forwarder, now, &packet, bytes, sizeof(bytes));
+}
+
+mv_flow_verdict_t
+tags_world::go_on(uint16_t port, uint32_t tag, uint16_t to, bool closing)
+{
+    mv_flow_packet_t packet = {};
+    packet.caller = kCaller;
+    packet.caller_port = port;
+    packet.address = kAddress;
+    packet.port = to;
+    packet.tag = tag;
+    packet.is_closing = closing;
+    const uint8_t bytes[34] = {0x08};
+    return MvForwarder_Packet(forwarder, now, &packet, bytes, sizeof(bytes));
+}
+
+uint32_t
+tags_world::serve(uint16_t port, uint16_t to)
+{
+    mv_flow_verdict_t verdict = open(port, to);
+    advance(8 * MV_MILLISECOND);
+    go_on(port, verdict.tag, to);
+    return verdict.tag;
+}
+
+void
+tags_world::advance(mv_time_t by)
+{
+    const mv_time_t step = MV_MILLISECOND;
+    for (mv_time_t end = now + by; now < end;) {
+        now += step;
+        MvForwarder_Timer(forwarder, now);
+    }
+}
+
+uint64_t
+tags_world::counter(mv_counter_id_t id) const
+{
+    return MvCounters_Get(&counters, id);
+}
--- /dev/null
+++ b/packages/tags/test/tags_world.h
@@ -0,0 +1,47 @@
+/**
+ * DOC: A small world under virtual time: a directory, a forwarder, callers.
+ */
+#ifndef MV_TAGS_WORLD_H
+#define MV_TAGS_WORLD_H
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "masticvane/tags.h"
+
+struct sent_t {
+    mv_flow_verdict_t verdict;
+    std::string bytes;
+};
+
+struct tags_world {
+    explicit tags_world(const char *data_centre = "casa", uint32_t seed = 7);
+    ~tags_world();
+
+    mv_server_t server(uint64_t id, const char *service, const char *place);
+    void announce(const mv_server_t &server);
+    void withdraw(uint64_t id);
+    void route(uint64_t version, std::map<uint16_t, std::string> services);
+    void publish();
+
+    /* Packets of the caller's flow from @port to 198.18.0.1:@to. */
+    mv_flow_verdict_t open(uint16_t port, uint16_t to = 443,
+                           uint32_t copy = 0);
+    mv_flow_verdict_t go_on(uint16_t port, uint32_t tag, uint16_t to = 443,
+                            bool closing = false);
+    /* Open a flow whose server answers at once.  Return: its tag. */
+    uint32_t serve(uint16_t port, uint16_t to = 443);
+    void advance(mv_time_t by);
+    uint64_t counter(mv_counter_id_t id) const;
+
+    mv_time_t now = MV_SECOND;
+    mv_counters_t counters = {};
+    mv_directory_t *directory;
+    mv_forwarder_t *forwarder;
+    std::vector<sent_t> sent;
+    std::vector<int> events;
+    std::vector<mv_flow_decision_t> decisions;
+};
+
+#endif
