Feed: a few nodes of a data centre watch the store, the others learn from them

Weighed: each node watches (kept every rule, dear), stale polls (cheap, seconds old when history is dropped: CONFIG at risk), one watcher for about 24 nodes of a data centre with heartbeats, deltas and pulls between nodes. Change: nodes register in the store (number and signing keys by compare and set), rank each other by a hash, the first watches; one that hears no fresh heartbeat of a better one watches itself. Deltas carry revisions; a key never goes back. A watch waits 1 s, so that a deaf watcher is noticed.

--- a/packages/core/include/masticvane/core.h
+++ b/packages/core/include/masticvane/core.h
@@ -380,6 +380,9 @@
     MV_MESSAGE_SLOTS,
     MV_MESSAGE_CLAIMS,
     MV_MESSAGE_DIGESTS,
+    MV_MESSAGE_COPY_BEAT,
+    MV_MESSAGE_COPY_PULL,
+    MV_MESSAGE_COPY_DELTA,
     MV_MESSAGE_KIND_COUNT,
 } mv_message_kind_t;
 
--- a/packages/masticvaned/src/settings.c
+++ b/packages/masticvaned/src/settings.c
@@ -209,6 +209,9 @@
               MV_NAME_MAX);
     settings->packet_port = read_listen(reading, "packets", settings);
     settings->health_port = read_listen(reading, "health", settings);
+    if (*MvIni_Text(ini, "listen", "peers", "", findings)) {
+        settings->self.control_port = read_listen(reading, "peers", settings);
+    }
     settings->store_addresses =
         g_strdup(MvIni_Text(ini, "store", "addresses", NULL, findings));
     settings->stop_limit =
--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -1,5 +1,6 @@
 /* The control thread in the mode "tags": store, directory, health address. */
 #include <signal.h>
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,6 +16,8 @@
 #define QUIET (300 * MV_MILLISECOND)
 /* Left of the stop limit for ending the process itself. */
 #define STOP_MARGIN (400 * MV_MILLISECOND)
+/* Steady and boot-time clock drift apart by so much only in a pause. */
+#define PAUSE_NOTICED (300 * MV_MILLISECOND)
 /* The traffic thread has written its state by then. */
 #define DUMP_WAIT (200 * MV_MILLISECOND)
 /* Announcements that vanished while the store was away are back by then. */
@@ -27,6 +30,10 @@
     mv_store_t *store;
     mv_replica_t *replica;
     mv_follower_t *follower;
+    mv_feed_t *feed;
+    mv_registration_t *registration;
+    mv_keyring_t *keyring;
+    mv_links_t *links;
     mv_directory_t *directory;
     mv_http1_server_t *health;
     GRand *random;
@@ -38,6 +45,7 @@
     mv_time_t lost_at;
     mv_time_t stop_began;
     mv_time_t next_sweep;
+    mv_time_t asleep;
 } control_t;
 
 static volatile sig_atomic_t stop_signals;
@@ -59,6 +67,30 @@
     }
 }
 
+/* State of both threads as JSON, that of the other thread as it last wrote
+ * it; freed with g_free(). */
+static char *
+state_text(control_t *control)
+{
+    mv_tags_daemon_t *daemon = &control->daemon;
+    json_t *counters = MvCounters_ToJson(&daemon->counters);
+    char *text = json_dumps(counters, JSON_INDENT(2));
+    __atomic_store_n(&daemon->wants_dump, true, __ATOMIC_RELEASE);
+    pthread_mutex_lock(&daemon->dump_lock);
+    char *state = g_strdup_printf(
+        "{\"node\": \"%s\", \"revision\": %" PRIu64
+        ", \"watches\": %s, \"near_nodes\": %u,\n\"counters\": %s,\n"
+        "\"forwarder\": %s}\n",
+        daemon->settings->name, MvReplica_Revision(control->replica),
+        MvFeed_Watches(control->feed) ? "true" : "false",
+        MvFeed_NearNodes(control->feed), text,
+        daemon->dump ? daemon->dump : "null");
+    pthread_mutex_unlock(&daemon->dump_lock);
+    free(text);
+    json_decref(counters);
+    return state;
+}
+
 /* What the store tells */
 
 static void
@@ -93,6 +125,10 @@
     mv_notice_t notice = MvPlatform_Decode(
         item->key, item->deleted ? NULL : item->value, item->length, &error);
     control->is_changed = control->is_changed || notice.kind;
+    if (g_str_has_prefix(item->key, MV_NODE_PREFIX)) {
+        MvFeed_Learn(control->feed, now, item->key,
+                     item->deleted ? NULL : item->value);
+    }
     if (error) {
         MvLog_Write(control->daemon.log, MV_EVENT_ITEM_UNREADABLE,
                     "revision=%" PRIu64 " why=\"%s\"", item->revision,
@@ -124,11 +160,143 @@
                                         __ATOMIC_ACQ_REL));
 }
 
+/* Words between nodes */
+
+static void
+send_message(void *context, mv_node_id_t to, const mv_message_t *message)
+{
+    const control_t *control = context;
+    if (control->links) {
+        MvLinks_Send(control->links, to, message);
+    }
+}
+
+static void
+meet(void *context, const mv_neighbour_t *neighbour)
+{
+    const control_t *control = context;
+    if (control->links) {
+        MvLinks_AddPeer(control->links, neighbour->id, neighbour->address,
+                        neighbour->port);
+    }
+}
+
+static void
+log_role(void *context, bool watches, unsigned rank)
+{
+    const control_t *control = context;
+    MvLog_Write(control->daemon.log, MV_EVENT_WATCH_ROLE,
+                "watches=%d rank=%u near_nodes=%u revision=%" PRIu64, watches,
+                rank, MvFeed_NearNodes(control->feed),
+                MvReplica_Revision(control->replica));
+}
+
+static const mv_feed_ops_t feed_ops = {
+    .send = send_message,
+    .meet = meet,
+    .role = log_role,
+};
+
+static void
+take_message(void *context, const mv_message_t *message)
+{
+    const control_t *control = context;
+    MvFeed_Message(control->feed, g_get_monotonic_time(), message);
+}
+
+static void
+take_command(void *context, const char *command, size_t length,
+             mv_reply_t *reply)
+{
+    control_t *control = context;
+    (void)length;
+    const char unknown[] = "{\"error\":\"unknown command\"}";
+    if (strcmp(command, "dump") != 0) {
+        MvReply_Send(reply, unknown, sizeof(unknown) - 1);
+        return;
+    }
+    char *text = state_text(control);
+    MvReply_Send(reply, text, strlen(text));
+    g_free(text);
+}
+
+static const mv_links_ops_t links_ops = {
+    .message = take_message,
+    .command = take_command,
+};
+
+static char *
+random_keys(void *context)
+{
+    unsigned char key[MV_KEY_BYTES];
+    char hex[2 * MV_KEY_BYTES + 1];
+    (void)context;
+    randombytes_buf(key, sizeof(key));
+    sodium_bin2hex(hex, sizeof(hex), key, sizeof(key));
+    sodium_memzero(key, sizeof(key));
+    return g_strdup_printf("1 %s\n", hex);
+}
+
+static bool
+open_links(control_t *control, mv_node_id_t id, GError **error)
+{
+    const mv_settings_t *settings = control->daemon.settings;
+    mv_findings_t *findings = MvFindings_Create();
+    const char *text = MvReplica_Value(control->replica, MV_NODE_KEYS, NULL);
+    control->keyring = MvKeyring_Parse(MV_NODE_KEYS, text,
+                                       settings->store_addresses, findings);
+    if (!control->keyring) {
+        g_set_error(error, MV_ERROR, MV_ERROR_INPUT, "%s",
+                    MvFindings_Get(findings, 0));
+    }
+    MvFindings_Destroy(findings);
+    if (!control->keyring) {
+        return false;
+    }
+    const mv_links_settings_t links = {
+        .address = settings->self.address,
+        .port = settings->self.control_port,
+        .keyring = control->keyring,
+        .id = id,
+        .first_sequence = (uint64_t)g_get_real_time(),
+        .counters = &control->daemon.counters,
+        .log = control->daemon.log,
+    };
+    control->links =
+        MvLinks_Create(control->loop, &links, &links_ops, control, error);
+    return control->links != NULL;
+}
+
+/* Without links this node goes on watching for itself. */
+static void
+registered(void *context, mv_node_id_t id)
+{
+    control_t *control = context;
+    GError *error = NULL;
+    if (control->links) {
+        return;
+    }
+    if (!open_links(control, id, &error)) {
+        MvLog_Write(control->daemon.log, MV_EVENT_LINKS_FAILED, "why=\"%s\"",
+                    error->message);
+        g_clear_error(&error);
+        return;
+    }
+    MvFeed_SetSelf(control->feed, g_get_monotonic_time(), id);
+    MvLog_Write(control->daemon.log, MV_EVENT_NODE_REGISTERED, "id=%u", id);
+}
+
+static const mv_registration_ops_t registration_ops = {
+    .random_keys = random_keys,
+    .registered = registered,
+};
+
 static void
 note_reachable(control_t *control, mv_time_t now)
 {
     bool reachable = MvFollower_IsReachable(control->follower);
-    if (reachable == control->was_reachable) {
+    if (reachable == control->was_reachable ||
+        !MvFeed_Watches(control->feed)) {
         return;
     }
     control->was_reachable = reachable;
@@ -169,15 +337,10 @@
 /* Signals */
 
 static void
-dump_state(control_t *control)
+dump_to_file(control_t *control)
 {
     mv_tags_daemon_t *daemon = &control->daemon;
-    json_t *counters = MvCounters_ToJson(&daemon->counters);
-    char *text = json_dumps(counters, JSON_INDENT(2));
-    pthread_mutex_lock(&daemon->dump_lock);
-    char *state = g_strdup_printf("{\"counters\": %s, \"forwarder\": %s}\n",
-                                  text, daemon->dump ? daemon->dump : "null");
-    pthread_mutex_unlock(&daemon->dump_lock);
+    char *state = state_text(control);
     const char *path = daemon->settings->dump_file;
     if (*path) {
         g_file_set_contents(path, state, -1, NULL);
@@ -187,8 +350,6 @@
     }
     MvLog_Write(daemon->log, MV_EVENT_STATE_DUMPED, "file=\"%s\"", path);
     g_free(state);
-    free(text);
-    json_decref(counters);
 }
 
 static void
@@ -201,7 +362,7 @@
     }
     if (control->dump_at > 0 && now >= control->dump_at) {
         control->dump_at = 0;
-        dump_state(control);
+        dump_to_file(control);
     }
     if (stop_signals > 0 && !control->is_stopping) {
         control->is_stopping = true;
@@ -224,14 +385,43 @@
            (stopping >= LEAVE_NOTICE && now - last >= QUIET);
 }
 
+/* A pause of the whole process: what was known is old. */
+static void
+note_pause(control_t *control, mv_time_t now)
+{
+    struct timespec boot;
+    clock_gettime(CLOCK_BOOTTIME, &boot);
+    mv_time_t asleep = boot.tv_sec * MV_SECOND + boot.tv_nsec / 1000 - now;
+    mv_time_t slept = asleep - control->asleep;
+    if (control->asleep != 0 && slept > PAUSE_NOTICED) {
+        MvLog_Write(control->daemon.log, MV_EVENT_NODE_WOKE,
+                    "paused_ms=%" PRId64, slept / MV_MILLISECOND);
+        MvFeed_Woke(control->feed);
+    }
+    control->asleep = asleep;
+}
+
+static mv_time_t
+run_timers(control_t *control, mv_time_t now)
+{
+    mv_time_t next = MvFeed_Timer(control->feed, now);
+    next = MIN(next, MvFollower_Timer(control->follower, now));
+    if (MvFollower_IsComplete(control->follower) &&
+        control->daemon.settings->self.control_port > 0) {
+        next = MIN(next, MvRegistration_Timer(control->registration, now));
+    }
+    return next;
+}
+
 static void
 loop(control_t *control)
 {
     mv_time_t now = g_get_monotonic_time();
     while (!should_end(control, now)) {
-        mv_time_t next = MvFollower_Timer(control->follower, now);
+        mv_time_t next = run_timers(control, now);
         MvLoop_Run(control->loop, CLAMP(next - now, 0, LONGEST_WAIT));
         now = g_get_monotonic_time();
+        note_pause(control, now);
         MvStore_Poll(control->store, 0);
         publish(control, now);
         note_reachable(control, now);
@@ -267,6 +457,16 @@
     }
     control->follower = MvFollower_Create(&follower, control->store,
                                           control->replica, control->random);
+    const mv_feed_settings_t feed =
+        MvFeedSettings_Default(settings->data_centre);
+    control->feed = MvFeed_Create(&feed, control->replica, control->follower,
+                                  &feed_ops, control);
+    mv_neighbour_t self = {.port = settings->self.control_port};
+    g_strlcpy(self.data_centre, settings->data_centre, MV_NAME_MAX);
+    g_strlcpy(self.address, settings->self.address, sizeof(self.address));
+    control->registration =
+        MvRegistration_Create(&self, control->store, control->replica,
+                              control->random, &registration_ops, control);
     control->health =
         MvHttp1_Serve(control->loop, settings->self.address,
                       settings->health_port, answer_health, control, error);
@@ -277,6 +477,10 @@
 close_all(control_t *control)
 {
     MvHttp1_StopServing(control->health);
+    MvLinks_Destroy(control->links);
+    MvKeyring_Destroy(control->keyring);
+    MvRegistration_Destroy(control->registration);
+    MvFeed_Destroy(control->feed);
     MvFollower_Destroy(control->follower);
     MvStore_Destroy(control->store);
     MvReplica_Destroy(control->replica);
--- a/packages/net/include/masticvane/net.h
+++ b/packages/net/include/masticvane/net.h
@@ -204,6 +204,9 @@
 apr_socket_t *MvNet_Connect(apr_pool_t *pool, const char *address,
                             uint16_t port);
 
+/** MvNet_KeepAlive() - A connection that went silent fails within 3 s. */
+void MvNet_KeepAlive(apr_socket_t *socket);
+
 /* Links */
 
 /** typedef mv_links_t - Frames to and from the other entry VMs. */
--- a/packages/net/src/http1.c
+++ b/packages/net/src/http1.c
@@ -2,19 +2,12 @@
 #include "masticvane/net.h"
 
 #include <apr_network_io.h>
-#include <apr_portable.h>
 #include <http_parser.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 
 #define READ_BYTES 16384
 #define MAX_IDLE 4
-/* A silent connection is noticed after about three seconds. */
-#define KEEPALIVE_IDLE_SECONDS 1
-#define KEEPALIVE_INTERVAL_SECONDS 1
-#define KEEPALIVE_PROBES 2
 #define SERVER_MAX_CONNECTIONS 64
 #define SERVER_MAX_TARGET 1024
 #define SERVER_IDLE_LIMIT (30 * MV_SECOND)
@@ -28,23 +21,6 @@
     mv_buffer_t out;
 } stream_t;
 
-static void
-set_keepalive(apr_socket_t *socket)
-{
-    apr_os_sock_t fd;
-    if (apr_os_sock_get(&fd, socket) != APR_SUCCESS) {
-        return;
-    }
-    const int on = 1;
-    const int idle = KEEPALIVE_IDLE_SECONDS;
-    const int interval = KEEPALIVE_INTERVAL_SECONDS;
-    const int probes = KEEPALIVE_PROBES;
-    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-}
-
 static void
 stream_close(stream_t *stream)
 {
@@ -286,7 +262,7 @@
         apr_pool_destroy(pool);
         return NULL;
     }
-    set_keepalive(socket);
+    MvNet_KeepAlive(socket);
     connection_t *connection = g_new0(connection_t, 1);
     connection->client = client;
     connection->stream = (stream_t){.watch.ready = client_ready,
--- a/packages/net/src/links.c
+++ b/packages/net/src/links.c
@@ -234,6 +234,7 @@
     connection->links = links;
     connection->pool = pool;
     connection->socket = socket;
+    MvNet_KeepAlive(socket);
     MvList_Append(&links->connections, &connection->link);
     links->connection_count++;
     return connection;
--- a/packages/net/src/loop.c
+++ b/packages/net/src/loop.c
@@ -2,9 +2,16 @@
 
 #include <apr_network_io.h>
 #include <apr_portable.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #define BACKLOG 512
+/* A silent connection is noticed after about three seconds. */
+#define KEEPALIVE_IDLE_SECONDS 1
+#define KEEPALIVE_INTERVAL_SECONDS 1
+#define KEEPALIVE_PROBES 2
+#define UNACKNOWLEDGED_LIMIT_MS 3000
 
 struct mv_loop {
     apr_pool_t *pool;
@@ -144,3 +151,22 @@
     }
     return socket;
 }
+
+void
+MvNet_KeepAlive(apr_socket_t *socket)
+{
+    apr_os_sock_t fd;
+    if (apr_os_sock_get(&fd, socket) != APR_SUCCESS) {
+        return;
+    }
+    const int on = 1;
+    const int idle = KEEPALIVE_IDLE_SECONDS;
+    const int interval = KEEPALIVE_INTERVAL_SECONDS;
+    const int probes = KEEPALIVE_PROBES;
+    const unsigned limit = UNACKNOWLEDGED_LIMIT_MS;
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+}
--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -63,6 +63,39 @@
 void MvReplica_EndList(mv_replica_t *replica, mv_time_t now,
                        uint64_t revision);
 
+/**
+ * MvReplica_Value() - Value of a key that exists, or NULL.
+ * @length: set to its bytes, may be NULL
+ */
+const char *MvReplica_Value(const mv_replica_t *replica, const char *key,
+                            size_t *length);
+
+/**
+ * MvReplica_EncodeSince() - What changed after @since, for another node.
+ * @out: bytes are appended
+ *
+ * A whole copy is written when what was deleted since then is not known any
+ * more.  Return: false when memory ran out.
+ */
+bool MvReplica_EncodeSince(const mv_replica_t *replica, uint64_t since,
+                           mv_buffer_t *out);
+
+/** enum mv_merge - Result of MvReplica_Merge(). */
+typedef enum mv_merge {
+    MV_MERGE_DONE,
+    MV_MERGE_GAP,
+    MV_MERGE_MALFORMED,
+} mv_merge_t;
+
+/**
+ * MvReplica_Merge() - Take over what another node encoded.
+ *
+ * With a gap between this copy and what it begins with its keys are taken
+ * over, but the copy is not complete up to its end.
+ */
+mv_merge_t MvReplica_Merge(mv_replica_t *replica, mv_time_t now,
+                           const char *bytes, size_t length);
+
 /* Follower */
 
 /** typedef mv_follower_t - Keeps a copy fresh. */
@@ -107,6 +140,9 @@
  */
 mv_time_t MvFollower_Timer(mv_follower_t *follower, mv_time_t now);
 
+/** MvFollower_SetActive() - Call the store, or rest while others do. */
+void MvFollower_SetActive(mv_follower_t *follower, bool active);
+
 /** MvFollower_HeardAt() - Time of the store's last good answer, or 0. */
 mv_time_t MvFollower_HeardAt(const mv_follower_t *follower);
 
@@ -116,6 +152,145 @@
 /** MvFollower_IsReachable() - The last call had a good answer. */
 bool MvFollower_IsReachable(const mv_follower_t *follower);
 
+/* Feed: a few nodes watch, the others learn from them */
+
+/** Keys of the product in the store; nodes/ID names an entry VM. */
+#define MV_NODE_PREFIX "masticvane/nodes/"
+#define MV_NODE_KEYS "masticvane/keys"
+
+/**
+ * struct mv_neighbour - An entry VM as its key in the store tells.
+ * @id: its number
+ * @data_centre: name of its data centre
+ * @address: IPv4 address as text
+ * @port: TCP and UDP port for words between nodes
+ */
+typedef struct mv_neighbour {
+    mv_node_id_t id;
+    char data_centre[MV_NAME_MAX];
+    char address[16];
+    uint16_t port;
+} mv_neighbour_t;
+
+/** MvNeighbour_Parse() - Read a key and its value; false when malformed. */
+bool MvNeighbour_Parse(const char *key, const char *value,
+                       mv_neighbour_t *neighbour);
+
+/** MvNeighbour_Key() - Key of node @id; freed with g_free(). */
+char *MvNeighbour_Key(mv_node_id_t id);
+
+/** MvNeighbour_Value() - Value of its key; freed with g_free(). */
+char *MvNeighbour_Value(const mv_neighbour_t *neighbour);
+
+/**
+ * struct mv_feed_settings - Bounds of the feed.
+ * @data_centre: own data centre
+ * @beat: pause between two heartbeats of a watcher
+ * @silence: without a heartbeat for so long the next in rank watches
+ * @rank_step: each further rank waits this much longer
+ * @fresh_limit: a watcher that heard nothing from the store for so long says
+ *               that it is not fresh
+ * @pull_interval: a node asks another one this often at most
+ * @cell_size: nodes that one watcher serves, about
+ */
+typedef struct mv_feed_settings {
+    char data_centre[MV_NAME_MAX];
+    mv_time_t beat;
+    mv_time_t silence;
+    mv_time_t rank_step;
+    mv_time_t fresh_limit;
+    mv_time_t pull_interval;
+    unsigned cell_size;
+} mv_feed_settings_t;
+
+/** MvFeedSettings_Default() - Settings that fit bounds of 3 s. */
+mv_feed_settings_t MvFeedSettings_Default(const char *data_centre);
+
+/**
+ * struct mv_feed_ops - What the feed asks of its caller.
+ * @send: send @message to node @to; may be lost
+ * @meet: from now on node @neighbour may be sent to
+ * @role: this node begins or ends to watch
+ */
+typedef struct mv_feed_ops {
+    void (*send)(void *context, mv_node_id_t to, const mv_message_t *message);
+    void (*meet)(void *context, const mv_neighbour_t *neighbour);
+    void (*role)(void *context, bool watches, unsigned rank);
+} mv_feed_ops_t;
+
+/** typedef mv_feed_t - This node's place among its neighbours. */
+typedef struct mv_feed mv_feed_t;
+
+/**
+ * MvFeed_Create() - Feed of a node that knows no neighbour: it watches.
+ * @replica: what is fed on; must outlive the feed
+ * @follower: made active while this node watches; must outlive the feed
+ */
+mv_feed_t *MvFeed_Create(const mv_feed_settings_t *settings,
+                         mv_replica_t *replica, mv_follower_t *follower,
+                         const mv_feed_ops_t *ops, void *context);
+
+/** MvFeed_Destroy() - Free; NULL is accepted. */
+void MvFeed_Destroy(mv_feed_t *feed);
+
+/** MvFeed_SetSelf() - Registered as @id; meets all that are known. */
+void MvFeed_SetSelf(mv_feed_t *feed, mv_time_t now, mv_node_id_t id);
+
+/** MvFeed_Learn() - A key under MV_NODE_PREFIX changed; NULL: deleted. */
+void MvFeed_Learn(mv_feed_t *feed, mv_time_t now, const char *key,
+                  const char *value);
+
+/** MvFeed_Message() - Take in a checked message of a COPY kind. */
+void MvFeed_Message(mv_feed_t *feed, mv_time_t now,
+                    const mv_message_t *message);
+
+/** MvFeed_Woke() - The process stood still: nothing is known to be fresh. */
+void MvFeed_Woke(mv_feed_t *feed);
+
+/** MvFeed_Timer() - Do what is due.  Return: the time of the next call. */
+mv_time_t MvFeed_Timer(mv_feed_t *feed, mv_time_t now);
+
+/** MvFeed_Watches() - This node calls the store for its neighbours. */
+bool MvFeed_Watches(const mv_feed_t *feed);
+
+/** MvFeed_NearNodes() - Nodes of the own data centre, this one included. */
+unsigned MvFeed_NearNodes(const mv_feed_t *feed);
+
+/* Registration */
+
+/**
+ * struct mv_registration_ops - What registration asks of its caller.
+ * @random_keys: new text of keys, as MvKeyring_Parse() reads; freed with
+ *               g_free()
+ * @registered: this node has a number
+ */
+typedef struct mv_registration_ops {
+    char *(*random_keys)(void *context);
+    void (*registered)(void *context, mv_node_id_t id);
+} mv_registration_ops_t;
+
+/** typedef mv_registration_t - Puts this node and the keys into the store. */
+typedef struct mv_registration mv_registration_t;
+
+/**
+ * MvRegistration_Create() - Registration of @self, whose id is chosen.
+ * @random: spreads the calls of nodes that start together; not owned
+ */
+mv_registration_t *
+MvRegistration_Create(const mv_neighbour_t *self, mv_store_t *store,
+                      const mv_replica_t *replica, GRand *random,
+                      const mv_registration_ops_t *ops, void *context);
+
+/** MvRegistration_Destroy() - Free, before the store; NULL is accepted. */
+void MvRegistration_Destroy(mv_registration_t *registration);
+
+/**
+ * MvRegistration_Timer() - Begin what is due, once the copy is complete.
+ *
+ * Return: the time of the next call that is needed, at most.
+ */
+mv_time_t MvRegistration_Timer(mv_registration_t *registration, mv_time_t now);
+
 #ifdef __cplusplus
 }
 #endif
--- /dev/null
+++ b/packages/replica/src/delta.c
@@ -0,0 +1,265 @@
+/* What changed in the copy, as bytes for another node. */
+#include <msgpack.h>
+#include <string.h>
+#include <zlib.h>
+
+#include "replica_private.h"
+
+#define DELTA_FIELDS 4
+#define ITEM_FIELDS 3
+/* Shorter ones fit into a datagram as they are. */
+#define COMPRESS_ABOVE 900
+#define MAX_DELTA_BYTES (64u << 20)
+
+/* First byte of a delta. */
+enum {
+    FORM_PLAIN = 0,
+    FORM_COMPRESSED = 1,
+};
+
+static int
+append(void *user, const char *data, size_t length)
+{
+    return MvBuffer_Append(user, data, length) ? 0 : -1;
+}
+
+static void
+pack_text(msgpack_packer *packer, const char *text, size_t length)
+{
+    msgpack_pack_bin(packer, length);
+    msgpack_pack_bin_body(packer, text, length);
+}
+
+/* Deleted keys have no value; a whole copy leaves them out. */
+static void
+pack_entry(msgpack_packer *packer, const mv_copy_entry_t *entry)
+{
+    msgpack_pack_array(packer, ITEM_FIELDS);
+    pack_text(packer, entry->key, strlen(entry->key));
+    msgpack_pack_uint64(packer, entry->revision);
+    if (entry->deleted) {
+        msgpack_pack_nil(packer);
+        return;
+    }
+    pack_text(packer, entry->value, entry->length);
+}
+
+static const mv_copy_entry_t *
+at(const mv_list_t *item)
+{
+    return MV_CONTAINER_OF(item, mv_copy_entry_t, link);
+}
+
+static bool
+is_wanted(const mv_copy_entry_t *entry, uint64_t since, bool whole)
+{
+    return whole ? !entry->deleted : entry->revision > since;
+}
+
+static void
+pack_since(const mv_replica_t *replica, uint64_t since, mv_buffer_t *out)
+{
+    bool whole = since == 0 || since < replica->deletions_known_from;
+    size_t count = 0;
+    MV_LIST_FOREACH(item, &replica->by_revision)
+    {
+        count += is_wanted(at(item), since, whole);
+    }
+    msgpack_packer packer;
+    msgpack_packer_init(&packer, out, append);
+    msgpack_pack_array(&packer, DELTA_FIELDS);
+    msgpack_pack_uint64(&packer, whole ? 0 : since);
+    msgpack_pack_uint64(&packer, replica->revision);
+    msgpack_pack_uint8(&packer, whole);
+    msgpack_pack_array(&packer, count);
+    MV_LIST_FOREACH(item, &replica->by_revision)
+    {
+        if (is_wanted(at(item), since, whole)) {
+            pack_entry(&packer, at(item));
+        }
+    }
+}
+
+static bool
+compress_into(const mv_buffer_t *plain, mv_buffer_t *out)
+{
+    uLongf size = compressBound(plain->length);
+    Bytef *bytes = g_malloc(size);
+    uint8_t head[1 + sizeof(uint32_t)] = {FORM_COMPRESSED};
+    uint32_t length = GUINT32_TO_BE((uint32_t)plain->length);
+    memcpy(head + 1, &length, sizeof(length));
+    bool good = compress2(bytes, &size, plain->data, plain->length,
+                          Z_BEST_SPEED) == Z_OK &&
+                MvBuffer_Append(out, head, sizeof(head)) &&
+                MvBuffer_Append(out, bytes, size);
+    g_free(bytes);
+    return good;
+}
+
+bool
+MvReplica_EncodeSince(const mv_replica_t *replica, uint64_t since,
+                      mv_buffer_t *out)
+{
+    mv_buffer_t plain = {.data = NULL};
+    const uint8_t form = FORM_PLAIN;
+    pack_since(replica, since, &plain);
+    bool good = plain.length > COMPRESS_ABOVE
+                    ? compress_into(&plain, out)
+                    : MvBuffer_Append(out, &form, 1) &&
+                          MvBuffer_Append(out, plain.data, plain.length);
+    MvBuffer_Clear(&plain);
+    return good;
+}
+
+/* Decoding */
+
+typedef struct delta {
+    uint64_t from;
+    uint64_t to;
+    bool whole;
+    const msgpack_object_array *items;
+} delta_t;
+
+static bool
+get_number(const msgpack_object *object, uint64_t *out)
+{
+    *out = object->via.u64;
+    return object->type == MSGPACK_OBJECT_POSITIVE_INTEGER;
+}
+
+static bool
+get_delta(const msgpack_object *object, delta_t *delta)
+{
+    uint64_t whole = 0;
+    if (object->type != MSGPACK_OBJECT_ARRAY ||
+        object->via.array.size != DELTA_FIELDS) {
+        return false;
+    }
+    const msgpack_object *field = object->via.array.ptr;
+    bool good = get_number(&field[0], &delta->from) &&
+                get_number(&field[1], &delta->to) &&
+                get_number(&field[2], &whole) &&
+                field[3].type == MSGPACK_OBJECT_ARRAY;
+    delta->whole = whole != 0;
+    delta->items = &field[3].via.array;
+    return good;
+}
+
+/* Owned text with its end, so that it can be used as a string. */
+static char *
+copy_text(const msgpack_object *object, size_t *length)
+{
+    *length = object->via.bin.size;
+    char *text = g_malloc(*length + 1);
+    memcpy(text, object->via.bin.ptr, *length);
+    text[*length] = '\0';
+    return text;
+}
+
+static bool
+apply_entry(mv_replica_t *replica, mv_time_t now, const msgpack_object *object)
+{
+    if (object->type != MSGPACK_OBJECT_ARRAY ||
+        object->via.array.size != ITEM_FIELDS) {
+        return false;
+    }
+    const msgpack_object *field = object->via.array.ptr;
+    mv_store_item_t item = {.deleted = field[2].type == MSGPACK_OBJECT_NIL};
+    if (field[0].type != MSGPACK_OBJECT_BIN ||
+        !get_number(&field[1], &item.revision) ||
+        (!item.deleted && field[2].type != MSGPACK_OBJECT_BIN)) {
+        return false;
+    }
+    size_t key_length = 0;
+    char *key = copy_text(&field[0], &key_length);
+    char *value = item.deleted ? NULL : copy_text(&field[2], &item.length);
+    item.key = key;
+    item.value = value;
+    MvReplica_Apply(replica, now, &item);
+    g_free(key);
+    g_free(value);
+    return true;
+}
+
+static mv_merge_t
+merge_delta(mv_replica_t *replica, mv_time_t now, const delta_t *delta)
+{
+    bool joins = delta->whole || delta->from <= replica->revision;
+    bool is_old = delta->to <= replica->revision;
+    if (delta->whole && !is_old) {
+        MvReplica_BeginList(replica);
+    }
+    for (uint32_t i = 0; i < delta->items->size; i++) {
+        if (!apply_entry(replica, now, &delta->items->ptr[i])) {
+            return MV_MERGE_MALFORMED;
+        }
+    }
+    if (delta->whole && !is_old) {
+        MvReplica_EndList(replica, now, delta->to);
+    }
+    else if (joins) {
+        MvReplica_Advance(replica, delta->to);
+    }
+    return joins ? MV_MERGE_DONE : MV_MERGE_GAP;
+}
+
+static mv_merge_t
+merge_plain(mv_replica_t *replica, mv_time_t now, const char *bytes,
+            size_t length)
+{
+    msgpack_unpacked result;
+    size_t offset = 0;
+    mv_merge_t merge = MV_MERGE_MALFORMED;
+    delta_t delta;
+    msgpack_unpacked_init(&result);
+    if (msgpack_unpack_next(&result, bytes, length, &offset) ==
+            MSGPACK_UNPACK_SUCCESS &&
+        offset == length && get_delta(&result.data, &delta)) {
+        merge = merge_delta(replica, now, &delta);
+    }
+    msgpack_unpacked_destroy(&result);
+    return merge;
+}
+
+static mv_merge_t
+merge_compressed(mv_replica_t *replica, mv_time_t now, const char *bytes,
+                 size_t length)
+{
+    uint32_t plain_length = 0;
+    if (length < sizeof(plain_length)) {
+        return MV_MERGE_MALFORMED;
+    }
+    memcpy(&plain_length, bytes, sizeof(plain_length));
+    plain_length = GUINT32_FROM_BE(plain_length);
+    if (plain_length > MAX_DELTA_BYTES) {
+        return MV_MERGE_MALFORMED;
+    }
+    uLongf size = plain_length;
+    char *plain = g_malloc(size + 1);
+    mv_merge_t merge = MV_MERGE_MALFORMED;
+    if (uncompress((Bytef *)plain, &size,
+                   (const Bytef *)bytes + sizeof(plain_length),
+                   length - sizeof(plain_length)) == Z_OK &&
+        size == plain_length) {
+        merge = merge_plain(replica, now, plain, size);
+    }
+    g_free(plain);
+    return merge;
+}
+
+mv_merge_t
+MvReplica_Merge(mv_replica_t *replica, mv_time_t now, const char *bytes,
+                size_t length)
+{
+    if (length < 1) {
+        return MV_MERGE_MALFORMED;
+    }
+    switch (bytes[0]) {
+    case FORM_PLAIN:
+        return merge_plain(replica, now, bytes + 1, length - 1);
+    case FORM_COMPRESSED:
+        return merge_compressed(replica, now, bytes + 1, length - 1);
+    default:
+        return MV_MERGE_MALFORMED;
+    }
+}
--- a/packages/replica/src/follower.c
+++ b/packages/replica/src/follower.c
@@ -14,6 +14,7 @@
     mv_replica_t *replica;
     GRand *random;
     phase_t phase;
+    bool is_active;
     bool is_calling;
     bool is_complete;
     bool is_reachable;
@@ -32,7 +33,7 @@
 MvFollowerSettings_Default(void)
 {
     return (mv_follower_settings_t){
-        .wait = 4 * MV_SECOND,
+        .wait = MV_SECOND,
         .gather = 250 * MV_MILLISECOND,
         .back_off = 100 * MV_MILLISECOND,
         .longest_back_off = MV_SECOND,
@@ -49,6 +50,7 @@
     follower->replica = replica;
     follower->random = random;
     follower->back_off = settings->back_off;
+    follower->is_active = true;
     return follower;
 }
 
@@ -189,7 +191,8 @@
 MvFollower_Timer(mv_follower_t *follower, mv_time_t now)
 {
     settle(follower, now);
-    if (follower->is_calling) {
+    bool rests = !follower->is_active && follower->is_complete;
+    if (follower->is_calling || rests) {
         return MV_NEVER;
     }
     if (now < follower->next_call) {
@@ -208,6 +211,12 @@
     return MV_NEVER;
 }
 
+void
+MvFollower_SetActive(mv_follower_t *follower, bool active)
+{
+    follower->is_active = active;
+}
+
 mv_time_t
 MvFollower_HeardAt(const mv_follower_t *follower)
 {
--- /dev/null
+++ b/packages/replica/src/neighbours.c
@@ -0,0 +1,58 @@
+/* The keys by which entry VMs find each other. */
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "masticvane/replica.h"
+
+#define FIELDS 3
+
+static bool
+parse_id(const char *key, mv_node_id_t *id)
+{
+    char *end = NULL;
+    if (!g_str_has_prefix(key, MV_NODE_PREFIX)) {
+        return false;
+    }
+    const char *digits = key + strlen(MV_NODE_PREFIX);
+    guint64 number = g_ascii_strtoull(digits, &end, 10);
+    *id = (mv_node_id_t)number;
+    return end != digits && !*end && number < MV_NO_NODE;
+}
+
+bool
+MvNeighbour_Parse(const char *key, const char *value,
+                  mv_neighbour_t *neighbour)
+{
+    struct in_addr address;
+    char *end = NULL;
+    *neighbour = (mv_neighbour_t){.id = 0};
+    if (!parse_id(key, &neighbour->id) || !value) {
+        return false;
+    }
+    char **fields = g_strsplit(value, " ", -1);
+    bool good = g_strv_length(fields) == FIELDS;
+    if (good) {
+        guint64 port = g_ascii_strtoull(fields[2], &end, 10);
+        good = strlen(fields[0]) < MV_NAME_MAX && *fields[0] &&
+               inet_pton(AF_INET, fields[1], &address) == 1 && !*end &&
+               port > 0 && port <= UINT16_MAX;
+        g_strlcpy(neighbour->data_centre, fields[0], MV_NAME_MAX);
+        g_strlcpy(neighbour->address, fields[1], sizeof(neighbour->address));
+        neighbour->port = (uint16_t)port;
+    }
+    g_strfreev(fields);
+    return good;
+}
+
+char *
+MvNeighbour_Key(mv_node_id_t id)
+{
+    return g_strdup_printf(MV_NODE_PREFIX "%u", id);
+}
+
+char *
+MvNeighbour_Value(const mv_neighbour_t *neighbour)
+{
+    return g_strdup_printf("%s %s %u", neighbour->data_centre,
+                           neighbour->address, neighbour->port);
+}
--- /dev/null
+++ b/packages/replica/src/registration.c
@@ -0,0 +1,243 @@
+/* This node's key, and the keys that sign words between nodes. */
+#include <string.h>
+#include <xxhash.h>
+
+#include "masticvane/replica.h"
+
+/* Signs of life are heartbeats between nodes; the lease only tidies up. */
+#define LEASE_TTL (10 * MV_MINUTE)
+#define RENEW_INTERVAL (LEASE_TTL / 3)
+/* Nodes that start together spread their calls over this time. */
+#define START_SPREAD (400 * MV_MILLISECOND)
+#define RETRY_INTERVAL MV_SECOND
+/* A write's answer was lost: its key is seen by then if it took effect. */
+#define LOOK_AGAIN (2 * MV_SECOND)
+
+struct mv_registration {
+    mv_neighbour_t self;
+    char *value;
+    mv_store_t *store;
+    const mv_replica_t *replica;
+    GRand *random;
+    const mv_registration_ops_t *ops;
+    void *context;
+    bool is_calling;
+    bool has_waited;
+    bool is_registered;
+    uint64_t lease;
+    mv_time_t pause;
+    mv_time_t next_call;
+    mv_time_t next_renewal;
+};
+
+mv_registration_t *
+MvRegistration_Create(const mv_neighbour_t *self, mv_store_t *store,
+                      const mv_replica_t *replica, GRand *random,
+                      const mv_registration_ops_t *ops, void *context)
+{
+    mv_registration_t *registration = g_new0(mv_registration_t, 1);
+    registration->self = *self;
+    registration->value = MvNeighbour_Value(self);
+    registration->store = store;
+    registration->replica = replica;
+    registration->random = random;
+    registration->ops = ops;
+    registration->context = context;
+    /* The number that is tried first is the same at every start. */
+    registration->self.id =
+        (mv_node_id_t)(XXH3_64bits(registration->value,
+                                   strlen(registration->value)) %
+                       MV_NO_NODE);
+    return registration;
+}
+
+void
+MvRegistration_Destroy(mv_registration_t *registration)
+{
+    if (!registration) {
+        return;
+    }
+    g_free(registration->value);
+    g_free(registration);
+}
+
+static void
+retry_later(mv_registration_t *registration, mv_time_t pause)
+{
+    double share = g_rand_double_range(registration->random, 0.5, 1.5);
+    registration->pause = (mv_time_t)(share * (double)pause);
+}
+
+/* Whoever comes first makes the keys; the others see them in the copy. */
+static void
+keys_written(void *context, const mv_store_reply_t *reply)
+{
+    mv_registration_t *registration = context;
+    registration->is_calling = false;
+    retry_later(registration, reply->outcome == MV_STORE_NOT_SENT
+                                  ? RETRY_INTERVAL
+                                  : LOOK_AGAIN / 4);
+}
+
+static void
+write_keys(mv_registration_t *registration)
+{
+    char *text = registration->ops->random_keys(registration->context);
+    registration->is_calling = true;
+    registration->store->ops->put(registration->store, MV_NODE_KEYS, text,
+                                  strlen(text), 0, keys_written, registration);
+    g_free(text);
+}
+
+static void
+become_registered(mv_registration_t *registration)
+{
+    registration->is_registered = true;
+    registration->ops->registered(registration->context,
+                                  registration->self.id);
+}
+
+static void
+node_written(void *context, const mv_store_reply_t *reply)
+{
+    mv_registration_t *registration = context;
+    registration->is_calling = false;
+    switch (reply->outcome) {
+    case MV_STORE_DONE:
+        become_registered(registration);
+        break;
+    case MV_STORE_REFUSED:
+        /* Taken, or the lease is over: the copy tells which. */
+        registration->lease = 0;
+        retry_later(registration, LOOK_AGAIN / 4);
+        break;
+    default:
+        retry_later(registration, LOOK_AGAIN);
+    }
+}
+
+static void
+lease_granted(void *context, const mv_store_reply_t *reply)
+{
+    mv_registration_t *registration = context;
+    registration->is_calling = false;
+    if (reply->outcome == MV_STORE_DONE && reply->index > 0) {
+        registration->lease = reply->index;
+        return;
+    }
+    retry_later(registration, RETRY_INTERVAL);
+}
+
+static void
+lease_kept(void *context, const mv_store_reply_t *reply)
+{
+    mv_registration_t *registration = context;
+    registration->is_calling = false;
+    if (reply->outcome == MV_STORE_REFUSED) {
+        registration->lease = 0;
+    }
+}
+
+/* Return: this node's key as the copy has it, or NULL. */
+static const char *
+own_value(const mv_registration_t *registration)
+{
+    char *key = MvNeighbour_Key(registration->self.id);
+    const char *value = MvReplica_Value(registration->replica, key, NULL);
+    g_free(key);
+    return value;
+}
+
+static void
+write_node(mv_registration_t *registration, mv_time_t now)
+{
+    char *key = MvNeighbour_Key(registration->self.id);
+    registration->is_calling = true;
+    registration->next_renewal = now + RENEW_INTERVAL;
+    registration->store->ops->put_leased(
+        registration->store, key, registration->value,
+        strlen(registration->value), 0, registration->lease, node_written,
+        registration);
+    g_free(key);
+}
+
+static void
+renew(mv_registration_t *registration, mv_time_t now)
+{
+    registration->is_calling = true;
+    registration->next_renewal = now + RENEW_INTERVAL;
+    registration->store->ops->keep(registration->store, registration->lease,
+                                   lease_kept, registration);
+}
+
+/* Nodes that start together write one after the other. */
+static bool
+must_wait(mv_registration_t *registration)
+{
+    if (registration->has_waited) {
+        return false;
+    }
+    registration->has_waited = true;
+    registration->pause = 1 + (mv_time_t)(g_rand_double(registration->random) *
+                                          (double)START_SPREAD);
+    return true;
+}
+
+static void
+do_next(mv_registration_t *registration, mv_time_t now)
+{
+    if (!MvReplica_Value(registration->replica, MV_NODE_KEYS, NULL)) {
+        if (!must_wait(registration)) {
+            write_keys(registration);
+        }
+        return;
+    }
+    const char *value = own_value(registration);
+    if (value && !strcmp(value, registration->value)) {
+        /* Ours: of this life, of an earlier one, or of a lost answer. */
+        if (!registration->is_registered) {
+            become_registered(registration);
+        }
+        if (registration->lease > 0 && now >= registration->next_renewal) {
+            renew(registration, now);
+        }
+        registration->next_call = now + RETRY_INTERVAL;
+        return;
+    }
+    if (value) {
+        registration->self.id =
+            (mv_node_id_t)((registration->self.id + 1u) % MV_NO_NODE);
+        return;
+    }
+    if (must_wait(registration)) {
+        return;
+    }
+    if (registration->lease == 0) {
+        registration->is_calling = true;
+        registration->store->ops->lease(registration->store, LEASE_TTL,
+                                        lease_granted, registration);
+        return;
+    }
+    write_node(registration, now);
+}
+
+mv_time_t
+MvRegistration_Timer(mv_registration_t *registration, mv_time_t now)
+{
+    if (registration->pause > 0) {
+        registration->next_call = now + registration->pause;
+        registration->pause = 0;
+    }
+    if (registration->is_calling) {
+        return MV_NEVER;
+    }
+    if (now < registration->next_call) {
+        return registration->next_call;
+    }
+    do_next(registration, now);
+    if (registration->pause > 0) {
+        registration->next_call = now + registration->pause;
+        registration->pause = 0;
+    }
+    return registration->is_calling ? MV_NEVER : registration->next_call;
+}
--- a/packages/replica/src/replica.c
+++ b/packages/replica/src/replica.c
@@ -1,35 +1,15 @@
 /* The copy: keys by name and by the revision of their last change. */
-#include "masticvane/replica.h"
+#include "replica_private.h"
 
 #include <string.h>
 
 /* Deleted keys are remembered, so that old news cannot bring them back. */
 #define KEEP_DELETED MV_MINUTE
 
-typedef struct entry {
-    mv_list_t link;
-    char *key;
-    char *value;
-    size_t length;
-    uint64_t revision;
-    bool deleted;
-    bool listed;
-    mv_time_t changed_at;
-} entry_t;
-
-struct mv_replica {
-    GHashTable *entries;
-    mv_list_t by_revision;
-    size_t count;
-    uint64_t revision;
-    mv_replica_changed_t changed;
-    void *context;
-};
-
 static void
 free_entry(gpointer pointer)
 {
-    entry_t *entry = pointer;
+    mv_copy_entry_t *entry = pointer;
     g_free(entry->key);
     g_free(entry->value);
     g_free(entry);
@@ -71,11 +51,11 @@
 
 /* Most changes are the newest: the place is looked for from the end. */
 static void
-link_by_revision(mv_replica_t *replica, entry_t *entry)
+link_by_revision(mv_replica_t *replica, mv_copy_entry_t *entry)
 {
     mv_list_t *place = &replica->by_revision;
     while (place->prev != &replica->by_revision &&
-           MV_CONTAINER_OF(place->prev, entry_t, link)->revision >
+           MV_CONTAINER_OF(place->prev, mv_copy_entry_t, link)->revision >
                entry->revision) {
         place = place->prev;
     }
@@ -87,21 +67,23 @@
 {
     MV_LIST_FOREACH(item, &replica->by_revision)
     {
-        entry_t *entry = MV_CONTAINER_OF(item, entry_t, link);
+        mv_copy_entry_t *entry = MV_CONTAINER_OF(item, mv_copy_entry_t, link);
         if (entry->deleted && entry->revision <= replica->revision &&
             now - entry->changed_at > KEEP_DELETED) {
+            replica->deletions_known_from =
+                MAX(replica->deletions_known_from, entry->revision);
             MvList_Remove(&entry->link);
             g_hash_table_remove(replica->entries, entry->key);
         }
     }
 }
 
-static entry_t *
+static mv_copy_entry_t *
 find_or_add(mv_replica_t *replica, const char *key)
 {
-    entry_t *entry = g_hash_table_lookup(replica->entries, key);
+    mv_copy_entry_t *entry = g_hash_table_lookup(replica->entries, key);
     if (!entry) {
-        entry = g_new0(entry_t, 1);
+        entry = g_new0(mv_copy_entry_t, 1);
         entry->key = g_strdup(key);
         entry->deleted = true;
         MvList_Init(&entry->link);
@@ -111,7 +93,8 @@
 }
 
 static void
-set_value(mv_replica_t *replica, entry_t *entry, const mv_store_item_t *item)
+set_value(mv_replica_t *replica, mv_copy_entry_t *entry,
+          const mv_store_item_t *item)
 {
     g_free(entry->value);
     entry->value = NULL;
@@ -131,7 +114,7 @@
 MvReplica_Apply(mv_replica_t *replica, mv_time_t now,
                 const mv_store_item_t *item)
 {
-    entry_t *entry = find_or_add(replica, item->key);
+    mv_copy_entry_t *entry = find_or_add(replica, item->key);
     entry->listed = true;
     if (item->revision <= entry->revision) {
         return false;
@@ -159,7 +142,7 @@
 {
     MV_LIST_FOREACH(item, &replica->by_revision)
     {
-        MV_CONTAINER_OF(item, entry_t, link)->listed = false;
+        MV_CONTAINER_OF(item, mv_copy_entry_t, link)->listed = false;
     }
 }
 
@@ -168,7 +151,8 @@
 {
     MV_LIST_FOREACH(link, &replica->by_revision)
     {
-        const entry_t *entry = MV_CONTAINER_OF(link, entry_t, link);
+        const mv_copy_entry_t *entry =
+            MV_CONTAINER_OF(link, mv_copy_entry_t, link);
         if (entry->listed || entry->deleted || entry->revision > revision) {
             continue;
         }
@@ -182,3 +166,16 @@
     MvReplica_Advance(replica, revision);
     forget_deleted(replica, now);
 }
+
+const char *
+MvReplica_Value(const mv_replica_t *replica, const char *key, size_t *length)
+{
+    const mv_copy_entry_t *entry = g_hash_table_lookup(replica->entries, key);
+    if (!entry || entry->deleted) {
+        return NULL;
+    }
+    if (length) {
+        *length = entry->length;
+    }
+    return entry->value;
+}
--- /dev/null
+++ b/packages/replica/src/replica_private.h
@@ -0,0 +1,49 @@
+/**
+ * DOC: The copy's inside, for its encoding.
+ */
+#ifndef MV_REPLICA_PRIVATE_H
+#define MV_REPLICA_PRIVATE_H
+
+#include "masticvane/replica.h"
+
+/**
+ * struct mv_copy_entry - One key of the copy.
+ * @link: in the order of revisions
+ * @key: its name
+ * @value: its value, NULL when @deleted
+ * @length: bytes in @value
+ * @revision: its last change
+ * @deleted: it does not exist any more
+ * @listed: seen in the list that is being read
+ * @changed_at: when this node learned of it
+ */
+typedef struct mv_copy_entry {
+    mv_list_t link;
+    char *key;
+    char *value;
+    size_t length;
+    uint64_t revision;
+    bool deleted;
+    bool listed;
+    mv_time_t changed_at;
+} mv_copy_entry_t;
+
+/**
+ * struct mv_replica - The copy.
+ * @entries: by key
+ * @by_revision: all entries, the newest last
+ * @count: entries that exist
+ * @revision: every change up to it is in the copy
+ * @deletions_known_from: keys deleted up to it may be forgotten
+ */
+struct mv_replica {
+    GHashTable *entries;
+    mv_list_t by_revision;
+    size_t count;
+    uint64_t revision;
+    uint64_t deletions_known_from;
+    mv_replica_changed_t changed;
+    void *context;
+};
+
+#endif
--- a/scripts/deps.sh
+++ b/scripts/deps.sh
@@ -4,7 +4,7 @@
 PACKAGES="gcc g++ clang cmake ninja-build pkg-config libapr1-dev
 libmsgpack-dev libglib2.0-dev libgtest-dev libgmock-dev libnghttp2-dev
 libjansson-dev libxxhash-dev libsodium-dev libinih-dev
-libmicrohttpd-dev libhttp-parser-dev libbenchmark-dev librapidcheck-dev curl clang-format
+libmicrohttpd-dev libhttp-parser-dev zlib1g-dev libbenchmark-dev librapidcheck-dev curl clang-format
 clang-tidy cppcheck python3 libclang-rt-14-dev"
 missing=""
 for package in $PACKAGES; do
