--- /dev/null
+++ b/packages/replica/test/feed_world.cc
@@ -0,0 +1,451 @@
+#include "feed_world.h"
+
+#include <cstring>
+
+namespace {
+
+const mv_time_t kStep = 10 * MV_MILLISECOND;
+const mv_time_t kStoreDelay = 4 * MV_MILLISECOND;
+const mv_time_t kTimeout = 1200 * MV_MILLISECOND;
+const mv_time_t kWatchSlack = 600 * MV_MILLISECOND;
+
+feed_node *
+of(mv_store_t *store)
+{
+    return reinterpret_cast<feed_node *>(store);
+}
+
+/* Run @what for the life of the process that called. */
+void
+answer_later(feed_node *node, mv_time_t delay, std::function<void()> what)
+{
+    int life = node->life;
+    node->world->later(delay, [=] {
+        if (node->alive && node->life == life) {
+            what();
+        }
+    });
+}
+
+/* Return: true when the call reaches the store; else its failure is set. */
+bool
+reaches(feed_node *node, mv_time_t timeout, std::function<void()> failed)
+{
+    if (node->reaches == reach::good) {
+        node->calls++;
+        return true;
+    }
+    bool refused = node->reaches == reach::refused;
+    node->calls += refused;
+    answer_later(node, refused ? kStoreDelay : timeout, failed);
+    return false;
+}
+
+void
+give(mv_store_listed_t done, void *context, uint64_t revision,
+     const std::vector<std::pair<std::string, feed_world::item_t>> &found)
+{
+    std::vector<mv_store_item_t> items;
+    for (const auto &[key, item] : found) {
+        items.push_back({key.c_str(),
+                         item.deleted ? nullptr : item.value.c_str(),
+                         item.value.size(), item.revision, item.deleted});
+    }
+    mv_store_items_t reply = {MV_STORE_DONE, revision, false, items.size(),
+                              items.data()};
+    done(context, &reply);
+}
+
+void
+fail_list(mv_store_listed_t done, void *context, mv_store_outcome_t outcome)
+{
+    mv_store_items_t reply = {};
+    reply.outcome = outcome;
+    done(context, &reply);
+}
+
+void
+store_list(mv_store_t *base, const char *, const char *, bool,
+           mv_store_listed_t done, void *context)
+{
+    feed_node *node = of(base);
+    feed_world *world = node->world;
+    if (reaches(node, kTimeout,
+                [=] { fail_list(done, context, MV_STORE_NOT_SENT); })) {
+        answer_later(node, kStoreDelay, [=] {
+            std::vector<std::pair<std::string, feed_world::item_t>> found;
+            for (const auto &entry : world->items) {
+                if (!entry.second.deleted) {
+                    found.push_back(entry);
+                }
+            }
+            give(done, context, world->revision, found);
+        });
+    }
+}
+
+void
+store_watch(mv_store_t *base, const char *, uint64_t after, mv_time_t wait,
+            mv_store_listed_t done, void *context)
+{
+    feed_node *node = of(base);
+    if (reaches(node, wait + kWatchSlack,
+                [=] { fail_list(done, context, MV_STORE_NOT_SENT); })) {
+        node->world->waiting.push_back({node->index, node->life, after,
+                                        node->world->now + wait, done,
+                                        context});
+    }
+}
+
+void
+store_put(mv_store_t *base, const char *key, const char *value, size_t length,
+          uint64_t index, uint64_t, mv_store_done_t done, void *context)
+{
+    feed_node *node = of(base);
+    std::string name = key;
+    std::string text(value, length);
+    auto unknown = [=] {
+        mv_store_reply_t reply = {MV_STORE_UNKNOWN, 0, nullptr, 0};
+        done(context, &reply);
+    };
+    if (!reaches(node, kTimeout, unknown)) {
+        return;
+    }
+    answer_later(node, kStoreDelay, [=] {
+        auto found = node->world->items.find(name);
+        bool exists =
+            found != node->world->items.end() && !found->second.deleted;
+        mv_store_reply_t reply = {MV_STORE_REFUSED, 0, nullptr, 0};
+        if (!exists && index == 0) {
+            node->world->write(name, text);
+            reply.outcome = MV_STORE_DONE;
+        }
+        done(context, &reply);
+    });
+}
+
+void
+store_put_plain(mv_store_t *base, const char *key, const char *value,
+                size_t length, uint64_t index, mv_store_done_t done,
+                void *context)
+{
+    store_put(base, key, value, length, index, 0, done, context);
+}
+
+void
+store_lease(mv_store_t *base, mv_time_t, mv_store_done_t done, void *context)
+{
+    feed_node *node = of(base);
+    auto answer = [=](mv_store_outcome_t outcome) {
+        mv_store_reply_t reply = {outcome, 7, nullptr, 0};
+        done(context, &reply);
+    };
+    if (reaches(node, kTimeout, [=] { answer(MV_STORE_UNKNOWN); })) {
+        answer_later(node, kStoreDelay, [=] { answer(MV_STORE_DONE); });
+    }
+}
+
+void
+store_keep(mv_store_t *base, uint64_t, mv_store_done_t done, void *context)
+{
+    store_lease(base, 0, done, context);
+}
+
+mv_store_ops_t
+make_ops()
+{
+    mv_store_ops_t ops = {};
+    ops.list = store_list;
+    ops.watch = store_watch;
+    ops.put = store_put_plain;
+    ops.put_leased = store_put;
+    ops.lease = store_lease;
+    ops.keep = store_keep;
+    return ops;
+}
+
+const mv_store_ops_t kStoreOps = make_ops();
+
+/* What the node asks of its caller */
+
+void
+changed(void *context, const mv_store_item_t *item)
+{
+    auto *node = static_cast<feed_node *>(context);
+    if (g_str_has_prefix(item->key, MV_NODE_PREFIX)) {
+        MvFeed_Learn(node->feed, node->world->now, item->key,
+                     item->deleted ? nullptr : item->value);
+    }
+    auto known = node->known.find(item->key);
+    if (!item->deleted && g_str_has_prefix(item->key, "number/") &&
+        known != node->known.end() &&
+        std::stoull(known->second) > std::stoull(item->value)) {
+        node->world->went_back = true;
+    }
+    if (item->deleted) {
+        node->known.erase(item->key);
+    }
+    else {
+        node->known[item->key] = item->value;
+    }
+    node->known_at[item->key] = node->world->now;
+}
+
+feed_node *
+find_node(feed_world *world, mv_node_id_t id)
+{
+    for (auto &node : world->nodes) {
+        if (node->alive && node->linked && node->id == id) {
+            return node.get();
+        }
+    }
+    return nullptr;
+}
+
+void
+send_message(void *context, mv_node_id_t to, const mv_message_t *message)
+{
+    auto *node = static_cast<feed_node *>(context);
+    feed_world *world = node->world;
+    feed_node *other = find_node(world, to);
+    world->datagrams++;
+    world->bytes += 60 + message->blob_length;
+    if (!node->linked || !other ||
+        world->cut.count({node->index, other->index}) ||
+        g_rand_double(world->random) < world->loss) {
+        return;
+    }
+    std::string blob(message->blob ? message->blob : "", message->blob_length);
+    mv_message_t copy = *message;
+    answer_later(other, MV_MILLISECOND, [=]() mutable {
+        copy.blob = blob.data();
+        MvFeed_Message(other->feed, world->now, &copy);
+    });
+}
+
+void
+meet(void *, const mv_neighbour_t *)
+{
+}
+
+void
+role(void *, bool, unsigned)
+{
+}
+
+char *
+random_keys(void *)
+{
+    return g_strdup("1 00");
+}
+
+void
+registered(void *context, mv_node_id_t id)
+{
+    auto *node = static_cast<feed_node *>(context);
+    if (!node->linked) {
+        node->id = id;
+        node->linked = true;
+        MvFeed_SetSelf(node->feed, node->world->now, id);
+    }
+}
+
+const mv_feed_ops_t kFeedOps = {send_message, meet, role};
+const mv_registration_ops_t kRegistrationOps = {random_keys, registered};
+
+} // namespace
+
+feed_world::feed_world(int count, int data_centres, uint32_t seed)
+    : random(g_rand_new_with_seed(seed))
+{
+    for (int i = 0; i < count; i++) {
+        auto node = std::make_unique<feed_node>();
+        node->store.ops = &kStoreOps;
+        node->world = this;
+        node->index = i;
+        node->data_centre = "dc" + std::to_string(i % data_centres);
+        node->reaches = reach::good;
+        nodes.push_back(std::move(node));
+    }
+    for (int i = 0; i < count; i++) {
+        start(i);
+    }
+}
+
+feed_world::~feed_world()
+{
+    for (size_t i = 0; i < nodes.size(); i++) {
+        stop((int)i);
+    }
+    g_rand_free(random);
+}
+
+void
+feed_world::start(int index)
+{
+    feed_node *node = nodes[index].get();
+    mv_follower_settings_t follower = MvFollowerSettings_Default();
+    mv_feed_settings_t feed =
+        MvFeedSettings_Default(node->data_centre.c_str());
+    mv_neighbour_t self = {};
+    g_strlcpy(self.data_centre, node->data_centre.c_str(), MV_NAME_MAX);
+    std::string address = "10.0." + std::to_string(index / 250) + "." +
+                          std::to_string(index % 250 + 1);
+    g_strlcpy(self.address, address.c_str(), sizeof(self.address));
+    self.port = 7720;
+    node->life++;
+    node->alive = true;
+    node->linked = false;
+    node->replica = MvReplica_Create(changed, node);
+    node->follower =
+        MvFollower_Create(&follower, &node->store, node->replica, random);
+    node->feed =
+        MvFeed_Create(&feed, node->replica, node->follower, &kFeedOps, node);
+    node->registration = MvRegistration_Create(
+        &self, &node->store, node->replica, random, &kRegistrationOps, node);
+}
+
+void
+feed_world::stop(int index)
+{
+    feed_node *node = nodes[index].get();
+    if (!node->alive) {
+        return;
+    }
+    node->alive = false;
+    MvRegistration_Destroy(node->registration);
+    MvFeed_Destroy(node->feed);
+    MvFollower_Destroy(node->follower);
+    MvReplica_Destroy(node->replica);
+    node->known.clear();
+}
+
+void
+feed_world::later(mv_time_t delay, std::function<void()> what)
+{
+    events.push({now + delay, order++, std::move(what)});
+}
+
+void
+feed_world::write(const std::string &key, const std::string &value)
+{
+    items[key] = {value, ++revision, false};
+}
+
+void
+feed_world::erase(const std::string &key)
+{
+    items[key] = {"", ++revision, true};
+}
+
+void
+feed_world::forget_history()
+{
+    history_from = revision + 1;
+}
+
+void
+feed_world::serve_watches()
+{
+    std::vector<waiting_t> rest;
+    std::vector<waiting_t> asked = std::move(waiting);
+    waiting.clear();
+    for (const waiting_t &watch : asked) {
+        feed_node *node = nodes[watch.node].get();
+        if (!node->alive || node->life != watch.life) {
+            continue;
+        }
+        if (node->reaches == reach::silent) {
+            answer_later(node, watch.until + kWatchSlack - now, [=] {
+                fail_list(watch.done, watch.context, MV_STORE_NOT_SENT);
+            });
+            continue;
+        }
+        if (watch.after + 1 < history_from) {
+            answer_later(node, kStoreDelay, [=] {
+                fail_list(watch.done, watch.context, MV_STORE_REFUSED);
+            });
+            continue;
+        }
+        if (revision <= watch.after && now < watch.until) {
+            rest.push_back(watch);
+            continue;
+        }
+        std::vector<std::pair<std::string, item_t>> found;
+        for (const auto &entry : items) {
+            if (entry.second.revision > watch.after) {
+                found.push_back(entry);
+            }
+        }
+        uint64_t at = revision;
+        answer_later(node, kStoreDelay,
+                     [=] { give(watch.done, watch.context, at, found); });
+    }
+    waiting.insert(waiting.end(), rest.begin(), rest.end());
+}
+
+void
+feed_world::run(mv_time_t span)
+{
+    for (mv_time_t end = now + span; now < end;) {
+        now += kStep;
+        while (!events.empty() && events.top().at <= now) {
+            auto what = events.top().what;
+            events.pop();
+            what();
+        }
+        for (auto &node : nodes) {
+            if (!node->alive) {
+                continue;
+            }
+            MvFeed_Timer(node->feed, now);
+            MvFollower_Timer(node->follower, now);
+            if (MvFollower_IsComplete(node->follower)) {
+                MvRegistration_Timer(node->registration, now);
+            }
+        }
+        serve_watches();
+    }
+}
+
+std::vector<int>
+feed_world::watchers() const
+{
+    std::vector<int> result;
+    for (const auto &node : nodes) {
+        if (node->alive && MvFeed_Watches(node->feed)) {
+            result.push_back(node->index);
+        }
+    }
+    return result;
+}
+
+uint64_t
+feed_world::calls() const
+{
+    uint64_t sum = 0;
+    for (const auto &node : nodes) {
+        sum += node->calls;
+    }
+    return sum;
+}
+
+mv_time_t
+feed_world::spread_time(const std::string &key, const std::string &value,
+                        mv_time_t limit)
+{
+    mv_time_t start = now;
+    while (now - start < limit) {
+        bool all = true;
+        for (const auto &node : nodes) {
+            auto found = node->known.find(key);
+            all = all && (!node->alive || (found != node->known.end() &&
+                                           found->second == value));
+        }
+        if (all) {
+            return now - start;
+        }
+        run(kStep);
+    }
+    return -1;
+}
--- /dev/null
+++ b/packages/replica/test/feed_world.h
@@ -0,0 +1,103 @@
+/**
+ * DOC: Nodes, a store and the network between them under virtual time.
+ */
+#ifndef MV_FEED_WORLD_H
+#define MV_FEED_WORLD_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "masticvane/replica.h"
+
+enum class reach { good, silent, refused };
+
+struct feed_world;
+
+/* One entry VM: the same code as in the daemon, with this world around it. */
+struct feed_node {
+    mv_store_t store;
+    feed_world *world;
+    int index;
+    int life;
+    bool alive;
+    bool linked;
+    std::string data_centre;
+    mv_node_id_t id;
+    reach reaches;
+    uint64_t calls;
+    mv_replica_t *replica;
+    mv_follower_t *follower;
+    mv_feed_t *feed;
+    mv_registration_t *registration;
+    std::map<std::string, std::string> known;
+    std::map<std::string, mv_time_t> known_at;
+};
+
+struct feed_world {
+    explicit feed_world(int nodes, int data_centres = 1, uint32_t seed = 1);
+    ~feed_world();
+
+    void run(mv_time_t span);
+    void start(int index);
+    void stop(int index);
+    void write(const std::string &key, const std::string &value);
+    void erase(const std::string &key);
+    void forget_history();
+    /* Nodes that call the store now. */
+    std::vector<int> watchers() const;
+    uint64_t calls() const;
+    /* Time until every live node knows @value of @key, or -1 within @limit. */
+    mv_time_t spread_time(const std::string &key, const std::string &value,
+                          mv_time_t limit);
+
+    void later(mv_time_t delay, std::function<void()> what);
+
+    struct item_t {
+        std::string value;
+        uint64_t revision;
+        bool deleted;
+    };
+    struct waiting_t {
+        int node;
+        int life;
+        uint64_t after;
+        mv_time_t until;
+        mv_store_listed_t done;
+        void *context;
+    };
+
+    mv_time_t now = MV_SECOND;
+    uint64_t revision = 1;
+    uint64_t history_from = 0;
+    std::map<std::string, item_t> items;
+    std::vector<waiting_t> waiting;
+    std::vector<std::unique_ptr<feed_node>> nodes;
+    double loss = 0;
+    std::set<std::pair<int, int>> cut;
+    uint64_t datagrams = 0;
+    uint64_t bytes = 0;
+    bool went_back = false;
+    GRand *random;
+
+  private:
+    struct event_t {
+        mv_time_t at;
+        uint64_t order;
+        std::function<void()> what;
+        bool
+        operator<(const event_t &other) const
+        {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+    std::priority_queue<event_t> events;
+    uint64_t order = 0;
+    void serve_watches();
+};
+
+#endif
--- a/packages/replica/test/replica_test.cc
+++ b/packages/replica/test/replica_test.cc
@@ -23,8 +23,9 @@
     mv_store_t base;
     std::vector<call_t> calls;
 
-    void answer(mv_store_outcome_t outcome, uint64_t revision,
-                std::vector<mv_store_item_t> items = {}, bool more = false)
+    void
+    answer(mv_store_outcome_t outcome, uint64_t revision,
+           std::vector<mv_store_item_t> items = {}, bool more = false)
     {
         ASSERT_FALSE(calls.empty());
         call_t call = calls.back();
@@ -68,8 +69,7 @@
 mv_store_item_t
 item(const char *key, const char *value, uint64_t revision)
 {
-    return {key, value, value ? strlen(value) : 0, revision,
-            value == nullptr};
+    return {key, value, value ? strlen(value) : 0, revision, value == nullptr};
 }
 
 struct Replica : testing::Test {
@@ -79,8 +79,7 @@
         replica = MvReplica_Create(changed, this);
         random = g_rand_new_with_seed(11);
         mv_follower_settings_t settings = MvFollowerSettings_Default();
-        follower =
-            MvFollower_Create(&settings, &store.base, replica, random);
+        follower = MvFollower_Create(&settings, &store.base, replica, random);
     }
 
     ~Replica() override
@@ -90,7 +89,8 @@
         g_rand_free(random);
     }
 
-    static void changed(void *context, const mv_store_item_t *item)
+    static void
+    changed(void *context, const mv_store_item_t *item)
     {
         auto *self = static_cast<Replica *>(context);
         if (item->deleted) {
@@ -103,7 +103,8 @@
     }
 
     /* Time until the follower calls again. */
-    mv_time_t run_until_call()
+    mv_time_t
+    run_until_call()
     {
         mv_time_t start = now;
         while (store.calls.empty() && now - start < MV_MINUTE) {
@@ -113,7 +114,8 @@
         return now - start;
     }
 
-    void expect_call(const char *kind, bool stale, uint64_t revision)
+    void
+    expect_call(const char *kind, bool stale, uint64_t revision)
     {
         run_until_call();
         ASSERT_EQ(store.calls.size(), 1u);
@@ -139,7 +141,7 @@
         uint64_t revision;
         const char *expected;
     } const cases[] = {
-        {"a", 5, "a"}, {"old", 4, "a"}, {"same", 5, "a"},
+        {"a", 5, "a"}, {"old", 4, "a"},   {"same", 5, "a"},
         {"b", 9, "b"}, {nullptr, 7, "b"},
     };
     for (const auto &c : cases) {
@@ -160,7 +162,8 @@
     store.answer(MV_STORE_DONE, 20, {item("a", "1", 3), item("b", "1", 4)});
     EXPECT_EQ(known.size(), 2u);
     expect_call("watch", false, 20);
-    store.answer(MV_STORE_DONE, 25, {item("a", "2", 22), item("b", nullptr, 25)});
+    store.answer(MV_STORE_DONE, 25,
+                 {item("a", "2", 22), item("b", nullptr, 25)});
     EXPECT_EQ(known["a"], "2");
     EXPECT_FALSE(known.count("b"));
     expect_call("watch", false, 25);
@@ -246,4 +249,4 @@
     EXPECT_EQ(known.size(), 1u);
 }
 
-}  // namespace
+} // namespace
