--- a/packages/base/include/masticvane/base.h
+++ b/packages/base/include/masticvane/base.h
@@ -160,12 +160,27 @@
     MV_COUNTER_COUNT,
 } mv_counter_id_t;
 
+/** enum mv_latency_id - Every latency that is counted in classes. */
+typedef enum mv_latency_id {
+#define MV_LATENCY(id, name, text) MV_LATENCY_##id,
+#include "masticvane/latencies.def"
+#undef MV_LATENCY
+    MV_LATENCY_COUNT,
+} mv_latency_id_t;
+
+/** Classes of a latency; the last one has no upper bound. */
+#define MV_LATENCY_CLASSES 12
+
 /**
  * struct mv_counters - One set of counters, written by one or more threads.
  * @value: one count for each &enum mv_counter_id
+ * @classes: values of each latency by class, not cumulative
+ * @sum: sum of each latency
  */
 typedef struct mv_counters {
     uint64_t value[MV_COUNTER_COUNT];
+    uint64_t classes[MV_LATENCY_COUNT][MV_LATENCY_CLASSES];
+    uint64_t sum[MV_LATENCY_COUNT];
 } mv_counters_t;
 
 /** MvCounters_Add() - Add @n to a counter; safe from any thread. */
@@ -177,6 +192,20 @@
 /** MvCounters_Name() - Name used in dumps. */
 const char *MvCounters_Name(mv_counter_id_t id);
 
+/** MvCounters_AddLatency() - Count one value; safe from any thread. */
+void MvCounters_AddLatency(mv_counters_t *counters, mv_latency_id_t id,
+                           mv_time_t value);
+
+/**
+ * MvCounters_Expose() - Append all as text in the exposition format that
+ * Prometheus reads, names beginning with "masticvane_".
+ */
+void MvCounters_Expose(const mv_counters_t *counters, mv_buffer_t *out);
+
+/** MvCounters_ExposeGauge() - Append one gauge. */
+void MvCounters_ExposeGauge(mv_buffer_t *out, const char *name,
+                            const char *text, double value);
+
 /** MvCounters_ToJson() - New reference to an object of all counters. */
 json_t *MvCounters_ToJson(const mv_counters_t *counters);
 
--- a/packages/base/src/counters.c
+++ b/packages/base/src/counters.c
@@ -1,5 +1,7 @@
 #include "masticvane/base.h"
 
+#include <inttypes.h>
+
 static const char *const counter_names[] = {
 #define MV_COUNTER(id, name, text) [MV_COUNTER_##id] = (name),
 #include "masticvane/counters.def"
@@ -35,3 +37,110 @@
     }
     return object;
 }
+
+/* Exposition */
+
+#define LINE_BYTES 256
+
+static const char *const counter_texts[] = {
+#define MV_COUNTER(id, name, text) [MV_COUNTER_##id] = (text),
+#include "masticvane/counters.def"
+#undef MV_COUNTER
+};
+
+typedef struct latency_text {
+    const char *name;
+    const char *text;
+} latency_text_t;
+
+static const latency_text_t latency_texts[] = {
+#define MV_LATENCY(id, name, text) [MV_LATENCY_##id] = {(name), (text)},
+#include "masticvane/latencies.def"
+#undef MV_LATENCY
+};
+
+/* Upper bounds of the classes. */
+static const mv_time_t class_bounds[MV_LATENCY_CLASSES] = {
+    MV_MILLISECOND,       2 * MV_MILLISECOND,
+    5 * MV_MILLISECOND,   10 * MV_MILLISECOND,
+    20 * MV_MILLISECOND,  50 * MV_MILLISECOND,
+    100 * MV_MILLISECOND, 200 * MV_MILLISECOND,
+    500 * MV_MILLISECOND, MV_SECOND,
+    5 * MV_SECOND,        MV_NEVER,
+};
+
+void
+MvCounters_AddLatency(mv_counters_t *counters, mv_latency_id_t id,
+                      mv_time_t value)
+{
+    unsigned class = 0;
+    while (value > class_bounds[class]) {
+        class ++;
+    }
+    __atomic_fetch_add(&counters->classes[id][class], 1, __ATOMIC_RELAXED);
+    __atomic_fetch_add(&counters->sum[id], (uint64_t)MAX(value, 0),
+                       __ATOMIC_RELAXED);
+}
+
+static void G_GNUC_PRINTF(2, 3)
+    append_line(mv_buffer_t *out, const char *format, ...)
+{
+    char line[LINE_BYTES];
+    va_list args;
+    va_start(args, format);
+    int length = vsnprintf(line, sizeof(line), format, args);
+    va_end(args);
+    MvBuffer_Append(out, line, (size_t)MIN(length, LINE_BYTES - 1));
+}
+
+static void
+expose_latency(const mv_counters_t *counters, unsigned id, mv_buffer_t *out)
+{
+    const latency_text_t *latency = &latency_texts[id];
+    uint64_t count = 0;
+    append_line(out, "# HELP masticvane_%s_seconds %s\n", latency->name,
+                latency->text);
+    append_line(out, "# TYPE masticvane_%s_seconds histogram\n",
+                latency->name);
+    for (unsigned i = 0; i < MV_LATENCY_CLASSES; i++) {
+        char bound[32] = "+Inf";
+        count += __atomic_load_n(&counters->classes[id][i], __ATOMIC_RELAXED);
+        if (class_bounds[i] != MV_NEVER) {
+            (void)snprintf(bound, sizeof(bound), "%g",
+                           (double)class_bounds[i] / MV_SECOND);
+        }
+        append_line(out,
+                    "masticvane_%s_seconds_bucket{le=\"%s\"} %" PRIu64 "\n",
+                    latency->name, bound, count);
+    }
+    uint64_t sum = __atomic_load_n(&counters->sum[id], __ATOMIC_RELAXED);
+    append_line(out, "masticvane_%s_seconds_sum %.6f\n", latency->name,
+                (double)sum / MV_SECOND);
+    append_line(out, "masticvane_%s_seconds_count %" PRIu64 "\n",
+                latency->name, count);
+}
+
+void
+MvCounters_Expose(const mv_counters_t *counters, mv_buffer_t *out)
+{
+    for (unsigned i = 0; i < MV_COUNTER_COUNT; i++) {
+        append_line(out, "# HELP masticvane_%s_total %s\n", counter_names[i],
+                    counter_texts[i]);
+        append_line(out, "# TYPE masticvane_%s_total counter\n",
+                    counter_names[i]);
+        append_line(out, "masticvane_%s_total %" PRIu64 "\n", counter_names[i],
+                    MvCounters_Get(counters, i));
+    }
+    for (unsigned i = 0; i < MV_LATENCY_COUNT; i++) {
+        expose_latency(counters, i, out);
+    }
+}
+
+void
+MvCounters_ExposeGauge(mv_buffer_t *out, const char *name, const char *text,
+                       double value)
+{
+    append_line(out, "# HELP masticvane_%s %s\n", name, text);
+    append_line(out, "# TYPE masticvane_%s gauge\n", name);
+    append_line(out, "masticvane_%s %g\n", name, value);
+}
--- a/packages/masticvaned/src/settings.c
+++ b/packages/masticvaned/src/settings.c
@@ -209,6 +209,9 @@
               MV_NAME_MAX);
     settings->packet_port = read_listen(reading, "packets", settings);
     settings->health_port = read_listen(reading, "health", settings);
+    if (*MvIni_Text(ini, "listen", "metrics", "", findings)) {
+        settings->metrics_port = read_listen(reading, "metrics", settings);
+    }
     if (*MvIni_Text(ini, "listen", "peers", "", findings)) {
         settings->self.control_port = read_listen(reading, "peers", settings);
     }
@@ -247,6 +250,7 @@
     mv_settings_t *settings = g_new0(mv_settings_t, 1);
     reading_t reading = {.ini = MvIni_Parse(path, text, findings),
                          .findings = findings};
+    settings->path = g_strdup(path);
     settings->forwarding = read_forwarding(&reading);
     if (settings->forwarding == MV_FORWARDING_TAGS) {
         read_tags(&reading, settings);
@@ -274,6 +278,7 @@
         return;
     }
     MvKeyring_Destroy(settings->keyring);
+    g_free(settings->path);
     g_free(settings->store_addresses);
     g_free(settings->log_file);
     g_free(settings->dump_file);
--- a/packages/masticvaned/src/settings.h
+++ b/packages/masticvaned/src/settings.h
@@ -35,6 +35,8 @@
  *              the store and the log are read
  * @name: name of this entry VM
  * @health_port: TCP port at which the fabric asks whether it takes packets
+ * @path: the file that they were read from
+ * @metrics_port: TCP port at which metrics are read, 0 for none
  * @line_budget: log lines a second at most, 0 for all
  * @flow_sample: one flow in so many is logged, 0 for none but rare ones
  * @flow_limit: a flow older than this may be forgotten
@@ -58,7 +60,9 @@
 typedef struct mv_settings {
     mv_forwarding_t forwarding;
     char name[MV_NAME_MAX];
+    char *path;
     uint16_t health_port;
+    uint16_t metrics_port;
     mv_time_t flow_limit;
     unsigned line_budget;
     unsigned flow_sample;
--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -3,6 +3,7 @@
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 
 #include "platform.h"
 #include "tags_mode.h"
@@ -10,12 +11,14 @@
 #define MAX_DESCRIPTORS 256
 #define LONGEST_WAIT (250 * MV_MILLISECOND)
 #define SWEEP_INTERVAL (5 * MV_SECOND)
+/* Settings may change without a signal. */
+#define LOOK_INTERVAL (2 * MV_SECOND)
 /* The fabric notices within two of its questions, half a second apart. */
 #define LEAVE_NOTICE (1200 * MV_MILLISECOND)
 /* No packet for so long: the fabric has turned away. */
 #define QUIET (300 * MV_MILLISECOND)
 /* Left of the stop limit for ending the process itself. */
-#define STOP_MARGIN (400 * MV_MILLISECOND)
+#define STOP_MARGIN (1200 * MV_MILLISECOND)
 /* Steady and boot-time clock drift apart by so much only in a pause. */
 #define PAUSE_NOTICED (300 * MV_MILLISECOND)
 /* The traffic thread has written its state by then. */
@@ -36,6 +39,10 @@
     mv_links_t *links;
     mv_directory_t *directory;
     mv_http1_server_t *health;
+    mv_http1_server_t *metrics;
+    mv_time_t stop_limit;
+    struct timespec read_at;
+    mv_time_t next_look;
     GRand *random;
     bool is_changed;
     mv_time_t dump_at;
@@ -336,6 +343,89 @@
     return is_ready(control) ? 200 : 503;
 }
 
+static unsigned
+answer_metrics(void *context, const char *target, mv_buffer_t *body)
+{
+    control_t *control = context;
+    if (strcmp(target, "/metrics") != 0) {
+        return 404;
+    }
+    mv_time_t now = g_get_monotonic_time();
+    MvCounters_Expose(&control->daemon.counters, body);
+    MvCounters_ExposeGauge(body, "config_version", "configuration in force",
+                           (double)MvDirectory_Version(control->directory));
+    MvCounters_ExposeGauge(
+        body, "servers_usable", "backend servers that take new flows",
+        (double)MvDirectory_UsableServers(control->directory));
+    MvCounters_ExposeGauge(body, "store_revision",
+                           "every change up to it is known",
+                           (double)MvReplica_Revision(control->replica));
+    MvCounters_ExposeGauge(body, "store_watching",
+                           "1 while this node calls the store",
+                           MvFeed_Watches(control->feed));
+    MvCounters_ExposeGauge(body, "knowledge_age_seconds",
+                           "since the store or a fresh neighbour was heard",
+                           (double)MvFeed_KnowledgeAge(control->feed, now) /
+                               MV_SECOND);
+    MvCounters_ExposeGauge(body, "near_nodes", "entry VMs of this data centre",
+                           MvFeed_NearNodes(control->feed));
+    return 200;
+}
+
+/* Settings */
+
+static bool
+is_file_changed(control_t *control)
+{
+    struct stat status;
+    if (stat(control->daemon.settings->path, &status) != 0) {
+        return false;
+    }
+    bool changed = status.st_mtim.tv_sec != control->read_at.tv_sec ||
+                   status.st_mtim.tv_nsec != control->read_at.tv_nsec;
+    control->read_at = status.st_mtim;
+    return changed;
+}
+
+/* Addresses and names hold for the life of the process. */
+static void
+reload(control_t *control)
+{
+    mv_tags_daemon_t *daemon = &control->daemon;
+    mv_findings_t *findings = MvFindings_Create();
+    mv_settings_t *settings =
+        MvSettings_Load(daemon->settings->path, findings);
+    if (!settings) {
+        MvLog_Write(daemon->log, MV_EVENT_SETTINGS_REFUSED,
+                    "findings=%zu first=\"%s\"", MvFindings_Count(findings),
+                    MvFindings_Get(findings, 0));
+    }
+    else {
+        control->stop_limit = settings->stop_limit;
+        MvLog_SetBudget(daemon->log, settings->line_budget);
+        MvLog_Write(daemon->log, MV_EVENT_SETTINGS_RELOADED,
+                    "stop_ms=%" PRId64 " lines_per_second=%u",
+                    settings->stop_limit / MV_MILLISECOND,
+                    settings->line_budget);
+    }
+    MvSettings_Destroy(settings);
+    MvFindings_Destroy(findings);
+}
+
+static void
+watch_settings(control_t *control, mv_time_t now)
+{
+    bool asked = reload_signals > 0;
+    if (!asked && now < control->next_look) {
+        return;
+    }
+    reload_signals = 0;
+    control->next_look = now + LOOK_INTERVAL;
+    if (is_file_changed(control) || asked) {
+        reload(control);
+    }
+}
+
 /* Signals */
 
 static void
@@ -383,7 +473,7 @@
     mv_time_t stopping = now - control->stop_began;
     mv_time_t last =
         __atomic_load_n(&control->daemon.last_packet_at, __ATOMIC_RELAXED);
-    return stopping >= control->daemon.settings->stop_limit - STOP_MARGIN ||
+    return stopping >= control->stop_limit - STOP_MARGIN ||
            (stopping >= LEAVE_NOTICE && now - last >= QUIET);
 }
 
@@ -428,6 +518,7 @@
         publish(control, now);
         note_reachable(control, now);
         take_signals(control, now);
+        watch_settings(control, now);
         if (is_ready(control) != control->was_ready) {
             control->was_ready = !control->was_ready;
             MvLog_Write(control->daemon.log, MV_EVENT_NODE_READY, "ready=%d",
@@ -436,6 +527,9 @@
         if (now >= control->next_sweep) {
             control->next_sweep = now + SWEEP_INTERVAL;
             MvHttp1_Sweep(control->health, now);
+            if (control->metrics) {
+                MvHttp1_Sweep(control->metrics, now);
+            }
             control->is_changed = true;
         }
     }
@@ -472,13 +566,20 @@
     control->health =
         MvHttp1_Serve(control->loop, settings->self.address,
                       settings->health_port, answer_health, control, error);
-    return control->health != NULL;
+    if (!control->health || settings->metrics_port == 0) {
+        return control->health != NULL;
+    }
+    control->metrics =
+        MvHttp1_Serve(control->loop, settings->self.address,
+                      settings->metrics_port, answer_metrics, control, error);
+    return control->metrics != NULL;
 }
 
 static void
 close_all(control_t *control)
 {
     MvHttp1_StopServing(control->health);
+    MvHttp1_StopServing(control->metrics);
     MvLinks_Destroy(control->links);
     MvKeyring_Destroy(control->keyring);
     MvRegistration_Destroy(control->registration);
@@ -499,6 +600,7 @@
     control_t control = {.daemon = {.settings = settings,
                                     .log = log,
                                     .fabric = MvPlatform_Fabric()},
+                         .stop_limit = settings->stop_limit,
                          .random = g_rand_new()};
     mv_tags_packets_t *packets = NULL;
     pthread_mutex_init(&control.daemon.dump_lock, NULL);
@@ -509,6 +611,7 @@
     signal(SIGUSR1, on_signal);
     signal(SIGHUP, on_signal);
     signal(SIGPIPE, SIG_IGN);
+    is_file_changed(&control);
     bool good = create_parts(&control, error);
     if (good) {
         packets = MvTagsPackets_Start(&control.daemon, error);
--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -253,6 +253,9 @@
 /** MvFeed_Watches() - This node calls the store for its neighbours. */
 bool MvFeed_Watches(const mv_feed_t *feed);
 
+/** MvFeed_KnowledgeAge() - Since the store or a fresh watcher was heard. */
+mv_time_t MvFeed_KnowledgeAge(const mv_feed_t *feed, mv_time_t now);
+
 /** MvFeed_NearNodes() - Nodes of the own data centre, this one included. */
 unsigned MvFeed_NearNodes(const mv_feed_t *feed);
 
--- a/packages/replica/src/feed.c
+++ b/packages/replica/src/feed.c
@@ -221,6 +221,13 @@
     return since + patience + 1;
 }
 
+mv_time_t
+MvFeed_KnowledgeAge(const mv_feed_t *feed, mv_time_t now)
+{
+    mv_time_t heard = MvFollower_HeardAt(feed->follower);
+    return now - MAX(heard, look_at_better(feed).fresh_at);
+}
+
 bool
 MvFeed_Watches(const mv_feed_t *feed)
 {
--- a/packages/replica/src/follower.c
+++ b/packages/replica/src/follower.c
@@ -34,7 +34,7 @@
 {
     return (mv_follower_settings_t){
         .wait = MV_SECOND,
-        .gather = 250 * MV_MILLISECOND,
+        .gather = 400 * MV_MILLISECOND,
         .back_off = 100 * MV_MILLISECOND,
         .longest_back_off = MV_SECOND,
     };
--- a/packages/replica/test/replica_test.cc
+++ b/packages/replica/test/replica_test.cc
@@ -210,7 +210,7 @@
     store.answer(MV_STORE_DONE, 20);
     run_until_call();
     store.answer(MV_STORE_DONE, 21, {item("a", "1", 21)});
-    EXPECT_GE(run_until_call(), 240 * MV_MILLISECOND);
+    EXPECT_GE(run_until_call(), 390 * MV_MILLISECOND);
     /* A watch that ends without news is followed by the next at once. */
     store.answer(MV_STORE_DONE, 21);
     EXPECT_LE(run_until_call(), 2 * MV_MILLISECOND);
--- a/packages/tags/src/holding.c
+++ b/packages/tags/src/holding.c
@@ -29,6 +29,7 @@
                 mv_time_t duration)
 {
     mv_service_load_t *load = load_of(forwarder, service);
+    MvCounters_AddLatency(forwarder->counters, MV_LATENCY_FLOW, duration);
     if (load->duration == 0) {
         load->duration = duration;
         return;
@@ -90,6 +91,8 @@
 static void
 release(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now)
 {
+    MvCounters_AddLatency(forwarder->counters, MV_LATENCY_HELD,
+                          now - flow->began_at);
     flow->began_at = now;
     MvFlow_SetPhase(forwarder, flow, MV_FLOW_OPENING);
     MvFlow_OfferAgain(forwarder, flow, now);
--- a/packages/tags/src/judgement.c
+++ b/packages/tags/src/judgement.c
@@ -84,6 +84,8 @@
     mv_site_t *site = standing->site;
     if (offered_at > 0) {
         add_sample(site, now - offered_at);
+        MvCounters_AddLatency(forwarder->counters, MV_LATENCY_OPENING,
+                              now - offered_at);
     }
     if (standing->failures >= SURE_FAILURES) {
         forwarder->ops->event(forwarder->context, MV_EVENT_ENDPOINT_ANSWERS,
