Fault soak with real daemons on loopback; new parsers fuzzed

Change: test/soak (store, backend servers, callers and fabric in the users' published form; kills, pauses, rolling restarts, leaving and crashing servers whose addresses are used again, a store that is silent, busy, resets, loses answers, forgets its history, datagram loss). Checked from what callers and servers see: crossing, bytes, answers, leaving servers, configuration, flows under planned work, at most once, recovery, stop. Eight planted faults, each red when run. Three short seeds and a planted one in make check; make soak. Packets, documents and deltas get fuzz entry points.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build demo check test sanitize mutants bench capacity lint \
+.PHONY: all deps build demo check test sanitize mutants soak bench capacity lint \
 	format clean install
 
 all: build
@@ -42,6 +42,11 @@
 mutants: build
 	@scripts/mutants.py
 
+# Fresh seeds for some minutes; a seed that fails is kept with its logs.
+SEEDS ?= 12
+soak: build
+	@scripts/soak.sh $(BUILD) $(SEEDS)
+
 bench: build
 	@$(BUILD)/bin/masticvane-bench all docs/results/bench.md
 
--- a/fuzz/fuzz.cc
+++ b/fuzz/fuzz.cc
@@ -9,8 +9,11 @@
 #include <cstring>
 #include <string>
 
+#include "masticvane/replica.h"
+
 extern "C" {
 #include "packet.h"
+#include "platform.h"
 }
 
 namespace {
@@ -92,13 +95,58 @@
     }
 }
 
+/* A packet of the users' fabric; what is accepted can be sent on. */
+void
+flow_packet(const uint8_t *data, size_t size)
+{
+    const mv_fabric_ops_t *fabric = MvPlatform_Fabric();
+    mv_flow_packet_t parsed;
+    if (!fabric->parse(data, size, &parsed)) {
+        return;
+    }
+    std::string frame(MV_FABRIC_HEADROOM, '\0');
+    frame.append(reinterpret_cast<const char *>(data), size);
+    const mv_flow_verdict_t verdict = {
+        MV_FLOW_FORWARD, MV_COUNTER_PACKETS_FORWARDED, 1, 2, 3, 4};
+    fabric->address_to(&verdict, (uint8_t *)&frame[MV_FABRIC_HEADROOM]);
+    uint8_t reset[MV_RESET_MAX];
+    fabric->reset(&parsed, reset);
+}
+
+/* What anybody may have written under the platform's keys. */
+void
+document(const uint8_t *data, size_t size)
+{
+    const char *text = reinterpret_cast<const char *>(data);
+    for (const char *key : {"servers/i-1", "op/config"}) {
+        GError *error = nullptr;
+        mv_notice_t notice = MvPlatform_Decode(key, text, size, &error);
+        g_clear_error(&error);
+        MvRouting_Destroy(notice.routing);
+    }
+}
+
+/* What a neighbour sends. */
+void
+delta(const uint8_t *data, size_t size)
+{
+    mv_replica_t *replica =
+        MvReplica_Create([](void *, const mv_store_item_t *) {}, nullptr);
+    MvReplica_Merge(replica, 0, reinterpret_cast<const char *>(data), size);
+    mv_buffer_t again = {};
+    MvReplica_EncodeSince(replica, 0, &again);
+    MvBuffer_Clear(&again);
+    MvReplica_Destroy(replica);
+}
+
 } // namespace
 
 extern "C" int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
     static void (*const kinds[])(const uint8_t *, size_t) = {
-        packet, message, frame, answers, configuration};
+        packet,        message,     frame,    answers,
+        configuration, flow_packet, document, delta};
     if (size > 0) {
         size_t kind = data[0] % (sizeof(kinds) / sizeof(kinds[0]));
         kinds[kind](data + 1, size - 1);
--- a/test/processes.cmake
+++ b/test/processes.cmake
@@ -6,3 +6,19 @@
                    ${CMAKE_SOURCE_DIR}/examples)
   set_tests_properties(process_${name} PROPERTIES TIMEOUT 120)
 endforeach()
+
+# Fault soak with three short seeds; a planted fault must turn it red.
+foreach(seed 1 2 3)
+  add_test(NAME process_soak_${seed}
+           COMMAND ${CMAKE_SOURCE_DIR}/test/soak/soak.py
+                   ${CMAKE_RUNTIME_OUTPUT_DIRECTORY}/masticvaned
+                   --seed ${seed} --seconds 12 --net 8${seed})
+  set_tests_properties(process_soak_${seed} PROPERTIES TIMEOUT 120
+                                                       RUN_SERIAL ON)
+endforeach()
+add_test(NAME process_soak_planted
+         COMMAND ${CMAKE_SOURCE_DIR}/test/soak/soak.py
+                 ${CMAKE_RUNTIME_OUTPUT_DIRECTORY}/masticvaned
+                 --seed 1 --seconds 8 --net 84 --plant bytes)
+set_tests_properties(process_soak_planted PROPERTIES WILL_FAIL ON TIMEOUT 120
+                                                     RUN_SERIAL ON)
