A node that starts while the store is silent gets a copy from other nodes

Weighed: keys in the settings (none are given), asking peers over signed links (the key is in the store that does not answer), a read-only copy without the keys at the address that the settings name. The last was taken.

--- a/packages/masticvaned/src/settings.c
+++ b/packages/masticvaned/src/settings.c
@@ -197,6 +197,15 @@
     return (uint16_t)number;
 }
 
+static uint16_t
+read_optional(const reading_t *reading, const char *key,
+              mv_settings_t *settings)
+{
+    const char *text =
+        MvIni_Text(reading->ini, "listen", key, "", reading->findings);
+    return *text ? read_listen(reading, key, settings) : 0;
+}
+
 static void
 read_tags(const reading_t *reading, mv_settings_t *settings)
 {
@@ -209,12 +218,11 @@
               MV_NAME_MAX);
     settings->packet_port = read_listen(reading, "packets", settings);
     settings->health_port = read_listen(reading, "health", settings);
-    if (*MvIni_Text(ini, "listen", "metrics", "", findings)) {
-        settings->metrics_port = read_listen(reading, "metrics", settings);
-    }
-    if (*MvIni_Text(ini, "listen", "peers", "", findings)) {
-        settings->self.control_port = read_listen(reading, "peers", settings);
-    }
+    settings->metrics_port = read_optional(reading, "metrics", settings);
+    settings->self.control_port = read_optional(reading, "peers", settings);
+    settings->copy_port = read_optional(reading, "copy", settings);
+    settings->seeds =
+        g_strdup(MvIni_Text(ini, "peers", "seeds", "", findings));
     settings->store_addresses =
         g_strdup(MvIni_Text(ini, "store", "addresses", NULL, findings));
     settings->stop_limit =
@@ -279,6 +287,7 @@
     }
     MvKeyring_Destroy(settings->keyring);
     g_free(settings->path);
+    g_free(settings->seeds);
     g_free(settings->store_addresses);
     g_free(settings->log_file);
     g_free(settings->dump_file);
--- a/packages/masticvaned/src/settings.h
+++ b/packages/masticvaned/src/settings.h
@@ -36,6 +36,8 @@
  * @name: name of this entry VM
  * @health_port: TCP port at which the fabric asks whether it takes packets
  * @path: the file that they were read from
+ * @copy_port: TCP port at which starting nodes fetch a copy, 0 for none
+ * @seeds: "ADDRESS:PORT" separated by commas, where this node fetches one
  * @metrics_port: TCP port at which metrics are read, 0 for none
  * @line_budget: log lines a second at most, 0 for all
  * @flow_sample: one flow in so many is logged, 0 for none but rare ones
@@ -63,6 +65,8 @@
     char *path;
     uint16_t health_port;
     uint16_t metrics_port;
+    uint16_t copy_port;
+    char *seeds;
     mv_time_t flow_limit;
     unsigned line_budget;
     unsigned flow_sample;
--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -6,6 +6,7 @@
 #include <sys/stat.h>
 
 #include "platform.h"
+#include "seeds.h"
 #include "tags_mode.h"
 
 #define MAX_DESCRIPTORS 256
@@ -40,6 +41,8 @@
     mv_directory_t *directory;
     mv_http1_server_t *health;
     mv_http1_server_t *metrics;
+    mv_http1_server_t *copy;
+    mv_seeds_t *seeds;
     mv_time_t stop_limit;
     struct timespec read_at;
     mv_time_t next_look;
@@ -372,6 +375,21 @@
     return 200;
 }
 
+/* For nodes that start while the store does not answer them. */
+static unsigned
+answer_copy(void *context, const char *target, mv_buffer_t *body)
+{
+    const control_t *control = context;
+    if (strcmp(target, MV_COPY_TARGET) != 0) {
+        return 404;
+    }
+    if (MvReplica_Revision(control->replica) == 0 ||
+        !MvReplica_EncodePublic(control->replica, body)) {
+        return 503;
+    }
+    return 200;
+}
+
 /* Settings */
 
 static bool
@@ -498,6 +516,9 @@
 {
     mv_time_t next = MvFeed_Timer(control->feed, now);
     next = MIN(next, MvFollower_Timer(control->follower, now));
+    next = MIN(next,
+               MvSeeds_Timer(control->seeds, now,
+                             !MvFollower_IsComplete(control->follower)));
     if (MvFollower_IsComplete(control->follower) &&
         control->daemon.settings->self.control_port > 0) {
         next = MIN(next, MvRegistration_Timer(control->registration, now));
@@ -505,6 +526,18 @@
     return next;
 }
 
+static void
+sweep_servers(const control_t *control, mv_time_t now)
+{
+    mv_http1_server_t *servers[] = {control->health, control->metrics,
+                                    control->copy};
+    for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
+        if (servers[i]) {
+            MvHttp1_Sweep(servers[i], now);
+        }
+    }
+}
+
 static void
 loop(control_t *control)
 {
@@ -526,15 +559,25 @@
         }
         if (now >= control->next_sweep) {
             control->next_sweep = now + SWEEP_INTERVAL;
-            MvHttp1_Sweep(control->health, now);
-            if (control->metrics) {
-                MvHttp1_Sweep(control->metrics, now);
-            }
+            sweep_servers(control, now);
             control->is_changed = true;
         }
     }
 }
 
+/* An address that the settings may leave out. */
+static bool
+serve_extra(control_t *control, uint16_t port, mv_http1_handler_t handler,
+            mv_http1_server_t **server, GError **error)
+{
+    if (port > 0) {
+        *server = MvHttp1_Serve(control->loop,
+                                control->daemon.settings->self.address, port,
+                                handler, control, error);
+    }
+    return port == 0 || *server;
+}
+
 static bool
 create_parts(control_t *control, GError **error)
 {
@@ -557,6 +600,9 @@
         MvFeedSettings_Default(settings->data_centre);
     control->feed = MvFeed_Create(&feed, control->replica, control->follower,
                                   &feed_ops, control);
+    control->seeds =
+        MvSeeds_Create(control->loop, settings->seeds, settings->self.address,
+                       control->replica, control->daemon.log);
     mv_neighbour_t self = {.port = settings->self.control_port};
     g_strlcpy(self.data_centre, settings->data_centre, MV_NAME_MAX);
     g_strlcpy(self.address, settings->self.address, sizeof(self.address));
@@ -566,13 +612,11 @@
     control->health =
         MvHttp1_Serve(control->loop, settings->self.address,
                       settings->health_port, answer_health, control, error);
-    if (!control->health || settings->metrics_port == 0) {
-        return control->health != NULL;
-    }
-    control->metrics =
-        MvHttp1_Serve(control->loop, settings->self.address,
-                      settings->metrics_port, answer_metrics, control, error);
-    return control->metrics != NULL;
+    return control->health &&
+           serve_extra(control, settings->metrics_port, answer_metrics,
+                       &control->metrics, error) &&
+           serve_extra(control, settings->copy_port, answer_copy,
+                       &control->copy, error);
 }
 
 static void
@@ -580,6 +624,8 @@
 {
     MvHttp1_StopServing(control->health);
     MvHttp1_StopServing(control->metrics);
+    MvHttp1_StopServing(control->copy);
+    MvSeeds_Destroy(control->seeds);
     MvLinks_Destroy(control->links);
     MvKeyring_Destroy(control->keyring);
     MvRegistration_Destroy(control->registration);
--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -80,6 +80,12 @@
 bool MvReplica_EncodeSince(const mv_replica_t *replica, uint64_t since,
                            mv_buffer_t *out);
 
+/**
+ * MvReplica_EncodePublic() - A whole copy without the signing keys, for a
+ * node that cannot prove yet who it is.
+ */
+bool MvReplica_EncodePublic(const mv_replica_t *replica, mv_buffer_t *out);
+
 /** enum mv_merge - Result of MvReplica_Merge(). */
 typedef enum mv_merge {
     MV_MERGE_DONE,
--- a/packages/replica/src/delta.c
+++ b/packages/replica/src/delta.c
@@ -50,31 +50,42 @@
     return MV_CONTAINER_OF(item, mv_copy_entry_t, link);
 }
 
+/* Which keys are written. */
+typedef struct selection {
+    uint64_t since;
+    bool whole;
+    bool is_public;
+} selection_t;
+
 static bool
-is_wanted(const mv_copy_entry_t *entry, uint64_t since, bool whole)
+is_wanted(const mv_copy_entry_t *entry, const selection_t *selection)
 {
-    return whole ? !entry->deleted : entry->revision > since;
+    if (selection->is_public && !strcmp(entry->key, MV_NODE_KEYS)) {
+        return false;
+    }
+    return selection->whole ? !entry->deleted
+                            : entry->revision > selection->since;
 }
 
 static void
-pack_since(const mv_replica_t *replica, uint64_t since, mv_buffer_t *out)
+pack_selected(const mv_replica_t *replica, const selection_t *selection,
+              mv_buffer_t *out)
 {
-    bool whole = since == 0 || since < replica->deletions_known_from;
     size_t count = 0;
     MV_LIST_FOREACH(item, &replica->by_revision)
     {
-        count += is_wanted(at(item), since, whole);
+        count += is_wanted(at(item), selection);
     }
     msgpack_packer packer;
     msgpack_packer_init(&packer, out, append);
     msgpack_pack_array(&packer, DELTA_FIELDS);
-    msgpack_pack_uint64(&packer, whole ? 0 : since);
+    msgpack_pack_uint64(&packer, selection->whole ? 0 : selection->since);
     msgpack_pack_uint64(&packer, replica->revision);
-    msgpack_pack_uint8(&packer, whole);
+    msgpack_pack_uint8(&packer, selection->whole);
     msgpack_pack_array(&packer, count);
     MV_LIST_FOREACH(item, &replica->by_revision)
     {
-        if (is_wanted(at(item), since, whole)) {
+        if (is_wanted(at(item), selection)) {
             pack_entry(&packer, at(item));
         }
     }
@@ -96,13 +107,13 @@
     return good;
 }
 
-bool
-MvReplica_EncodeSince(const mv_replica_t *replica, uint64_t since,
-                      mv_buffer_t *out)
+static bool
+encode(const mv_replica_t *replica, const selection_t *selection,
+       mv_buffer_t *out)
 {
     mv_buffer_t plain = {.data = NULL};
     const uint8_t form = FORM_PLAIN;
-    pack_since(replica, since, &plain);
+    pack_selected(replica, selection, &plain);
     bool good = plain.length > COMPRESS_ABOVE
                     ? compress_into(&plain, out)
                     : MvBuffer_Append(out, &form, 1) &&
@@ -111,6 +122,23 @@
     return good;
 }
 
+bool
+MvReplica_EncodeSince(const mv_replica_t *replica, uint64_t since,
+                      mv_buffer_t *out)
+{
+    const selection_t selection = {
+        .since = since,
+        .whole = since == 0 || since < replica->deletions_known_from};
+    return encode(replica, &selection, out);
+}
+
+bool
+MvReplica_EncodePublic(const mv_replica_t *replica, mv_buffer_t *out)
+{
+    const selection_t selection = {.whole = true, .is_public = true};
+    return encode(replica, &selection, out);
+}
+
 /* Decoding */
 
 typedef struct delta {
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -35,6 +35,9 @@
 health = {ip}:7701
 peers = {ip}:7702
 metrics = {ip}:7703
+copy = {ip}:7704
+[peers]
+seeds = {seeds}
 [store]
 addresses = {store}
 [limits]
@@ -56,6 +59,8 @@
         self.config = os.path.join(world.folder, f"node{index}.ini")
         with open(self.config, "w") as out:
             out.write(SETTINGS.format(i=index, zone=self.zone, ip=self.ip,
+                                      seeds=",".join(f"127.{world.net}.0.{i + 1}:7704"
+                                                     for i in range(3)),
                                       store=f"127.{world.net}.255.{index + 1}:8500",
                                       log=os.path.join(world.folder, f"log{index}")))
 
@@ -98,6 +103,7 @@
     def __init__(self, options):
         self.rng = random.Random(options.seed)
         self.daemon, self.net, self.plant = options.daemon, options.net, options.plant
+        self.only = options.only
         self.folder = tempfile.mkdtemp(prefix="masticvane-soak-")
         self.store = Store(self.rng)
         self.nodes = [Node(self, i) for i in range(options.nodes)]
@@ -206,12 +212,12 @@
                 await node.start()
                 await self.wait_ready(node)
 
-    async def wait_ready(self, node):
-        end = time.monotonic() + RECOVER
+    async def wait_ready(self, node, limit=RECOVER):
+        end = time.monotonic() + limit
         while not node.ready and time.monotonic() < end:
             await asyncio.sleep(0.1)
         if not node.ready:
-            self.violation("recovery", f"node {node.index} not ready in {RECOVER} s")
+            self.violation("recovery", f"node {node.index} not ready in {limit} s")
 
     async def kill(self, rng):
         node = rng.choice(self.nodes)
@@ -221,6 +227,20 @@
             await asyncio.sleep(rng.uniform(0.1, 1.0))
             await node.start()
 
+    async def start_alone(self, rng):
+        """A node starts while the store is silent towards it alone."""
+        node = rng.choice(self.nodes)
+        busy = [i for i in self.store.mode if i != node.index]
+        if not node.process or busy:
+            return
+        self.disturb(2.0)
+        self.store.mode[node.index] = "silent"
+        await node.end(signal.SIGKILL)
+        await node.start()
+        await asyncio.sleep(0.7)
+        await self.wait_ready(node, 3.0)
+        self.store.mode.pop(node.index, None)
+
     async def kill_all(self, rng):
         self.disturb(4.0)
         for node in self.nodes:
@@ -314,12 +334,14 @@
     def schedule(self, seconds, seed):
         """The same for a seed whatever the machine does."""
         kinds = ["change", "leave", "roll", "change", "kill", "pause", "store_fault", "forget",
-                 "crash", "lose", "change", "kill_all"]
+                 "start_alone", "crash", "lose", "change", "kill_all"]
         if self.plant:
             # One calm change, or what the planted fault needs, and time to see it.
             kind = {"leaving": "leave", "recovery": "kill_all"}.get(self.plant, "change")
             print(f"  0.00 {kind}, planted: {self.plant}")
             return [(0.0, kind, 0.5), (seconds, "forget", 0.5)]
+        if self.only:
+            kinds = [self.only]
         plan, at, rng = [], 0.0, random.Random(seed)
         while at < seconds:
             plan.append((at, rng.choice(kinds), rng.random()))
@@ -383,6 +405,7 @@
     parser.add_argument("--nodes", type=int, default=4)
     parser.add_argument("--net", type=int, default=90)
     parser.add_argument("--plant", choices=PLANTS, help="a fault of ours: red is right")
+    parser.add_argument("--only", help="one kind of fault, again and again")
     options = parser.parse_args()
     print(f"seed {options.seed}, {options.seconds:g} s, {options.nodes} nodes")
     world = World(options)
