--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -259,7 +259,8 @@
             process = node.process
             process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(span)
-            process.send_signal(signal.SIGCONT)
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
 
     async def store_fault(self, rng):
         mode = rng.choice(["silent", "reset", "busy", "lost"])
