--- a/test/processes.cmake
+++ b/test/processes.cmake
@@ -22,3 +22,7 @@
                  --seed 1 --seconds 8 --net 84 --plant bytes)
 set_tests_properties(process_soak_planted PROPERTIES WILL_FAIL ON TIMEOUT 120
                                                      RUN_SERIAL ON)
+add_test(NAME process_explain
+         COMMAND ${CMAKE_SOURCE_DIR}/test/soak/explain.sh
+                 ${CMAKE_RUNTIME_OUTPUT_DIRECTORY}/masticvaned)
+set_tests_properties(process_explain PROPERTIES TIMEOUT 180 RUN_SERIAL ON)
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import sys
 import tempfile
@@ -407,6 +408,7 @@
     parser.add_argument("--net", type=int, default=90)
     parser.add_argument("--plant", choices=PLANTS, help="a fault of ours: red is right")
     parser.add_argument("--only", help="one kind of fault, again and again")
+    parser.add_argument("--keep", action="store_true", help="keep the logs of a green run")
     options = parser.parse_args()
     print(f"seed {options.seed}, {options.seconds:g} s, {options.nodes} nodes")
     world = World(options)
@@ -418,8 +420,10 @@
     if good < 50:
         red += 1
         print("VIOLATION too few flows were served")
-    if red:
+    if red or options.keep:
         print(f"logs: {world.folder}")
+    else:
+        shutil.rmtree(world.folder)
     print(f"{0 if red else 1} passed, {1 if red else 0} failed")
     sys.exit(1 if red else 0)
 
