A held flow whose servers all left crashed the node; timers wait for the socket

Cause: read as a newcomer: a held opening that found no server any more went on as opening without an offer, and judge_offer read before the array (address checks: SEGV in judge_offer). After a pause of the process openings looked overdue whose answers waited in the socket. Change: a held flow without a server is forgotten; the invariant stands at offer_count; the timer does not run while the socket has more. Test: Load.AHeldFlowWhoseServersAllLeftIsNotOffered, red before (crash), green after, 27 tests green under address and undefined-behaviour checks.

--- a/packages/masticvaned/src/tags_packets.c
+++ b/packages/masticvaned/src/tags_packets.c
@@ -31,6 +31,7 @@
     int fd;
     mv_forwarder_t *forwarder;
     mv_time_t next_timer;
+    bool has_more;
     frame_t frames[BATCH];
     frame_t outgoing[BATCH];
     unsigned out_count;
@@ -214,6 +215,7 @@
         }
         flush(packets);
     }
+    packets->has_more = count == BATCH;
 }
 
 static void
@@ -240,11 +242,13 @@
     mv_time_t now = g_get_monotonic_time();
     while (!__atomic_load_n(&daemon->finished, __ATOMIC_ACQUIRE)) {
         mv_time_t wait = packets->next_timer - now;
+        packets->has_more = false;
         MvLoop_Run(packets->loop, CLAMP(wait, 0, LONGEST_WAIT));
         now = g_get_monotonic_time();
         adopt_table(packets);
-        if (now >= packets->next_timer ||
-            packets->next_timer - now > LONGEST_WAIT) {
+        /* What waits in the socket may be what looks overdue. */
+        if (!packets->has_more && (now >= packets->next_timer ||
+                                   packets->next_timer - now > LONGEST_WAIT)) {
             packets->next_timer = MvForwarder_Timer(packets->forwarder, now);
             flush(packets);
         }
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -79,7 +79,7 @@
  * @urgency: of its route
  * @offered_at: the last opening packet went out
  * @seen_at: its last packet came
- * @offer_count: entries in @offers
+ * @offer_count: entries in @offers, one at least when opening
  * @offers: tags of the servers that got an opening packet, newest last
  * @tag: server at which it is open
  * @counted: standing that counts it as outstanding, or NULL
@@ -202,8 +202,8 @@
 /** MvHolding_Run() - Offer held flows for which there is room, or no time. */
 mv_time_t MvHolding_Run(mv_forwarder_t *forwarder, mv_time_t now);
 
-/** MvFlow_OfferAgain() - Offer a kept opening by itself. */
-void MvFlow_OfferAgain(mv_forwarder_t *forwarder, mv_flow_t *flow,
+/** MvFlow_OfferAgain() - Offer a kept opening; false without a server. */
+bool MvFlow_OfferAgain(mv_forwarder_t *forwarder, mv_flow_t *flow,
                        mv_time_t now);
 
 /** MvFlow_SetPhase() - Move it to the list of its phase. */
--- a/packages/tags/src/holding.c
+++ b/packages/tags/src/holding.c
@@ -95,7 +95,9 @@
                           now - flow->began_at);
     flow->began_at = now;
     MvFlow_SetPhase(forwarder, flow, MV_FLOW_OPENING);
-    MvFlow_OfferAgain(forwarder, flow, now);
+    if (!MvFlow_OfferAgain(forwarder, flow, now)) {
+        MvFlow_Forget(forwarder, flow);
+    }
 }
 
 static bool
--- a/packages/tags/src/openings.c
+++ b/packages/tags/src/openings.c
@@ -16,18 +16,18 @@
     }
 }
 
-void
+bool
 MvFlow_OfferAgain(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now)
 {
     const mv_table_route_t *route =
         MvTable_Route(forwarder->table, flow->name.address, flow->name.port);
-    if (!route) {
-        return;
+    if (!route || route->route.share_count == 0) {
+        return false;
     }
     int position = MvPlacement_Choose(
         forwarder, now, MvFlow_Service(route, &flow->name), flow);
     if (position < 0) {
-        return;
+        return false;
     }
     mv_flow_verdict_t verdict =
         MvFlow_Offer(forwarder, flow, now, (unsigned)position);
@@ -36,6 +36,7 @@
     flow->seen_at = now;
     forwarder->ops->send(forwarder->context, &verdict, flow->opening,
                          flow->opening_length);
+    return true;
 }
 
 /* Return: when the flow needs attention next, MV_NEVER when it is gone. */
--- a/packages/tags/test/load_test.cc
+++ b/packages/tags/test/load_test.cc
@@ -193,6 +193,27 @@
     EXPECT_TRUE(world.opened.count(1000));
 }
 
+TEST(Load, AHeldFlowWhoseServersAllLeftIsNotOffered)
+{
+    load_world world;
+    for (uint16_t port = 1; port <= 300; port++) {
+        world.begin(port, 0, 0);
+    }
+    world.begin(1000, 2, 600 * MV_MILLISECOND);
+    for (uint64_t id = 1; id <= kServers; id++) {
+        mv_server_t leaving = world.server(id, "booking", "casa");
+        leaving.state = MV_SERVER_DRAINING;
+        world.announce(leaving);
+    }
+    world.publish();
+    world.run(3 * MV_SECOND);
+    EXPECT_FALSE(world.opened.count(1000));
+    /* Its caller's packet by way of another node finds the open flow. */
+    mv_server_t one = world.server(1, "booking", "casa");
+    EXPECT_EQ(world.go_on(1000, MvServer_Tag(&one)).server, 1u);
+    EXPECT_EQ(world.counter(MV_COUNTER_FLOWS_HELD), 1u);
+}
+
 TEST(Load, ALateCallerWaitsForNobodyWhenThereIsRoom)
 {
     load_world world;
