A copy from a seed claims no completeness

Its first list (revision 2) was older than the signing keys (revision 3); a copy from a seed, without the keys, came behind it and claimed to be whole up to 3; the watch went on from 3. Ruled out: refused frames (none), a failed write (none was made: the keys could not be created again). Change: a copy without the keys begins behind all that its reader can know, so its keys are taken over and the revision stays. Test: Delta.ACopyWithoutTheKeysClaimsNothing, red before.

--- a/packages/masticvaned/src/seeds.c
+++ b/packages/masticvaned/src/seeds.c
@@ -69,8 +69,8 @@
     mv_merge_t merge = MvReplica_Merge(seeds->replica, seeds->now,
                                        answer->body, answer->length);
     MvLog_Write(seeds->log, MV_EVENT_COPY_FROM_SEED,
-                "good=%d bytes=%zu revision=%" PRIu64, merge == MV_MERGE_DONE,
-                answer->length, MvReplica_Revision(seeds->replica));
+                "good=%d bytes=%zu keys=%zu", merge != MV_MERGE_MALFORMED,
+                answer->length, MvReplica_Count(seeds->replica));
 }
 
 static void
--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -81,8 +81,8 @@
                            mv_buffer_t *out);
 
 /**
- * MvReplica_EncodePublic() - A whole copy without the signing keys, for a
- * node that cannot prove yet who it is.
+ * MvReplica_EncodePublic() - Keys that exist but for the signing keys, for a
+ * node that cannot prove yet who it is.  Merging it claims no completeness.
  */
 bool MvReplica_EncodePublic(const mv_replica_t *replica, mv_buffer_t *out);
 
--- a/packages/replica/src/delta.c
+++ b/packages/replica/src/delta.c
@@ -60,8 +60,8 @@
 static bool
 is_wanted(const mv_copy_entry_t *entry, const selection_t *selection)
 {
-    if (selection->is_public && !strcmp(entry->key, MV_NODE_KEYS)) {
-        return false;
+    if (selection->is_public) {
+        return !entry->deleted && strcmp(entry->key, MV_NODE_KEYS) != 0;
     }
     return selection->whole ? !entry->deleted
                             : entry->revision > selection->since;
@@ -135,7 +135,9 @@
 bool
 MvReplica_EncodePublic(const mv_replica_t *replica, mv_buffer_t *out)
 {
-    const selection_t selection = {.whole = true, .is_public = true};
+    /* Without the keys it is not complete up to any revision: it begins
+     * behind all that its reader can know. */
+    const selection_t selection = {.since = UINT64_MAX, .is_public = true};
     return encode(replica, &selection, out);
 }
 
--- a/packages/replica/test/feed_test.cc
+++ b/packages/replica/test/feed_test.cc
@@ -308,6 +308,32 @@
     MvReplica_Destroy(to);
 }
 
+/* Found on zsm-brand quiet-1, one run of 24: a copy without the keys claimed
+ * to be whole, came behind a list that was older than the keys, and the node
+ * never saw them. */
+TEST(Delta, ACopyWithoutTheKeysClaimsNothing)
+{
+    auto ignore = [](void *, const mv_store_item_t *) {};
+    mv_replica_t *from = MvReplica_Create(ignore, nullptr);
+    mv_replica_t *to = MvReplica_Create(ignore, nullptr);
+    mv_store_item_t old = {"a", "1", 1, 2, false};
+    mv_store_item_t keys = {MV_NODE_KEYS, "1 00", 4, 3, false};
+    MvReplica_Apply(from, 0, &old);
+    MvReplica_Apply(from, 0, &keys);
+    MvReplica_Advance(from, 3);
+    mv_buffer_t bytes = {};
+    ASSERT_TRUE(MvReplica_EncodePublic(from, &bytes));
+    MvReplica_Advance(to, 2);
+    EXPECT_NE(MvReplica_Merge(to, 0, (char *)bytes.data, bytes.length),
+              MV_MERGE_MALFORMED);
+    EXPECT_STREQ(MvReplica_Value(to, "a", nullptr), "1");
+    EXPECT_EQ(MvReplica_Value(to, MV_NODE_KEYS, nullptr), nullptr);
+    EXPECT_EQ(MvReplica_Revision(to), 2u);
+    MvBuffer_Clear(&bytes);
+    MvReplica_Destroy(from);
+    MvReplica_Destroy(to);
+}
+
 TEST(Delta, AGapIsSeen)
 {
     auto ignore = [](void *, const mv_store_item_t *) {};
