--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -131,7 +131,8 @@
 report_left_out(mv_log_t *log, const struct timespec *now)
 {
     char line[LINE_MAX_BYTES];
-    size_t length = format_head(line, find_event(MV_EVENT_LINES_LEFT_OUT), now);
+    size_t length =
+        format_head(line, find_event(MV_EVENT_LINES_LEFT_OUT), now);
     length += (size_t)snprintf(line + length, LINE_MAX_BYTES - length,
                                "over_budget=%u not_taken=%u", log->over_budget,
                                log->not_taken);
--- a/packages/masticvaned/src/daemon.h
+++ b/packages/masticvaned/src/daemon.h
@@ -13,8 +13,8 @@
 #include "masticvane/config.h"
 #include "masticvane/core.h"
 #include "masticvane/net.h"
-#include "masticvane/store.h"
 #include "masticvane/requests.h"
+#include "masticvane/store.h"
 #include "settings.h"
 
 /**
--- /dev/null
+++ b/packages/masticvaned/src/tags_answers.c
@@ -0,0 +1,135 @@
+/* Health address, metrics, copy for other nodes, state dump. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform.h"
+#include "tags_control.h"
+
+#define HTTP_OK 200
+#define HTTP_NOT_FOUND 404
+#define HTTP_UNAVAILABLE 503
+
+bool
+MvTagsAnswers_IsReady(const mv_tags_control_t *control)
+{
+    return !control->is_stopping &&
+           MvDirectory_Version(control->directory) > 0 &&
+           MvDirectory_UsableServers(control->directory) > 0;
+}
+
+static unsigned
+answer_health(void *context, const char *target, mv_buffer_t *body)
+{
+    const mv_tags_control_t *control = context;
+    (void)body;
+    if (!MvPlatform_IsReadyTarget(target)) {
+        return HTTP_NOT_FOUND;
+    }
+    return MvTagsAnswers_IsReady(control) ? HTTP_OK : HTTP_UNAVAILABLE;
+}
+
+static unsigned
+answer_metrics(void *context, const char *target, mv_buffer_t *body)
+{
+    mv_tags_control_t *control = context;
+    if (strcmp(target, "/metrics") != 0) {
+        return HTTP_NOT_FOUND;
+    }
+    mv_time_t now = g_get_monotonic_time();
+    MvCounters_Expose(&control->daemon.counters, body);
+    MvCounters_ExposeGauge(body, "config_version", "configuration in force",
+                           (double)MvDirectory_Version(control->directory));
+    MvCounters_ExposeGauge(
+        body, "servers_usable", "backend servers that take new flows",
+        (double)MvDirectory_UsableServers(control->directory));
+    MvCounters_ExposeGauge(body, "store_revision",
+                           "every change up to it is known",
+                           (double)MvReplica_Revision(control->replica));
+    MvCounters_ExposeGauge(body, "store_watching",
+                           "1 while this node calls the store",
+                           MvFeed_Watches(control->feed));
+    MvCounters_ExposeGauge(body, "knowledge_age_seconds",
+                           "since the store or a fresh neighbour was heard",
+                           (double)MvFeed_KnowledgeAge(control->feed, now) /
+                               MV_SECOND);
+    MvCounters_ExposeGauge(body, "near_nodes", "entry VMs of this data centre",
+                           MvFeed_NearNodes(control->feed));
+    return HTTP_OK;
+}
+
+/* For nodes that start while the store does not answer them. */
+static unsigned
+answer_copy(void *context, const char *target, mv_buffer_t *body)
+{
+    const mv_tags_control_t *control = context;
+    if (strcmp(target, MV_COPY_TARGET) != 0) {
+        return HTTP_NOT_FOUND;
+    }
+    if (MvReplica_Revision(control->replica) == 0 ||
+        !MvReplica_EncodePublic(control->replica, body)) {
+        return HTTP_UNAVAILABLE;
+    }
+    return HTTP_OK;
+}
+
+char *
+MvTagsAnswers_State(mv_tags_control_t *control)
+{
+    mv_tags_daemon_t *daemon = &control->daemon;
+    json_t *counters = MvCounters_ToJson(&daemon->counters);
+    char *text = json_dumps(counters, JSON_INDENT(2));
+    __atomic_store_n(&daemon->wants_dump, true, __ATOMIC_RELEASE);
+    pthread_mutex_lock(&daemon->dump_lock);
+    char *state = g_strdup_printf(
+        "{\"node\": \"%s\", \"revision\": %" PRIu64
+        ", \"watches\": %s, \"near_nodes\": %u,\n\"counters\": %s,\n"
+        "\"forwarder\": %s}\n",
+        daemon->settings->name, MvReplica_Revision(control->replica),
+        MvFeed_Watches(control->feed) ? "true" : "false",
+        MvFeed_NearNodes(control->feed), text,
+        daemon->dump ? daemon->dump : "null");
+    pthread_mutex_unlock(&daemon->dump_lock);
+    free(text);
+    json_decref(counters);
+    return state;
+}
+
+/* An address that the settings may leave out. */
+static bool
+serve_extra(mv_tags_control_t *control, uint16_t port,
+            mv_http1_handler_t handler, mv_http1_server_t **server,
+            GError **error)
+{
+    if (port > 0) {
+        *server = MvHttp1_Serve(control->loop,
+                                control->daemon.settings->self.address, port,
+                                handler, control, error);
+    }
+    return port == 0 || *server;
+}
+
+void
+MvTagsAnswers_Sweep(const mv_tags_control_t *control, mv_time_t now)
+{
+    mv_http1_server_t *servers[] = {control->health, control->metrics,
+                                    control->copy};
+    for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
+        if (servers[i]) {
+            MvHttp1_Sweep(servers[i], now);
+        }
+    }
+}
+
+bool
+MvTagsAnswers_Serve(mv_tags_control_t *control, GError **error)
+{
+    const mv_settings_t *settings = control->daemon.settings;
+    control->health =
+        MvHttp1_Serve(control->loop, settings->self.address,
+                      settings->health_port, answer_health, control, error);
+    return control->health &&
+           serve_extra(control, settings->metrics_port, answer_metrics,
+                       &control->metrics, error) &&
+           serve_extra(control, settings->copy_port, answer_copy,
+                       &control->copy, error);
+}
--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -1,13 +1,11 @@
 /* The control thread in the mode "tags": store, directory, health address. */
 #include <signal.h>
-#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
 
 #include "platform.h"
-#include "seeds.h"
-#include "tags_mode.h"
+#include "tags_control.h"
 
 #define MAX_DESCRIPTORS 256
 #define LONGEST_WAIT (250 * MV_MILLISECOND)
@@ -27,37 +25,6 @@
 /* Announcements that vanished while the store was away are back by then. */
 #define RETURN_LIMIT (2200 * MV_MILLISECOND)
 
-typedef struct control {
-    mv_tags_daemon_t daemon;
-    apr_pool_t *pool;
-    mv_loop_t *loop;
-    mv_store_t *store;
-    mv_replica_t *replica;
-    mv_follower_t *follower;
-    mv_feed_t *feed;
-    mv_registration_t *registration;
-    mv_keyring_t *keyring;
-    mv_links_t *links;
-    mv_directory_t *directory;
-    mv_http1_server_t *health;
-    mv_http1_server_t *metrics;
-    mv_http1_server_t *copy;
-    mv_seeds_t *seeds;
-    mv_time_t stop_limit;
-    struct timespec read_at;
-    mv_time_t next_look;
-    GRand *random;
-    bool is_changed;
-    mv_time_t dump_at;
-    bool was_reachable;
-    bool is_stopping;
-    bool was_ready;
-    mv_time_t lost_at;
-    mv_time_t stop_began;
-    mv_time_t next_sweep;
-    mv_time_t asleep;
-} control_t;
-
 static volatile sig_atomic_t stop_signals;
 static volatile sig_atomic_t dump_signals;
 static volatile sig_atomic_t reload_signals;
@@ -77,234 +44,8 @@
     }
 }
 
-/* State of both threads as JSON, that of the other thread as it last wrote
- * it; freed with g_free(). */
-static char *
-state_text(control_t *control)
-{
-    mv_tags_daemon_t *daemon = &control->daemon;
-    json_t *counters = MvCounters_ToJson(&daemon->counters);
-    char *text = json_dumps(counters, JSON_INDENT(2));
-    __atomic_store_n(&daemon->wants_dump, true, __ATOMIC_RELEASE);
-    pthread_mutex_lock(&daemon->dump_lock);
-    char *state = g_strdup_printf(
-        "{\"node\": \"%s\", \"revision\": %" PRIu64
-        ", \"watches\": %s, \"near_nodes\": %u,\n\"counters\": %s,\n"
-        "\"forwarder\": %s}\n",
-        daemon->settings->name, MvReplica_Revision(control->replica),
-        MvFeed_Watches(control->feed) ? "true" : "false",
-        MvFeed_NearNodes(control->feed), text,
-        daemon->dump ? daemon->dump : "null");
-    pthread_mutex_unlock(&daemon->dump_lock);
-    free(text);
-    json_decref(counters);
-    return state;
-}
-
-/* What the store tells */
-
-static void
-log_server(control_t *control, int event, const mv_store_item_t *item)
-{
-    if (event) {
-        MvLog_Write(control->daemon.log, (mv_log_event_t)event,
-                    "server=%s revision=%" PRIu64, item->key, item->revision);
-    }
-}
-
-static void
-take_routing(control_t *control, mv_routing_t *routing, uint64_t revision)
-{
-    uint64_t version = routing->version;
-    unsigned routes = routing->routes->len;
-    uint64_t before = MvDirectory_Version(control->directory);
-    bool is_newer = MvDirectory_Route(control->directory, routing);
-    MvLog_Write(control->daemon.log,
-                is_newer ? MV_EVENT_CONFIG_IN_FORCE : MV_EVENT_CONFIG_OLDER,
-                "version=%" PRIu64 " before=%" PRIu64 " revision=%" PRIu64
-                " routes=%u",
-                version, before, revision, routes);
-}
-
-static void
-take_item(void *context, const mv_store_item_t *item)
-{
-    control_t *control = context;
-    GError *error = NULL;
-    mv_time_t now = g_get_monotonic_time();
-    mv_notice_t notice = MvPlatform_Decode(
-        item->key, item->deleted ? NULL : item->value, item->length, &error);
-    control->is_changed = control->is_changed || notice.kind;
-    if (g_str_has_prefix(item->key, MV_NODE_PREFIX)) {
-        MvFeed_Learn(control->feed, now, item->key,
-                     item->deleted ? NULL : item->value);
-    }
-    if (error) {
-        MvLog_Write(control->daemon.log, MV_EVENT_ITEM_UNREADABLE,
-                    "revision=%" PRIu64 " why=\"%s\"", item->revision,
-                    error->message);
-        g_clear_error(&error);
-    }
-    if (notice.routing) {
-        take_routing(control, notice.routing, item->revision);
-    }
-    if (notice.kind == MV_NOTICE_SERVER) {
-        int event =
-            notice.is_readable
-                ? MvDirectory_Announce(control->directory, now, item->key,
-                                       &notice.server)
-                : MvDirectory_Withdraw(control->directory, now, item->key);
-        log_server(control, event, item);
-    }
-}
-
-static void
-publish(control_t *control, mv_time_t now)
-{
-    if (!control->is_changed) {
-        return;
-    }
-    control->is_changed = false;
-    MvDirectory_SetNearNodes(control->directory,
-                             MvFeed_NearNodes(control->feed));
-    mv_table_t *table = MvDirectory_Table(control->directory, now);
-    MvTable_Destroy(__atomic_exchange_n(&control->daemon.next_table, table,
-                                        __ATOMIC_ACQ_REL));
-}
-
-/* Words between nodes */
-
-static void
-send_message(void *context, mv_node_id_t to, const mv_message_t *message)
-{
-    const control_t *control = context;
-    if (control->links) {
-        MvLinks_Send(control->links, to, message);
-    }
-}
-
-static void
-meet(void *context, const mv_neighbour_t *neighbour)
-{
-    const control_t *control = context;
-    if (control->links) {
-        MvLinks_AddPeer(control->links, neighbour->id, neighbour->address,
-                        neighbour->port);
-    }
-}
-
-static void
-log_role(void *context, bool watches, unsigned rank)
-{
-    const control_t *control = context;
-    MvLog_Write(control->daemon.log, MV_EVENT_WATCH_ROLE,
-                "watches=%d rank=%u near_nodes=%u revision=%" PRIu64, watches,
-                rank, MvFeed_NearNodes(control->feed),
-                MvReplica_Revision(control->replica));
-}
-
-static const mv_feed_ops_t feed_ops = {
-    .send = send_message,
-    .meet = meet,
-    .role = log_role,
-};
-
-static void
-take_message(void *context, const mv_message_t *message)
-{
-    const control_t *control = context;
-    MvFeed_Message(control->feed, g_get_monotonic_time(), message);
-}
-
-static void
-take_command(void *context, const char *command, size_t length,
-             mv_reply_t *reply)
-{
-    control_t *control = context;
-    (void)length;
-    const char unknown[] = "{\"error\":\"unknown command\"}";
-    if (strcmp(command, "dump") != 0) {
-        MvReply_Send(reply, unknown, sizeof(unknown) - 1);
-        return;
-    }
-    char *text = state_text(control);
-    MvReply_Send(reply, text, strlen(text));
-    g_free(text);
-}
-
-static const mv_links_ops_t links_ops = {
-    .message = take_message,
-    .command = take_command,
-};
-
-static char *
-random_keys(void *context)
-{
-    unsigned char key[MV_KEY_BYTES];
-    char hex[2 * MV_KEY_BYTES + 1];
-    (void)context;
-    randombytes_buf(key, sizeof(key));
-    sodium_bin2hex(hex, sizeof(hex), key, sizeof(key));
-    sodium_memzero(key, sizeof(key));
-    return g_strdup_printf("1 %s\n", hex);
-}
-
-static bool
-open_links(control_t *control, mv_node_id_t id, GError **error)
-{
-    const mv_settings_t *settings = control->daemon.settings;
-    mv_findings_t *findings = MvFindings_Create();
-    const char *text = MvReplica_Value(control->replica, MV_NODE_KEYS, NULL);
-    control->keyring = MvKeyring_Parse(MV_NODE_KEYS, text,
-                                       settings->store_addresses, findings);
-    if (!control->keyring) {
-        g_set_error(error, MV_ERROR, MV_ERROR_INPUT, "%s",
-                    MvFindings_Get(findings, 0));
-    }
-    MvFindings_Destroy(findings);
-    if (!control->keyring) {
-        return false;
-    }
-    const mv_links_settings_t links = {
-        .address = settings->self.address,
-        .port = settings->self.control_port,
-        .keyring = control->keyring,
-        .id = id,
-        .first_sequence = (uint64_t)g_get_real_time(),
-        .counters = &control->daemon.counters,
-        .log = control->daemon.log,
-    };
-    control->links =
-        MvLinks_Create(control->loop, &links, &links_ops, control, error);
-    return control->links != NULL;
-}
-
-/* Without links this node goes on watching for itself. */
-static void
-registered(void *context, mv_node_id_t id)
-{
-    control_t *control = context;
-    GError *error = NULL;
-    if (control->links) {
-        return;
-    }
-    if (!open_links(control, id, &error)) {
-        MvLog_Write(control->daemon.log, MV_EVENT_LINKS_FAILED, "why=\"%s\"",
-                    error->message);
-        g_clear_error(&error);
-        return;
-    }
-    MvFeed_SetSelf(control->feed, g_get_monotonic_time(), id);
-    MvLog_Write(control->daemon.log, MV_EVENT_NODE_REGISTERED, "id=%u", id);
-}
-
-static const mv_registration_ops_t registration_ops = {
-    .random_keys = random_keys,
-    .registered = registered,
-};
-
 static void
-note_reachable(control_t *control, mv_time_t now)
+note_reachable(mv_tags_control_t *control, mv_time_t now)
 {
     bool reachable = MvFollower_IsReachable(control->follower);
     if (reachable == control->was_reachable ||
@@ -325,75 +66,10 @@
                                  : 0);
 }
 
-/* Health address */
-
-static bool
-is_ready(const control_t *control)
-{
-    return !control->is_stopping &&
-           MvDirectory_Version(control->directory) > 0 &&
-           MvDirectory_UsableServers(control->directory) > 0;
-}
-
-static unsigned
-answer_health(void *context, const char *target, mv_buffer_t *body)
-{
-    const control_t *control = context;
-    (void)body;
-    if (!MvPlatform_IsReadyTarget(target)) {
-        return 404;
-    }
-    return is_ready(control) ? 200 : 503;
-}
-
-static unsigned
-answer_metrics(void *context, const char *target, mv_buffer_t *body)
-{
-    control_t *control = context;
-    if (strcmp(target, "/metrics") != 0) {
-        return 404;
-    }
-    mv_time_t now = g_get_monotonic_time();
-    MvCounters_Expose(&control->daemon.counters, body);
-    MvCounters_ExposeGauge(body, "config_version", "configuration in force",
-                           (double)MvDirectory_Version(control->directory));
-    MvCounters_ExposeGauge(
-        body, "servers_usable", "backend servers that take new flows",
-        (double)MvDirectory_UsableServers(control->directory));
-    MvCounters_ExposeGauge(body, "store_revision",
-                           "every change up to it is known",
-                           (double)MvReplica_Revision(control->replica));
-    MvCounters_ExposeGauge(body, "store_watching",
-                           "1 while this node calls the store",
-                           MvFeed_Watches(control->feed));
-    MvCounters_ExposeGauge(body, "knowledge_age_seconds",
-                           "since the store or a fresh neighbour was heard",
-                           (double)MvFeed_KnowledgeAge(control->feed, now) /
-                               MV_SECOND);
-    MvCounters_ExposeGauge(body, "near_nodes", "entry VMs of this data centre",
-                           MvFeed_NearNodes(control->feed));
-    return 200;
-}
-
-/* For nodes that start while the store does not answer them. */
-static unsigned
-answer_copy(void *context, const char *target, mv_buffer_t *body)
-{
-    const control_t *control = context;
-    if (strcmp(target, MV_COPY_TARGET) != 0) {
-        return 404;
-    }
-    if (MvReplica_Revision(control->replica) == 0 ||
-        !MvReplica_EncodePublic(control->replica, body)) {
-        return 503;
-    }
-    return 200;
-}
-
 /* Settings */
 
 static bool
-is_file_changed(control_t *control)
+is_file_changed(mv_tags_control_t *control)
 {
     struct stat status;
     if (stat(control->daemon.settings->path, &status) != 0) {
@@ -407,7 +83,7 @@
 
 /* Addresses and names hold for the life of the process. */
 static void
-reload(control_t *control)
+reload(mv_tags_control_t *control)
 {
     mv_tags_daemon_t *daemon = &control->daemon;
     mv_findings_t *findings = MvFindings_Create();
@@ -431,7 +107,7 @@
 }
 
 static void
-watch_settings(control_t *control, mv_time_t now)
+watch_settings(mv_tags_control_t *control, mv_time_t now)
 {
     bool asked = reload_signals > 0;
     if (!asked && now < control->next_look) {
@@ -447,10 +123,10 @@
 /* Signals */
 
 static void
-dump_to_file(control_t *control)
+dump_to_file(mv_tags_control_t *control)
 {
     mv_tags_daemon_t *daemon = &control->daemon;
-    char *state = state_text(control);
+    char *state = MvTagsAnswers_State(control);
     const char *path = daemon->settings->dump_file;
     if (*path) {
         g_file_set_contents(path, state, -1, NULL);
@@ -463,7 +139,7 @@
 }
 
 static void
-take_signals(control_t *control, mv_time_t now)
+take_signals(mv_tags_control_t *control, mv_time_t now)
 {
     if (dump_signals > 0) {
         dump_signals = 0;
@@ -483,7 +159,7 @@
 }
 
 static bool
-should_end(const control_t *control, mv_time_t now)
+should_end(const mv_tags_control_t *control, mv_time_t now)
 {
     if (!control->is_stopping) {
         return false;
@@ -497,7 +173,7 @@
 
 /* A pause of the whole process: what was known is old. */
 static void
-note_pause(control_t *control, mv_time_t now)
+note_pause(mv_tags_control_t *control, mv_time_t now)
 {
     struct timespec boot;
     clock_gettime(CLOCK_BOOTTIME, &boot);
@@ -512,13 +188,12 @@
 }
 
 static mv_time_t
-run_timers(control_t *control, mv_time_t now)
+run_timers(mv_tags_control_t *control, mv_time_t now)
 {
     mv_time_t next = MvFeed_Timer(control->feed, now);
     next = MIN(next, MvFollower_Timer(control->follower, now));
-    next = MIN(next,
-               MvSeeds_Timer(control->seeds, now,
-                             !MvFollower_IsComplete(control->follower)));
+    next = MIN(next, MvSeeds_Timer(control->seeds, now,
+                                   !MvFollower_IsComplete(control->follower)));
     if (MvFollower_IsComplete(control->follower) &&
         control->daemon.settings->self.control_port > 0) {
         next = MIN(next, MvRegistration_Timer(control->registration, now));
@@ -527,19 +202,7 @@
 }
 
 static void
-sweep_servers(const control_t *control, mv_time_t now)
-{
-    mv_http1_server_t *servers[] = {control->health, control->metrics,
-                                    control->copy};
-    for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
-        if (servers[i]) {
-            MvHttp1_Sweep(servers[i], now);
-        }
-    }
-}
-
-static void
-loop(control_t *control)
+loop(mv_tags_control_t *control)
 {
     mv_time_t now = g_get_monotonic_time();
     while (!should_end(control, now)) {
@@ -548,38 +211,25 @@
         now = g_get_monotonic_time();
         note_pause(control, now);
         MvStore_Poll(control->store, 0);
-        publish(control, now);
+        MvTagsKnowledge_Publish(control, now);
         note_reachable(control, now);
         take_signals(control, now);
         watch_settings(control, now);
-        if (is_ready(control) != control->was_ready) {
+        if (MvTagsAnswers_IsReady(control) != control->was_ready) {
             control->was_ready = !control->was_ready;
             MvLog_Write(control->daemon.log, MV_EVENT_NODE_READY, "ready=%d",
                         control->was_ready);
         }
         if (now >= control->next_sweep) {
             control->next_sweep = now + SWEEP_INTERVAL;
-            sweep_servers(control, now);
+            MvTagsAnswers_Sweep(control, now);
             control->is_changed = true;
         }
     }
 }
 
-/* An address that the settings may leave out. */
-static bool
-serve_extra(control_t *control, uint16_t port, mv_http1_handler_t handler,
-            mv_http1_server_t **server, GError **error)
-{
-    if (port > 0) {
-        *server = MvHttp1_Serve(control->loop,
-                                control->daemon.settings->self.address, port,
-                                handler, control, error);
-    }
-    return port == 0 || *server;
-}
-
 static bool
-create_parts(control_t *control, GError **error)
+create_parts(mv_tags_control_t *control, GError **error)
 {
     const mv_settings_t *settings = control->daemon.settings;
     mv_directory_settings_t directory = {.keep = settings->flow_limit,
@@ -587,7 +237,7 @@
     mv_follower_settings_t follower = MvFollowerSettings_Default();
     g_strlcpy(directory.data_centre, settings->data_centre, MV_NAME_MAX);
     control->directory = MvDirectory_Create(&directory);
-    control->replica = MvReplica_Create(take_item, control);
+    control->replica = MvReplica_Create(MvTagsKnowledge_Take, control);
     control->store =
         MvPlatform_CreateStore(control->loop, settings->store_addresses,
                                &control->daemon.counters, error);
@@ -599,28 +249,21 @@
     const mv_feed_settings_t feed =
         MvFeedSettings_Default(settings->data_centre);
     control->feed = MvFeed_Create(&feed, control->replica, control->follower,
-                                  &feed_ops, control);
+                                  MvTagsKnowledge_FeedOps(), control);
     control->seeds =
         MvSeeds_Create(control->loop, settings->seeds, settings->self.address,
                        control->replica, control->daemon.log);
     mv_neighbour_t self = {.port = settings->self.control_port};
     g_strlcpy(self.data_centre, settings->data_centre, MV_NAME_MAX);
     g_strlcpy(self.address, settings->self.address, sizeof(self.address));
-    control->registration =
-        MvRegistration_Create(&self, control->store, control->replica,
-                              control->random, &registration_ops, control);
-    control->health =
-        MvHttp1_Serve(control->loop, settings->self.address,
-                      settings->health_port, answer_health, control, error);
-    return control->health &&
-           serve_extra(control, settings->metrics_port, answer_metrics,
-                       &control->metrics, error) &&
-           serve_extra(control, settings->copy_port, answer_copy,
-                       &control->copy, error);
+    control->registration = MvRegistration_Create(
+        &self, control->store, control->replica, control->random,
+        MvTagsKnowledge_RegistrationOps(), control);
+    return MvTagsAnswers_Serve(control, error);
 }
 
 static void
-close_all(control_t *control)
+close_all(mv_tags_control_t *control)
 {
     MvHttp1_StopServing(control->health);
     MvHttp1_StopServing(control->metrics);
@@ -643,11 +286,11 @@
 int
 MvTagsControl_Run(const mv_settings_t *settings, mv_log_t *log, GError **error)
 {
-    control_t control = {.daemon = {.settings = settings,
-                                    .log = log,
-                                    .fabric = MvPlatform_Fabric()},
-                         .stop_limit = settings->stop_limit,
-                         .random = g_rand_new()};
+    mv_tags_control_t control = {.daemon = {.settings = settings,
+                                            .log = log,
+                                            .fabric = MvPlatform_Fabric()},
+                                 .stop_limit = settings->stop_limit,
+                                 .random = g_rand_new()};
     mv_tags_packets_t *packets = NULL;
     pthread_mutex_init(&control.daemon.dump_lock, NULL);
     apr_pool_create(&control.pool, NULL);
--- /dev/null
+++ b/packages/masticvaned/src/tags_control.h
@@ -0,0 +1,84 @@
+/**
+ * DOC: State of the control thread in the mode "tags", shared by its files.
+ *
+ * tags_control.c    the loop, signals, settings, start and stop
+ * tags_knowledge.c  keys of the store, words between nodes, registration
+ * tags_answers.c    health address, metrics, copy for others, state dump
+ */
+#ifndef MASTICVANED_TAGS_CONTROL_H
+#define MASTICVANED_TAGS_CONTROL_H
+
+#include "seeds.h"
+#include "tags_mode.h"
+
+/**
+ * struct mv_tags_control - The control thread.
+ * @daemon: shared with the traffic thread
+ * @is_changed: the traffic thread needs a new table
+ * @dump_at: when the state asked for by a signal is written, 0 for never
+ * @lost_at: when the store became unreachable
+ * @stop_began: when the planned stop began
+ * @stop_limit: longest planned stop
+ * @read_at: modification time of the settings that are in force
+ * @asleep: boot-time clock minus steady clock
+ */
+typedef struct mv_tags_control {
+    mv_tags_daemon_t daemon;
+    apr_pool_t *pool;
+    mv_loop_t *loop;
+    mv_store_t *store;
+    mv_replica_t *replica;
+    mv_follower_t *follower;
+    mv_feed_t *feed;
+    mv_registration_t *registration;
+    mv_keyring_t *keyring;
+    mv_links_t *links;
+    mv_directory_t *directory;
+    mv_http1_server_t *health;
+    mv_http1_server_t *metrics;
+    mv_http1_server_t *copy;
+    mv_seeds_t *seeds;
+    mv_time_t stop_limit;
+    struct timespec read_at;
+    mv_time_t next_look;
+    GRand *random;
+    bool is_changed;
+    mv_time_t dump_at;
+    bool was_reachable;
+    bool is_stopping;
+    bool was_ready;
+    mv_time_t lost_at;
+    mv_time_t stop_began;
+    mv_time_t next_sweep;
+    mv_time_t asleep;
+} mv_tags_control_t;
+
+/** MvTagsKnowledge_Take() - A key of the store changed; mv_replica_changed_t.
+ */
+void MvTagsKnowledge_Take(void *control, const mv_store_item_t *item);
+
+/** MvTagsKnowledge_Publish() - Hand a new table over when one is needed. */
+void MvTagsKnowledge_Publish(mv_tags_control_t *control, mv_time_t now);
+
+/** MvTagsKnowledge_FeedOps() - Actions of the feed; static. */
+const mv_feed_ops_t *MvTagsKnowledge_FeedOps(void);
+
+/** MvTagsKnowledge_RegistrationOps() - Actions of registration; static. */
+const mv_registration_ops_t *MvTagsKnowledge_RegistrationOps(void);
+
+/** MvTagsAnswers_IsReady() - The fabric may send packets here. */
+bool MvTagsAnswers_IsReady(const mv_tags_control_t *control);
+
+/** MvTagsAnswers_Serve() - Open the addresses; false with @error set. */
+bool MvTagsAnswers_Serve(mv_tags_control_t *control, GError **error);
+
+/** MvTagsAnswers_Sweep() - Close connections that are idle. */
+void MvTagsAnswers_Sweep(const mv_tags_control_t *control, mv_time_t now);
+
+/**
+ * MvTagsAnswers_State() - State of both threads as JSON, the other one's as it
+ * last wrote it; freed with g_free().
+ */
+char *MvTagsAnswers_State(mv_tags_control_t *control);
+
+#endif
--- /dev/null
+++ b/packages/masticvaned/src/tags_knowledge.c
@@ -0,0 +1,219 @@
+/* Keys of the store, words between nodes, registration. */
+#include <sodium.h>
+#include <string.h>
+
+#include "platform.h"
+#include "tags_control.h"
+
+static void
+log_server(mv_tags_control_t *control, int event, const mv_store_item_t *item)
+{
+    if (event) {
+        MvLog_Write(control->daemon.log, (mv_log_event_t)event,
+                    "server=%s revision=%" PRIu64, item->key, item->revision);
+    }
+}
+
+static void
+take_routing(mv_tags_control_t *control, mv_routing_t *routing,
+             uint64_t revision)
+{
+    uint64_t version = routing->version;
+    unsigned routes = routing->routes->len;
+    uint64_t before = MvDirectory_Version(control->directory);
+    bool is_newer = MvDirectory_Route(control->directory, routing);
+    MvLog_Write(control->daemon.log,
+                is_newer ? MV_EVENT_CONFIG_IN_FORCE : MV_EVENT_CONFIG_OLDER,
+                "version=%" PRIu64 " before=%" PRIu64 " revision=%" PRIu64
+                " routes=%u",
+                version, before, revision, routes);
+}
+
+void
+MvTagsKnowledge_Take(void *context, const mv_store_item_t *item)
+{
+    mv_tags_control_t *control = context;
+    GError *error = NULL;
+    mv_time_t now = g_get_monotonic_time();
+    mv_notice_t notice = MvPlatform_Decode(
+        item->key, item->deleted ? NULL : item->value, item->length, &error);
+    control->is_changed = control->is_changed || notice.kind;
+    if (g_str_has_prefix(item->key, MV_NODE_PREFIX)) {
+        MvFeed_Learn(control->feed, now, item->key,
+                     item->deleted ? NULL : item->value);
+    }
+    if (error) {
+        MvLog_Write(control->daemon.log, MV_EVENT_ITEM_UNREADABLE,
+                    "revision=%" PRIu64 " why=\"%s\"", item->revision,
+                    error->message);
+        g_clear_error(&error);
+    }
+    if (notice.routing) {
+        take_routing(control, notice.routing, item->revision);
+    }
+    if (notice.kind == MV_NOTICE_SERVER) {
+        int event =
+            notice.is_readable
+                ? MvDirectory_Announce(control->directory, now, item->key,
+                                       &notice.server)
+                : MvDirectory_Withdraw(control->directory, now, item->key);
+        log_server(control, event, item);
+    }
+}
+
+void
+MvTagsKnowledge_Publish(mv_tags_control_t *control, mv_time_t now)
+{
+    if (!control->is_changed) {
+        return;
+    }
+    control->is_changed = false;
+    MvDirectory_SetNearNodes(control->directory,
+                             MvFeed_NearNodes(control->feed));
+    mv_table_t *table = MvDirectory_Table(control->directory, now);
+    MvTable_Destroy(__atomic_exchange_n(&control->daemon.next_table, table,
+                                        __ATOMIC_ACQ_REL));
+}
+
+/* Words between nodes */
+
+static void
+send_message(void *context, mv_node_id_t to, const mv_message_t *message)
+{
+    const mv_tags_control_t *control = context;
+    if (control->links) {
+        MvLinks_Send(control->links, to, message);
+    }
+}
+
+static void
+meet(void *context, const mv_neighbour_t *neighbour)
+{
+    const mv_tags_control_t *control = context;
+    if (control->links) {
+        MvLinks_AddPeer(control->links, neighbour->id, neighbour->address,
+                        neighbour->port);
+    }
+}
+
+static void
+log_role(void *context, bool watches, unsigned rank)
+{
+    const mv_tags_control_t *control = context;
+    MvLog_Write(control->daemon.log, MV_EVENT_WATCH_ROLE,
+                "watches=%d rank=%u near_nodes=%u revision=%" PRIu64, watches,
+                rank, MvFeed_NearNodes(control->feed),
+                MvReplica_Revision(control->replica));
+}
+
+static const mv_feed_ops_t feed_ops = {
+    .send = send_message,
+    .meet = meet,
+    .role = log_role,
+};
+
+static void
+take_message(void *context, const mv_message_t *message)
+{
+    const mv_tags_control_t *control = context;
+    MvFeed_Message(control->feed, g_get_monotonic_time(), message);
+}
+
+static void
+take_command(void *context, const char *command, size_t length,
+             mv_reply_t *reply)
+{
+    mv_tags_control_t *control = context;
+    (void)length;
+    const char unknown[] = "{\"error\":\"unknown command\"}";
+    if (strcmp(command, "dump") != 0) {
+        MvReply_Send(reply, unknown, sizeof(unknown) - 1);
+        return;
+    }
+    char *text = MvTagsAnswers_State(control);
+    MvReply_Send(reply, text, strlen(text));
+    g_free(text);
+}
+
+static const mv_links_ops_t links_ops = {
+    .message = take_message,
+    .command = take_command,
+};
+
+static char *
+random_keys(void *context)
+{
+    unsigned char key[MV_KEY_BYTES];
+    char hex[2 * MV_KEY_BYTES + 1];
+    (void)context;
+    randombytes_buf(key, sizeof(key));
+    sodium_bin2hex(hex, sizeof(hex), key, sizeof(key));
+    sodium_memzero(key, sizeof(key));
+    return g_strdup_printf("1 %s\n", hex);
+}
+
+static bool
+open_links(mv_tags_control_t *control, mv_node_id_t id, GError **error)
+{
+    const mv_settings_t *settings = control->daemon.settings;
+    mv_findings_t *findings = MvFindings_Create();
+    const char *text = MvReplica_Value(control->replica, MV_NODE_KEYS, NULL);
+    control->keyring = MvKeyring_Parse(MV_NODE_KEYS, text,
+                                       settings->store_addresses, findings);
+    if (!control->keyring) {
+        g_set_error(error, MV_ERROR, MV_ERROR_INPUT, "%s",
+                    MvFindings_Get(findings, 0));
+    }
+    MvFindings_Destroy(findings);
+    if (!control->keyring) {
+        return false;
+    }
+    const mv_links_settings_t links = {
+        .address = settings->self.address,
+        .port = settings->self.control_port,
+        .keyring = control->keyring,
+        .id = id,
+        .first_sequence = (uint64_t)g_get_real_time(),
+        .counters = &control->daemon.counters,
+        .log = control->daemon.log,
+    };
+    control->links =
+        MvLinks_Create(control->loop, &links, &links_ops, control, error);
+    return control->links != NULL;
+}
+
+/* Without links this node goes on watching for itself. */
+static void
+registered(void *context, mv_node_id_t id)
+{
+    mv_tags_control_t *control = context;
+    GError *error = NULL;
+    if (control->links) {
+        return;
+    }
+    if (!open_links(control, id, &error)) {
+        MvLog_Write(control->daemon.log, MV_EVENT_LINKS_FAILED, "why=\"%s\"",
+                    error->message);
+        g_clear_error(&error);
+        return;
+    }
+    MvFeed_SetSelf(control->feed, g_get_monotonic_time(), id);
+    MvLog_Write(control->daemon.log, MV_EVENT_NODE_REGISTERED, "id=%u", id);
+}
+
+static const mv_registration_ops_t registration_ops = {
+    .random_keys = random_keys,
+    .registered = registered,
+};
+
+const mv_feed_ops_t *
+MvTagsKnowledge_FeedOps(void)
+{
+    return &feed_ops;
+}
+
+const mv_registration_ops_t *
+MvTagsKnowledge_RegistrationOps(void)
+{
+    return &registration_ops;
+}
--- a/packages/masticvaned/src/tags_mode.h
+++ b/packages/masticvaned/src/tags_mode.h
@@ -1,7 +1,7 @@
 /**
  * DOC: The daemon in the forwarding mode "tags".
  *
- * tags_control.c  the control thread: store, directory, health address
+ * tags_control.c  the control thread, see tags_control.h
  * tags_packets.c  the traffic thread: packets and the forwarder
  */
 #ifndef MASTICVANED_TAGS_MODE_H
--- a/packages/net/src/http1.c
+++ b/packages/net/src/http1_client.c
@@ -1,59 +1,14 @@
-/* HTTP/1.1 over the event loop: a client, and a server for short answers. */
-#include "masticvane/net.h"
-
+/* HTTP/1.1 client over the event loop; connections are kept. */
 #include <apr_network_io.h>
 #include <http_parser.h>
 #include <string.h>
-#include <sys/socket.h>
-
-#define READ_BYTES 16384
-#define MAX_IDLE 4
-#define SERVER_MAX_CONNECTIONS 64
-#define SERVER_MAX_TARGET 1024
-#define SERVER_IDLE_LIMIT (30 * MV_SECOND)
 
-/* Shared by both sides: a socket with what waits to go out. */
-typedef struct stream {
-    mv_watch_t watch;
-    mv_loop_t *loop;
-    apr_pool_t *pool;
-    apr_socket_t *socket;
-    mv_buffer_t out;
-} stream_t;
+#include "stream.h"
 
-static void
-stream_close(stream_t *stream)
-{
-    MvLoop_Watch(stream->loop, &stream->watch, stream->socket, 0);
-    MvBuffer_Clear(&stream->out);
-    apr_socket_close(stream->socket);
-    apr_pool_destroy(stream->pool);
-}
-
-/* Return: false when the connection failed. */
-static bool
-stream_flush(stream_t *stream)
-{
-    while (stream->out.length > 0) {
-        apr_size_t length = stream->out.length;
-        apr_status_t status = apr_socket_send(
-            stream->socket, (const char *)stream->out.data, &length);
-        MvBuffer_Consume(&stream->out, length);
-        if (APR_STATUS_IS_EAGAIN(status)) {
-            break;
-        }
-        if (status != APR_SUCCESS) {
-            return false;
-        }
-    }
-    int events = APR_POLLIN | (stream->out.length > 0 ? APR_POLLOUT : 0);
-    return MvLoop_Watch(stream->loop, &stream->watch, stream->socket, events);
-}
-
-/* Client */
+#define MAX_IDLE 4
 
 typedef struct connection {
-    stream_t stream;
+    mv_stream_t stream;
     mv_list_t link;
     mv_http1_client_t *client;
     struct call *call;
@@ -88,7 +43,7 @@
 free_connection(connection_t *connection)
 {
     MvList_Remove(&connection->link);
-    stream_close(&connection->stream);
+    MvStream_Close(&connection->stream);
     g_free(connection);
 }
 
@@ -217,12 +172,12 @@
 static void
 client_ready(mv_watch_t *watch, int events)
 {
-    stream_t *stream = MV_CONTAINER_OF(watch, stream_t, watch);
+    mv_stream_t *stream = MV_CONTAINER_OF(watch, mv_stream_t, watch);
     connection_t *connection = MV_CONTAINER_OF(stream, connection_t, stream);
-    char bytes[READ_BYTES];
+    char bytes[MV_STREAM_READ_BYTES];
     if (connection->call && (events & APR_POLLOUT)) {
         size_t before = stream->out.length;
-        bool good = stream_flush(stream);
+        bool good = MvStream_Flush(stream);
         if (stream->out.length < before) {
             connection->call->sent = true;
         }
@@ -265,10 +220,10 @@
     MvNet_KeepAlive(socket);
     connection_t *connection = g_new0(connection_t, 1);
     connection->client = client;
-    connection->stream = (stream_t){.watch.ready = client_ready,
-                                    .loop = client->loop,
-                                    .pool = pool,
-                                    .socket = socket};
+    connection->stream = (mv_stream_t){.watch.ready = client_ready,
+                                       .loop = client->loop,
+                                       .pool = pool,
+                                       .socket = socket};
     MvList_Init(&connection->link);
     return connection;
 }
@@ -349,10 +304,10 @@
              mv_time_t now, mv_http1_done_t done, void *context)
 {
     call_t *call = g_new0(call_t, 1);
-    *call = (call_t){.client = client,
-                     .deadline = now + request->timeout,
-                     .done = done,
-                     .context = context};
+    call->client = client;
+    call->deadline = now + request->timeout;
+    call->done = done;
+    call->context = context;
     MvList_Append(&client->calls, &call->link);
     connection_t *connection = take_connection(client);
     if (!connection) {
@@ -386,202 +341,3 @@
     }
     return next;
 }
-
-/* Server */
-
-typedef struct session {
-    stream_t stream;
-    mv_list_t link;
-    mv_http1_server_t *server;
-    http_parser parser;
-    mv_time_t heard;
-    char target[SERVER_MAX_TARGET];
-    size_t target_length;
-    bool too_long;
-} session_t;
-
-struct mv_http1_server {
-    mv_watch_t watch;
-    mv_loop_t *loop;
-    apr_pool_t *pool;
-    apr_socket_t *listener;
-    mv_list_t sessions;
-    unsigned count;
-    mv_http1_handler_t handler;
-    void *context;
-};
-
-static void
-free_session(session_t *session)
-{
-    MvList_Remove(&session->link);
-    session->server->count--;
-    stream_close(&session->stream);
-    g_free(session);
-}
-
-static int
-on_url(http_parser *parser, const char *at, size_t length)
-{
-    session_t *session = parser->data;
-    if (session->target_length + length >= sizeof(session->target)) {
-        session->too_long = true;
-        return 0;
-    }
-    memcpy(session->target + session->target_length, at, length);
-    session->target_length += length;
-    session->target[session->target_length] = '\0';
-    return 0;
-}
-
-static const char *
-reason_of(unsigned status)
-{
-    return http_status_str((enum http_status)status);
-}
-
-static int
-on_request(http_parser *parser)
-{
-    session_t *session = parser->data;
-    mv_http1_server_t *server = session->server;
-    mv_buffer_t body = {0};
-    unsigned status = HTTP_STATUS_URI_TOO_LONG;
-    if (parser->method != HTTP_GET) {
-        status = HTTP_STATUS_METHOD_NOT_ALLOWED;
-    }
-    else if (!session->too_long) {
-        status = server->handler(server->context, session->target, &body);
-    }
-    char *head = g_strdup_printf(
-        "HTTP/1.1 %u %s\r\nContent-Type: text/plain; charset=utf-8\r\n"
-        "Content-Length: %zu\r\n\r\n",
-        status, reason_of(status), body.length);
-    MvBuffer_Append(&session->stream.out, head, strlen(head));
-    MvBuffer_Append(&session->stream.out, body.data, body.length);
-    MvBuffer_Clear(&body);
-    g_free(head);
-    session->target_length = 0;
-    session->too_long = false;
-    return 0;
-}
-
-static const http_parser_settings server_settings = {
-    .on_url = on_url,
-    .on_message_complete = on_request,
-};
-
-static void
-session_ready(mv_watch_t *watch, int events)
-{
-    stream_t *stream = MV_CONTAINER_OF(watch, stream_t, watch);
-    session_t *session = MV_CONTAINER_OF(stream, session_t, stream);
-    char bytes[READ_BYTES];
-    apr_size_t length = sizeof(bytes);
-    session->heard = g_get_monotonic_time();
-    if (events & (APR_POLLIN | APR_POLLHUP | APR_POLLERR)) {
-        apr_status_t status = apr_socket_recv(stream->socket, bytes, &length);
-        if (APR_STATUS_IS_EAGAIN(status)) {
-            return;
-        }
-        if (status != APR_SUCCESS || length == 0) {
-            free_session(session);
-            return;
-        }
-        http_parser_execute(&session->parser, &server_settings, bytes, length);
-        if (HTTP_PARSER_ERRNO(&session->parser) != HPE_OK) {
-            free_session(session);
-            return;
-        }
-    }
-    if (!stream_flush(stream)) {
-        free_session(session);
-    }
-}
-
-static void
-server_ready(mv_watch_t *watch, int events)
-{
-    mv_http1_server_t *server =
-        MV_CONTAINER_OF(watch, mv_http1_server_t, watch);
-    apr_pool_t *pool = NULL;
-    apr_socket_t *socket = NULL;
-    (void)events;
-    if (apr_pool_create(&pool, NULL) != APR_SUCCESS) {
-        return;
-    }
-    if (apr_socket_accept(&socket, server->listener, pool) != APR_SUCCESS) {
-        apr_pool_destroy(pool);
-        return;
-    }
-    if (server->count >= SERVER_MAX_CONNECTIONS) {
-        apr_socket_close(socket);
-        apr_pool_destroy(pool);
-        return;
-    }
-    apr_socket_timeout_set(socket, 0);
-    apr_socket_opt_set(socket, APR_SO_NONBLOCK, 1);
-    session_t *session = g_new0(session_t, 1);
-    session->server = server;
-    session->heard = g_get_monotonic_time();
-    session->stream = (stream_t){.watch.ready = session_ready,
-                                 .loop = server->loop,
-                                 .pool = pool,
-                                 .socket = socket};
-    http_parser_init(&session->parser, HTTP_REQUEST);
-    session->parser.data = session;
-    MvList_Append(&server->sessions, &session->link);
-    server->count++;
-    MvLoop_Watch(server->loop, &session->stream.watch, socket, APR_POLLIN);
-}
-
-mv_http1_server_t *
-MvHttp1_Serve(mv_loop_t *loop, const char *address, uint16_t port,
-              mv_http1_handler_t handler, void *context, GError **error)
-{
-    mv_http1_server_t *server = g_new0(mv_http1_server_t, 1);
-    server->watch.ready = server_ready;
-    server->loop = loop;
-    server->handler = handler;
-    server->context = context;
-    MvList_Init(&server->sessions);
-    apr_pool_create(&server->pool, NULL);
-    server->listener =
-        MvNet_Listen(server->pool, address, port, SOCK_STREAM, false, error);
-    if (!server->listener) {
-        MvHttp1_StopServing(server);
-        return NULL;
-    }
-    MvLoop_Watch(loop, &server->watch, server->listener, APR_POLLIN);
-    return server;
-}
-
-void
-MvHttp1_Sweep(mv_http1_server_t *server, mv_time_t now)
-{
-    MV_LIST_FOREACH(item, &server->sessions)
-    {
-        session_t *session = MV_CONTAINER_OF(item, session_t, link);
-        if (now - session->heard > SERVER_IDLE_LIMIT) {
-            free_session(session);
-        }
-    }
-}
-
-void
-MvHttp1_StopServing(mv_http1_server_t *server)
-{
-    if (!server) {
-        return;
-    }
-    MV_LIST_FOREACH(item, &server->sessions)
-    {
-        free_session(MV_CONTAINER_OF(item, session_t, link));
-    }
-    if (server->listener) {
-        MvLoop_Watch(server->loop, &server->watch, server->listener, 0);
-        apr_socket_close(server->listener);
-    }
-    apr_pool_destroy(server->pool);
-    g_free(server);
-}
--- a/packages/replica/test/feed_test.cc
+++ b/packages/replica/test/feed_test.cc
@@ -9,6 +9,8 @@
 const mv_time_t kInForce = 2800 * MV_MILLISECOND;
 const mv_time_t kSettled = 5 * MV_SECOND;
 
+} // namespace
+
 TEST(Feed, OneNodeOfADataCentreWatchesAndAllLearn)
 {
     feed_world world(24, 3);
@@ -354,5 +356,3 @@
     MvReplica_Destroy(from);
     MvReplica_Destroy(to);
 }
-
-} // namespace
--- a/packages/replica/test/replica_test.cc
+++ b/packages/replica/test/replica_test.cc
@@ -134,6 +134,8 @@
     mv_follower_t *follower;
 };
 
+} // namespace
+
 TEST_F(Replica, NoKeyGoesBackWhoeverTells)
 {
     struct {
@@ -248,5 +250,3 @@
     store.answer(MV_STORE_DONE, 41, {item("b", "1", 4)});
     EXPECT_EQ(known.size(), 1u);
 }
-
-} // namespace
--- a/packages/store/src/store_http.c
+++ b/packages/store/src/store_http.c
@@ -157,8 +157,8 @@
 {
     http_store_t *store = (http_store_t *)base;
     char target[URL_MAX];
-    (void)snprintf(target, sizeof(target),
-                   "/v1/kv/%s?cas=%" G_GUINT64_FORMAT, key, index);
+    (void)snprintf(target, sizeof(target), "/v1/kv/%s?cas=%" G_GUINT64_FORMAT,
+                   key, index);
     const mv_http1_request_t request = {.method = "PUT",
                                         .target = target,
                                         .body = value,
--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -2,7 +2,6 @@
 #include "forwarder_private.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 #define DEFAULT_IDLE (15 * MV_SECOND)
 /* An answer that takes longer has hardly still a slot. */
@@ -16,18 +15,6 @@
  * a route or a server may become known between them. */
 #define LAST_COPY 2
 
-static guint
-hash_name(gconstpointer key)
-{
-    return (guint)XXH3_64bits(key, sizeof(mv_flow_name_t));
-}
-
-static gboolean
-equal_names(gconstpointer a, gconstpointer b)
-{
-    return memcmp(a, b, sizeof(mv_flow_name_t)) == 0;
-}
-
 mv_forwarder_t *
 MvForwarder_Create(const mv_forwarder_ops_t *ops, void *context,
                    mv_counters_t *counters, uint32_t seed)
@@ -40,7 +27,7 @@
     forwarder->standings = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     forwarder->sites = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     forwarder->flows =
-        g_hash_table_new_full(hash_name, equal_names, NULL, g_free);
+        g_hash_table_new_full(MvFlowName_Hash, MvFlowName_Equal, NULL, g_free);
     forwarder->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     MvList_Init(&forwarder->held);
@@ -95,46 +82,6 @@
     forwarder->sample = one_in;
 }
 
-/* What is told */
-
-static bool
-is_told(const mv_forwarder_t *forwarder, const mv_flow_name_t *name,
-        bool is_rare)
-{
-    return is_rare ||
-           (forwarder->sample > 0 && hash_name(name) % forwarder->sample == 0);
-}
-
-void
-MvFlow_Tell(const mv_forwarder_t *forwarder, const mv_flow_t *flow,
-            mv_time_t now, mv_log_event_t event, bool is_rare)
-{
-    if (!is_told(forwarder, &flow->name, is_rare)) {
-        return;
-    }
-    uint32_t tag = flow->tag ? flow->tag : flow->offers[flow->offer_count - 1];
-    const mv_standing_t *standing = MvStanding_Find(forwarder, tag);
-    int position = MvTable_Server(forwarder->table, tag);
-    const mv_flow_decision_t decision = {
-        .event = event,
-        .name = flow->name,
-        .is_rare = is_rare,
-        .server = standing ? standing->server : 0,
-        .reason = MV_COUNTER_PACKETS_FORWARDED,
-        .candidates =
-            position < 0
-                ? 0
-                : forwarder->table
-                      ->services[forwarder->table->servers[position].service]
-                      .count,
-        .outstanding = standing ? standing->outstanding : 0,
-        .offers = flow->offer_count,
-        .version = forwarder->table->version,
-        .took = now - flow->began_at,
-    };
-    forwarder->ops->decided(forwarder->context, &decision);
-}
-
 /* A packet that went nowhere; copies that come late are no news. */
 static void
 tell_refusal(const mv_forwarder_t *forwarder, const mv_flow_name_t *name,
@@ -156,87 +103,6 @@
     forwarder->ops->decided(forwarder->context, &decision);
 }
 
-/* Flows */
-
-void
-MvFlow_Release(mv_flow_t *flow)
-{
-    if (flow->counted) {
-        flow->counted->outstanding--;
-        flow->counted = NULL;
-    }
-}
-
-void
-MvFlow_Forget(mv_forwarder_t *forwarder, mv_flow_t *flow)
-{
-    MvFlow_Release(flow);
-    MvList_Remove(&flow->link);
-    g_hash_table_remove(forwarder->flows, &flow->name);
-}
-
-void
-MvFlow_SetPhase(mv_forwarder_t *forwarder, mv_flow_t *flow,
-                mv_flow_phase_t phase)
-{
-    mv_list_t *lists[] = {
-        [MV_FLOW_HELD] = &forwarder->held,
-        [MV_FLOW_OPENING] = &forwarder->opening,
-        [MV_FLOW_OPEN] = &forwarder->open,
-        [MV_FLOW_CLOSED] = &forwarder->closed,
-    };
-    flow->phase = phase;
-    MvList_Remove(&flow->link);
-    MvList_Append(lists[phase], &flow->link);
-}
-
-unsigned
-MvFlow_Service(const mv_table_route_t *route, const mv_flow_name_t *name)
-{
-    if (route->route.share_count < 2 || route->total_weight == 0) {
-        return route->services[0];
-    }
-    uint32_t point =
-        (uint32_t)(XXH3_64bits(name, sizeof(*name)) % route->total_weight);
-    unsigned i = 0;
-    while (i + 1 < route->route.share_count &&
-           point >= route->route.shares[i].weight) {
-        point -= route->route.shares[i++].weight;
-    }
-    return route->services[i];
-}
-
-static mv_flow_verdict_t
-forward_to(const mv_table_server_t *server)
-{
-    return (mv_flow_verdict_t){.kind = MV_FLOW_FORWARD,
-                               .reason = MV_COUNTER_PACKETS_FORWARDED,
-                               .address = server->server.address,
-                               .port = server->server.port,
-                               .server = server->server.id,
-                               .tag = server->tag};
-}
-
-mv_flow_verdict_t
-MvFlow_Offer(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now,
-             unsigned position)
-{
-    mv_standing_t *standing = forwarder->by_position[position];
-    if (flow->offer_count == MV_MAX_OFFERS) {
-        memmove(flow->offers, flow->offers + 1,
-                (MV_MAX_OFFERS - 1) * sizeof(flow->offers[0]));
-        flow->offer_count--;
-    }
-    flow->offers[flow->offer_count++] = standing->tag;
-    flow->offered_at = now;
-    flow->wait = MvSite_Wait(standing->site);
-    MvFlow_Release(flow);
-    flow->counted = standing;
-    standing->outstanding++;
-    MvStanding_Offered(standing, now);
-    return forward_to(&forwarder->table->servers[position]);
-}
-
 static mv_flow_verdict_t
 refuse(const mv_flow_packet_t *packet, mv_counter_id_t reason)
 {
@@ -441,7 +307,7 @@
     else {
         take_stray(forwarder, name, now, packet, tag);
     }
-    return forward_to(server);
+    return MvFlow_ForwardTo(server);
 }
 
 mv_flow_verdict_t
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -1,7 +1,8 @@
 /**
  * DOC: State of the forwarder, shared by its files.
  *
- * forwarder.c  packets and flows
+ * forwarder.c  packets
+ * flows.c      flows that were seen: phases, offers, reports
  * openings.c   opening packets that nothing followed
  * placement.c  the server of a new flow
  * holding.c    late flows that wait for a free server
@@ -165,6 +166,15 @@
 int MvPlacement_Choose(mv_forwarder_t *forwarder, mv_time_t now,
                        unsigned service, const mv_flow_t *avoid);
 
+/** MvFlowName_Hash() - Hash of a &struct mv_flow_name, for GHashTable. */
+guint MvFlowName_Hash(gconstpointer key);
+
+/** MvFlowName_Equal() - Equality of two of them, for GHashTable. */
+gboolean MvFlowName_Equal(gconstpointer a, gconstpointer b);
+
+/** MvFlow_ForwardTo() - Verdict that sends a packet to @server. */
+mv_flow_verdict_t MvFlow_ForwardTo(const mv_table_server_t *server);
+
 /** MvFlow_Offer() - Send an opening to @position; the verdict says how. */
 mv_flow_verdict_t MvFlow_Offer(mv_forwarder_t *forwarder, mv_flow_t *flow,
                                mv_time_t now, unsigned position);
--- a/packages/tags/test/load_test.cc
+++ b/packages/tags/test/load_test.cc
@@ -100,7 +100,7 @@
     void
     later(mv_time_t delay, std::function<void()> what)
     {
-        events.emplace(now + delay, std::move(what));
+        agenda.emplace(now + delay, std::move(what));
     }
 
     void
@@ -108,9 +108,9 @@
     {
         for (mv_time_t end = now + span; now < end;) {
             now += MV_MILLISECOND;
-            while (!events.empty() && events.begin()->first <= now) {
-                auto what = events.begin()->second;
-                events.erase(events.begin());
+            while (!agenda.empty() && agenda.begin()->first <= now) {
+                auto what = agenda.begin()->second;
+                agenda.erase(agenda.begin());
                 what();
             }
             MvForwarder_Timer(forwarder, now);
@@ -123,7 +123,7 @@
         }
     }
 
-    std::multimap<mv_time_t, std::function<void()>> events;
+    std::multimap<mv_time_t, std::function<void()>> agenda;
     std::map<uint64_t, unsigned> slots;
     std::map<uint64_t, std::deque<uint16_t>> queues;
     std::map<uint16_t, uint32_t> opened;
@@ -145,6 +145,8 @@
     return good / all;
 }
 
+} // namespace
+
 /* The users' callers at 60% load; an outage of a second ends at once. */
 TEST(Load, AfterAnOutageCallersInTimeAreNotMadeLateByThoseWhoAre)
 {
@@ -240,5 +242,3 @@
     g_rand_free(random);
     EXPECT_GE(share_in_time(world, true), 0.99);
 }
-
-} // namespace
--- a/packages/tags/test/tags_test.cc
+++ b/packages/tags/test/tags_test.cc
@@ -28,6 +28,8 @@
     tags_world world;
 };
 
+} // namespace
+
 TEST_F(Tags, NewFlowsGoWhereFewestAreOutstandingAndNear)
 {
     std::map<uint64_t, int> flows;
@@ -177,7 +179,7 @@
 }
 
 /* Servers in @silent never answer: how many of the new flows get them? */
-int
+static int
 flows_to_silent(tags_world &world, const std::set<uint64_t> &silent, int count)
 {
     int result = 0;
@@ -344,7 +346,7 @@
 }
 
 /* Two lives whose tags are equal, found by trying. */
-std::pair<mv_server_t, mv_server_t>
+static std::pair<mv_server_t, mv_server_t>
 find_collision(tags_world &world)
 {
     std::unordered_map<uint32_t, uint64_t> seen;
@@ -395,5 +397,3 @@
     EXPECT_NEAR(flows[2], 40, 2);
     EXPECT_NEAR(flows[4], 25, 3);
 }
-
-} // namespace
