A server that vanished from the store and answers is used while the store is silent

Logs: i-6ca25476b8 was 'gone' at 33.35 s though it lived: its renewals had been lost (platform_lost); then its data centre was cut off and it could not come back before 40.4 s. Change: a vanished server that answered within a second may be used in the 2.2 s it has to come back, and these do not run while nothing is heard of the store. One that is silent, or that announced to leave, is not used.

--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,7 @@
 
 capacity: build
 	@$(BUILD)/bin/masticvane-capacity docs/results/capacity.md
+	@$(BUILD)/bin/masticvane-feed-capacity | tee docs/results/feed.md
 
 lint: deps
 	@scripts/lint.sh $(BUILD)
--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -20,6 +20,9 @@
 #define STOP_MARGIN (1200 * MV_MILLISECOND)
 /* Steady and boot-time clock drift apart by so much only in a pause. */
 #define PAUSE_NOTICED (300 * MV_MILLISECOND)
+/* A watcher hears the store every second. */
+#define STALE_AFTER (1500 * MV_MILLISECOND)
+#define UNHEARD_STEP (500 * MV_MILLISECOND)
 /* The traffic thread has written its state by then. */
 #define DUMP_WAIT (200 * MV_MILLISECOND)
 /* Announcements that vanished while the store was away are back by then. */
@@ -187,6 +190,27 @@
     control->asleep = asleep;
 }
 
+/* Called at every turn: what vanished is not judged by a silent store. */
+static void
+note_unheard(mv_tags_control_t *control, mv_time_t now)
+{
+    if (MvFeed_KnowledgeAge(control->feed, now) < STALE_AFTER) {
+        control->unheard_at = 0;
+        return;
+    }
+    if (control->unheard_at == 0) {
+        control->unheard_at = now - STALE_AFTER;
+    }
+    mv_time_t span = now - control->unheard_at;
+    if (span < UNHEARD_STEP) {
+        return;
+    }
+    control->unheard_at = now;
+    if (MvDirectory_Unheard(control->directory, now, span)) {
+        control->is_changed = true;
+    }
+}
+
 static mv_time_t
 run_timers(mv_tags_control_t *control, mv_time_t now)
 {
@@ -210,6 +234,7 @@
         MvLoop_Run(control->loop, CLAMP(next - now, 0, LONGEST_WAIT));
         now = g_get_monotonic_time();
         note_pause(control, now);
+        note_unheard(control, now);
         MvStore_Poll(control->store, 0);
         MvTagsKnowledge_Publish(control, now);
         note_reachable(control, now);
--- a/packages/masticvaned/src/tags_control.h
+++ b/packages/masticvaned/src/tags_control.h
@@ -50,6 +50,7 @@
     mv_time_t lost_at;
     mv_time_t stop_began;
     mv_time_t next_sweep;
+    mv_time_t unheard_at;
     mv_time_t asleep;
 } mv_tags_control_t;
 
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -172,6 +172,15 @@
  */
 bool MvDirectory_Route(mv_directory_t *directory, mv_routing_t *routing);
 
+/**
+ * MvDirectory_Unheard() - Nothing new was heard of the store for @span.
+ *
+ * What vanished cannot come back meanwhile: its time to do so does not run.
+ * Return: true when a table that was made before is not right any more.
+ */
+bool MvDirectory_Unheard(mv_directory_t *directory, mv_time_t now,
+                         mv_time_t span);
+
 /** MvDirectory_SetNearNodes() - Entry VMs of the own data centre. */
 void MvDirectory_SetNearNodes(mv_directory_t *directory, unsigned nodes);
 
--- a/packages/tags/src/directory.c
+++ b/packages/tags/src/directory.c
@@ -180,6 +180,29 @@
     return true;
 }
 
+static bool
+takes_new(const record_t *record)
+{
+    return record->server.state == MV_SERVER_READY;
+}
+
+bool
+MvDirectory_Unheard(mv_directory_t *directory, mv_time_t now, mv_time_t span)
+{
+    bool changed = false;
+    MV_LIST_FOREACH(item, &directory->records)
+    {
+        record_t *record = MV_CONTAINER_OF(item, record_t, link);
+        mv_time_t missed = now - record->withdrawn_at;
+        if (!record->is_announced && takes_new(record) &&
+            missed < directory->settings.return_limit + span) {
+            record->withdrawn_at += MIN(span, missed);
+            changed = true;
+        }
+    }
+    return changed;
+}
+
 void
 MvDirectory_SetNearNodes(mv_directory_t *directory, unsigned nodes)
 {
@@ -192,12 +215,6 @@
     return directory->routing->version;
 }
 
-static bool
-takes_new(const record_t *record)
-{
-    return record->server.state == MV_SERVER_READY;
-}
-
 size_t
 MvDirectory_UsableServers(const mv_directory_t *directory)
 {
--- a/packages/tags/src/placement.c
+++ b/packages/tags/src/placement.c
@@ -6,6 +6,8 @@
 /* A way into another data centre is worth a little more than a full server's
  * next flow, so that a free slot nearby goes first. */
 #define FAR_COST 0.6
+/* A server whose announcement vanished lives if it answered so lately. */
+#define LIVES (MV_SECOND)
 /* Costs closer than this are equal; one of the equals is drawn. */
 #define EQUAL 1e-9
 
@@ -107,8 +109,9 @@
         unsigned position = entry->servers[i];
         const mv_table_server_t *server = &forwarder->table->servers[position];
         const mv_standing_t *standing = forwarder->by_position[position];
+        bool lives = trust_vanished || now - standing->heard_at < LIVES;
         bool is_usable = server->usable_until == MV_NEVER ||
-                         (trust_vanished && now < server->usable_until);
+                         (lives && now < server->usable_until);
         if (!is_usable || standing->outstanding >= entry->flow_limit) {
             continue;
         }
