--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -91,4 +91,6 @@
 
 run_deployment atlas-jet 20 booking booking-3
 run_deployment zatkovy-svaz 40 brand-desk brand-desk-5
+echo "== the users' platform in small: tags, faults on the way"
+"$(dirname "$0")/../test/soak/soak.py" "$BIN/masticvaned" --seed 4 --seconds 8 --net 88
 echo "demo: both deployments served, nothing broken"
