Words: data centres, heartbeats and passive health checks by their names

Cause: read as a newcomer: a data centre was called a site in the forwarder, judgement.c is what the field calls passive health checks, heartbeats were beats; two comments told of a smoothing that is not there. Change: names only (mv_centre_t, health.c, COPY_HEARTBEAT, events DATA_CENTRE_*).

--- a/packages/core/src/node.c
+++ b/packages/core/src/node.c
@@ -33,7 +33,7 @@
            message->kind == MV_MESSAGE_PING_REQUEST ||
            message->kind == MV_MESSAGE_LOAD ||
            message->kind == MV_MESSAGE_DIGESTS ||
-           message->kind == MV_MESSAGE_COPY_BEAT ||
+           message->kind == MV_MESSAGE_COPY_HEARTBEAT ||
            message->kind == MV_MESSAGE_COPY_PULL ||
            message->kind == MV_MESSAGE_COPY_DELTA ||
            message->kind == MV_MESSAGE_MOVE;
--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -191,7 +191,7 @@
 /**
  * struct mv_feed_settings - Bounds of the feed.
  * @data_centre: own data centre
- * @beat: pause between two heartbeats of a watcher
+ * @heartbeat: pause between two heartbeats of a watcher
  * @silence: without a heartbeat for so long the next in rank watches
  * @rank_step: each further rank waits this much longer
  * @fresh_limit: a watcher that heard nothing from the store for so long says
@@ -201,7 +201,7 @@
  */
 typedef struct mv_feed_settings {
     char data_centre[MV_NAME_MAX];
-    mv_time_t beat;
+    mv_time_t heartbeat;
     mv_time_t silence;
     mv_time_t rank_step;
     mv_time_t fresh_limit;
--- a/packages/replica/src/feed.c
+++ b/packages/replica/src/feed.c
@@ -31,7 +31,7 @@
     uint64_t rank;
     mv_time_t began_at;
     bool watches;
-    mv_time_t next_beat;
+    mv_time_t next_heartbeat;
     uint64_t pushed;
 };
 
@@ -39,7 +39,7 @@
 MvFeedSettings_Default(const char *data_centre)
 {
     mv_feed_settings_t settings = {
-        .beat = 300 * MV_MILLISECOND,
+        .heartbeat = 300 * MV_MILLISECOND,
         .silence = MV_SECOND,
         .rank_step = 100 * MV_MILLISECOND,
         .fresh_limit = 1600 * MV_MILLISECOND,
@@ -214,7 +214,7 @@
                    now - since > patience;
     if (watches != feed->watches) {
         feed->ops->role(feed->context, watches, standing.better);
-        feed->next_beat = now;
+        feed->next_heartbeat = now;
     }
     feed->watches = watches;
     MvFollower_SetActive(feed->follower, watches);
@@ -280,11 +280,11 @@
 }
 
 static void
-beat(mv_feed_t *feed, mv_time_t now)
+send_heartbeats(mv_feed_t *feed, mv_time_t now)
 {
-    mv_message_t message = make_message(feed, MV_MESSAGE_COPY_BEAT);
+    mv_message_t message = make_message(feed, MV_MESSAGE_COPY_HEARTBEAT);
     message.target = is_fresh(feed, now);
-    feed->next_beat = now + feed->settings.beat;
+    feed->next_heartbeat = now + feed->settings.heartbeat;
     send_to_cell(feed, now, &message);
 }
 
@@ -329,8 +329,8 @@
 }
 
 static void
-take_beat(mv_feed_t *feed, mv_time_t now, member_t *member,
-          const mv_message_t *message)
+take_heartbeat(mv_feed_t *feed, mv_time_t now, member_t *member,
+               const mv_message_t *message)
 {
     /* A stale one makes room at once; the next in rank goes first. */
     member->fresh_at =
@@ -362,8 +362,8 @@
     }
     const mv_node_id_t from = (mv_node_id_t)message->from;
     switch (message->kind) {
-    case MV_MESSAGE_COPY_BEAT:
-        take_beat(feed, now, member, message);
+    case MV_MESSAGE_COPY_HEARTBEAT:
+        take_heartbeat(feed, now, member, message);
         break;
     case MV_MESSAGE_COPY_PULL:
         send_delta(feed, now, &from, message->version);
@@ -386,8 +386,8 @@
         return due;
     }
     push(feed, now);
-    if (now >= feed->next_beat) {
-        beat(feed, now);
+    if (now >= feed->next_heartbeat) {
+        send_heartbeats(feed, now);
     }
-    return feed->next_beat;
+    return feed->next_heartbeat;
 }
--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -25,7 +25,7 @@
     forwarder->counters = counters;
     forwarder->random = g_rand_new_with_seed(seed);
     forwarder->standings = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-    forwarder->sites = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    forwarder->centres = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     forwarder->flows =
         g_hash_table_new_full(MvFlowName_Hash, MvFlowName_Equal, NULL, g_free);
     forwarder->services =
@@ -45,7 +45,7 @@
     }
     g_hash_table_unref(forwarder->flows);
     g_hash_table_unref(forwarder->standings);
-    g_hash_table_unref(forwarder->sites);
+    g_hash_table_unref(forwarder->centres);
     g_hash_table_unref(forwarder->services);
     g_rand_free(forwarder->random);
     MvTable_Destroy(forwarder->table);
@@ -165,7 +165,8 @@
     }
     mv_standing_t *standing =
         MvStanding_Find(forwarder, flow->offers[flow->offer_count - 1]);
-    if (standing && now - flow->offered_at >= MvSite_Wait(standing->site)) {
+    if (standing &&
+        now - flow->offered_at >= MvCentre_Wait(standing->centre)) {
         MvStanding_Silent(forwarder, standing, now, flow->offered_at);
     }
 }
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -6,7 +6,7 @@
  * openings.c   opening packets that nothing followed
  * placement.c  the server of a new flow
  * holding.c    late flows that wait for a free server
- * judgement.c  which servers and data centres are silent
+ * health.c  which servers and data centres are silent
  */
 #ifndef MV_TAGS_FORWARDER_PRIVATE_H
 #define MV_TAGS_FORWARDER_PRIVATE_H
@@ -17,7 +17,7 @@
 #define MV_MAX_OFFERS 4
 
 /**
- * struct mv_site - What the forwarder believes of one data centre.
+ * struct mv_centre - What the forwarder believes of one data centre.
  * @data_centre: hash of its name
  * @smoothed: time from an opening packet to the next one, smoothed
  * @deviation: its mean deviation
@@ -27,7 +27,7 @@
  * @trial_until: one flow tries it after such a time; others wait until then
  * @back_off: length of the next such time
  */
-typedef struct mv_site {
+typedef struct mv_centre {
     uint32_t data_centre;
     mv_time_t smoothed;
     mv_time_t deviation;
@@ -36,13 +36,13 @@
     mv_time_t silent_until;
     mv_time_t trial_until;
     mv_time_t back_off;
-} mv_site_t;
+} mv_centre_t;
 
 /**
  * struct mv_standing - What the forwarder believes of one server.
  * @tag: the server's tag
  * @server: its id
- * @site: its data centre
+ * @centre: its data centre
  * @outstanding: flows begun here and not ended
  * @heard_at: last sign of life
  * @failures: opening packets in a row that nothing followed
@@ -53,7 +53,7 @@
 typedef struct mv_standing {
     uint32_t tag;
     uint64_t server;
-    mv_site_t *site;
+    mv_centre_t *centre;
     uint32_t outstanding;
     mv_time_t heard_at;
     unsigned failures;
@@ -115,7 +115,7 @@
     mv_time_t stray_at;
     mv_table_t *table;
     GHashTable *standings;
-    GHashTable *sites;
+    GHashTable *centres;
     mv_standing_t **by_position;
     GHashTable *flows;
     GHashTable *services;
@@ -154,8 +154,8 @@
  */
 bool MvForwarder_IsSettled(const mv_forwarder_t *forwarder, mv_time_t now);
 
-/** MvSite_Wait() - When an opening packet to this data centre is overdue. */
-mv_time_t MvSite_Wait(const mv_site_t *site);
+/** MvCentre_Wait() - When an opening packet to this data centre is overdue. */
+mv_time_t MvCentre_Wait(const mv_centre_t *centre);
 
 /**
  * MvPlacement_Choose() - Server for a new flow.
@@ -191,7 +191,7 @@
 
 /**
  * struct mv_service_load - What the forwarder sees of a service, by name.
- * @duration: time from opening to end of its flows, smoothed; lowest lately
+ * @duration: mean time from opening to end of its last flows
  */
 typedef struct mv_service_load {
     mv_time_t duration;
--- a/packages/tags/src/judgement.c
+++ b/packages/tags/src/health.c
@@ -1,8 +1,9 @@
-/* Which servers and data centres are silent, as callers' packets tell. */
+/* Passive health checks: which servers and data centres are silent, as
+ * callers' packets tell. */
 #include "forwarder_private.h"
 
 #define FIRST_WAIT (60 * MV_MILLISECOND)
-#define LEAST_WAIT (25 * MV_MILLISECOND)
+#define SHORTEST_WAIT (25 * MV_MILLISECOND)
 #define LONGEST_WAIT (150 * MV_MILLISECOND)
 #define DEVIATIONS 4
 /* Weights of a new sample, as in TCP's retransmission timer. */
@@ -15,20 +16,20 @@
 #define FIRST_BACK_OFF (500 * MV_MILLISECOND)
 #define LONGEST_BACK_OFF (4 * MV_SECOND)
 /* Silent servers without a sign of life that condemn a data centre. */
-#define SITE_SERVERS 2
+#define CENTRE_SERVERS 2
 
-static mv_site_t *
-find_site(mv_forwarder_t *forwarder, uint32_t data_centre)
+static mv_centre_t *
+find_centre(mv_forwarder_t *forwarder, uint32_t data_centre)
 {
     gpointer key = GUINT_TO_POINTER(data_centre);
-    mv_site_t *site = g_hash_table_lookup(forwarder->sites, key);
-    if (!site) {
-        site = g_new0(mv_site_t, 1);
-        site->data_centre = data_centre;
-        site->back_off = FIRST_BACK_OFF;
-        g_hash_table_insert(forwarder->sites, key, site);
+    mv_centre_t *centre = g_hash_table_lookup(forwarder->centres, key);
+    if (!centre) {
+        centre = g_new0(mv_centre_t, 1);
+        centre->data_centre = data_centre;
+        centre->back_off = FIRST_BACK_OFF;
+        g_hash_table_insert(forwarder->centres, key, centre);
     }
-    return site;
+    return centre;
 }
 
 mv_standing_t *
@@ -41,7 +42,7 @@
         standing = g_new0(mv_standing_t, 1);
         standing->tag = server->tag;
         standing->server = server->server.id;
-        standing->site = find_site(forwarder, server->data_centre);
+        standing->centre = find_centre(forwarder, server->data_centre);
         standing->back_off = FIRST_BACK_OFF;
         g_hash_table_insert(forwarder->standings, key, standing);
     }
@@ -55,35 +56,36 @@
 }
 
 static void
-add_sample(mv_site_t *site, mv_time_t took)
+add_sample(mv_centre_t *centre, mv_time_t took)
 {
-    if (site->smoothed == 0) {
-        site->smoothed = took;
-        site->deviation = took / 2;
+    if (centre->smoothed == 0) {
+        centre->smoothed = took;
+        centre->deviation = took / 2;
         return;
     }
-    mv_time_t error = took - site->smoothed;
-    site->smoothed += error / SMOOTHING;
-    site->deviation += (ABS(error) - site->deviation) / DEVIATION_SMOOTHING;
+    mv_time_t error = took - centre->smoothed;
+    centre->smoothed += error / SMOOTHING;
+    centre->deviation +=
+        (ABS(error) - centre->deviation) / DEVIATION_SMOOTHING;
 }
 
 mv_time_t
-MvSite_Wait(const mv_site_t *site)
+MvCentre_Wait(const mv_centre_t *centre)
 {
-    if (site->smoothed == 0) {
+    if (centre->smoothed == 0) {
         return FIRST_WAIT;
     }
-    mv_time_t wait = site->smoothed + DEVIATIONS * site->deviation;
-    return CLAMP(wait, LEAST_WAIT, LONGEST_WAIT);
+    mv_time_t wait = centre->smoothed + DEVIATIONS * centre->deviation;
+    return CLAMP(wait, SHORTEST_WAIT, LONGEST_WAIT);
 }
 
 void
 MvStanding_Heard(mv_forwarder_t *forwarder, mv_standing_t *standing,
                  mv_time_t now, mv_time_t offered_at)
 {
-    mv_site_t *site = standing->site;
+    mv_centre_t *centre = standing->centre;
     if (offered_at > 0) {
-        add_sample(site, now - offered_at);
+        add_sample(centre, now - offered_at);
         MvCounters_AddLatency(forwarder->counters, MV_LATENCY_OPENING,
                               now - offered_at);
     }
@@ -91,49 +93,50 @@
         forwarder->ops->event(forwarder->context, MV_EVENT_ENDPOINT_ANSWERS,
                               standing->server, standing->failures);
     }
-    if (site->silent_until > 0) {
-        forwarder->ops->event(forwarder->context, MV_EVENT_SITE_ANSWERS,
-                              standing->server, site->data_centre);
+    if (centre->silent_until > 0) {
+        forwarder->ops->event(forwarder->context, MV_EVENT_DATA_CENTRE_ANSWERS,
+                              standing->server, centre->data_centre);
     }
     standing->heard_at = now;
     standing->failures = 0;
     standing->silent_until = 0;
     standing->trial_until = 0;
     standing->back_off = FIRST_BACK_OFF;
-    site->heard_at = now;
-    site->silent_servers = 0;
-    site->silent_until = 0;
-    site->trial_until = 0;
-    site->back_off = FIRST_BACK_OFF;
+    centre->heard_at = now;
+    centre->silent_servers = 0;
+    centre->silent_until = 0;
+    centre->trial_until = 0;
+    centre->back_off = FIRST_BACK_OFF;
 }
 
 static void
-judge_site(mv_forwarder_t *forwarder, mv_site_t *site, mv_time_t now,
-           uint64_t server)
+judge_centre(mv_forwarder_t *forwarder, mv_centre_t *centre, mv_time_t now,
+             uint64_t server)
 {
-    if (site->silent_servers < SITE_SERVERS || now < site->silent_until) {
+    if (centre->silent_servers < CENTRE_SERVERS ||
+        now < centre->silent_until) {
         return;
     }
-    site->silent_until = now + site->back_off;
-    site->back_off = MIN(2 * site->back_off, LONGEST_BACK_OFF);
-    forwarder->ops->event(forwarder->context, MV_EVENT_SITE_SILENT, server,
-                          site->data_centre);
+    centre->silent_until = now + centre->back_off;
+    centre->back_off = MIN(2 * centre->back_off, LONGEST_BACK_OFF);
+    forwarder->ops->event(forwarder->context, MV_EVENT_DATA_CENTRE_SILENT,
+                          server, centre->data_centre);
 }
 
 void
 MvStanding_Silent(mv_forwarder_t *forwarder, mv_standing_t *standing,
                   mv_time_t now, mv_time_t offered_at)
 {
-    mv_site_t *site = standing->site;
+    mv_centre_t *centre = standing->centre;
     if (standing->heard_at >= offered_at || now < standing->silent_until) {
         return;
     }
     standing->failures++;
     MvCounters_Add(forwarder->counters, MV_COUNTER_SERVERS_SILENT, 1);
-    if (site->heard_at < offered_at && standing->failures == 1) {
-        site->silent_servers++;
+    if (centre->heard_at < offered_at && standing->failures == 1) {
+        centre->silent_servers++;
     }
-    judge_site(forwarder, site, now, standing->server);
+    judge_centre(forwarder, centre, now, standing->server);
     if (standing->failures < SURE_FAILURES) {
         standing->silent_until = now + DOUBT;
         return;
@@ -149,19 +152,19 @@
 void
 MvStanding_Offered(mv_standing_t *standing, mv_time_t now)
 {
-    mv_site_t *site = standing->site;
+    mv_centre_t *centre = standing->centre;
     if (standing->failures >= SURE_FAILURES) {
         standing->trial_until = now + LONGEST_WAIT;
     }
-    if (site->silent_servers >= SITE_SERVERS) {
-        site->trial_until = now + LONGEST_WAIT;
+    if (centre->silent_servers >= CENTRE_SERVERS) {
+        centre->trial_until = now + LONGEST_WAIT;
     }
 }
 
 bool
 MvStanding_IsSilent(const mv_standing_t *standing, mv_time_t now)
 {
-    const mv_site_t *site = standing->site;
+    const mv_centre_t *centre = standing->centre;
     return now < MAX(standing->silent_until, standing->trial_until) ||
-           now < MAX(site->silent_until, site->trial_until);
+           now < MAX(centre->silent_until, centre->trial_until);
 }
--- a/packages/tags/src/holding.c
+++ b/packages/tags/src/holding.c
@@ -10,8 +10,7 @@
 /* A flow that waits so long may use any slot nearby. */
 #define FULL_SHARE_AFTER (400 * MV_MILLISECOND)
 #define CHECK_INTERVAL (5 * MV_MILLISECOND)
-/* Weight of a longer duration; a shorter one counts at once, since it is
- * what the work takes without waiting. */
+/* The mean of so many of the last flows tells how long one takes. */
 #define SMOOTHING 64
 
 static mv_service_load_t *
--- a/packages/tags/test/tags_test.cc
+++ b/packages/tags/test/tags_test.cc
@@ -258,7 +258,7 @@
     /* Without inference each of the twenty would be tried twice or more. */
     EXPECT_LE(flows_to_silent(far, silent, 400), 20);
     EXPECT_TRUE(std::count(far.events.begin(), far.events.end(),
-                           MV_EVENT_SITE_SILENT));
+                           MV_EVENT_DATA_CENTRE_SILENT));
 }
 
 TEST_F(Tags, NobodyIsBlamedWhileTheFabricDealsAnew)
