--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -125,6 +125,12 @@
     def service_of(self, host, port):
         return self.ever.get(port) if host == HOST else None
 
+    def end_all(self):
+        """Whatever went wrong, nothing that was started goes on."""
+        for node in self.nodes:
+            if node.process and node.process.returncode is None:
+                os.kill(node.process.pid, signal.SIGKILL)
+
     def suffix(self):
         """Of each answer; empty but for a planted fault."""
         return b"!" if self.plant == "answer" else b""
@@ -412,7 +418,10 @@
     options = parser.parse_args()
     print(f"seed {options.seed}, {options.seconds:g} s, {options.nodes} nodes")
     world = World(options)
-    good = asyncio.run(world.play(options.seconds, options.seed))
+    try:
+        good = asyncio.run(world.play(options.seconds, options.seed))
+    finally:
+        world.end_all()
     print(f"flows: {dict(world.outcomes)}, {world.store.calls} calls of the store")
     for line in world.details:
         print("VIOLATION", line)
