--- a/packages/base/test/base_test.cc
+++ b/packages/base/test/base_test.cc
@@ -1,6 +1,9 @@
 #include "masticvane/base.h"
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include <fstream>
 #include <set>
@@ -76,3 +79,105 @@
     }
     EXPECT_EQ(code, catalogue);
 }
+
+TEST(Metrics, TableAndCodeAgree)
+{
+    std::set<std::string> code;
+#define MV_COUNTER(id, name, text)                                            \
+    code.insert("| masticvane_" name "_total | " text " |");
+#include "masticvane/counters.def"
+#undef MV_COUNTER
+#define MV_LATENCY(id, name, text)                                            \
+    code.insert("| masticvane_" name "_seconds | " text " |");
+#include "masticvane/latencies.def"
+#undef MV_LATENCY
+    std::set<std::string> table;
+    std::ifstream file(MV_DOCS "/METRICS.md");
+    std::string line;
+    while (std::getline(file, line)) {
+        if (line.rfind("| masticvane_", 0) == 0) {
+            table.insert(line);
+        }
+    }
+    EXPECT_EQ(code, table);
+}
+
+TEST(Metrics, ExpositionIsWhole)
+{
+    mv_counters_t counters = {};
+    mv_buffer_t text = {};
+    MvCounters_Add(&counters, MV_COUNTER_PACKETS_IN, 7);
+    MvCounters_AddLatency(&counters, MV_LATENCY_OPENING, 3 * MV_MILLISECOND);
+    MvCounters_AddLatency(&counters, MV_LATENCY_OPENING, 9 * MV_SECOND);
+    MvCounters_Expose(&counters, &text);
+    std::string all((const char *)text.data, text.length);
+    for (const char *expected :
+         {"masticvane_packets_in_total 7\n",
+          "masticvane_opening_seconds_bucket{le=\"0.002\"} 0\n",
+          "masticvane_opening_seconds_bucket{le=\"0.005\"} 1\n",
+          "masticvane_opening_seconds_bucket{le=\"+Inf\"} 2\n",
+          "masticvane_opening_seconds_sum 9.003000\n",
+          "masticvane_opening_seconds_count 2\n"}) {
+        EXPECT_NE(all.find(expected), std::string::npos) << expected;
+    }
+    MvBuffer_Clear(&text);
+}
+
+static std::string
+new_folder()
+{
+    char name[] = "/tmp/masticvane-log-XXXXXX";
+    return mkdtemp(name);
+}
+
+TEST(Log, TheLineBudgetIsKeptAndWhatIsLeftOutIsSaid)
+{
+    std::string path = new_folder() + "/log";
+    mv_log_t *log = MvLog_Create(path.c_str(), MV_LOG_INFO, nullptr);
+    MvLog_SetBudget(log, 10);
+    for (int i = 0; i < 5000; i++) {
+        MvLog_Write(log, MV_EVENT_FLOW_PLACED, "flow=%d", i);
+    }
+    sleep(2);
+    MvLog_Write(log, MV_EVENT_NODE_STOPPED, "node=1");
+    MvLog_Destroy(log);
+    std::ifstream file(path);
+    std::string line;
+    int lines = 0;
+    bool said = false;
+    while (std::getline(file, line)) {
+        lines++;
+        said = said || line.find("over_budget=") != std::string::npos;
+    }
+    /* The writing may lie in two seconds. */
+    EXPECT_LE(lines, 2 * 10 + 3);
+    EXPECT_GE(lines, 12);
+    EXPECT_TRUE(said);
+}
+
+TEST(Log, AReaderThatDoesNotReadIsNotWaitedFor)
+{
+    std::string path = new_folder() + "/pipe";
+    ASSERT_EQ(mkfifo(path.c_str(), 0600), 0);
+    int reader = open(path.c_str(), O_RDONLY | O_NONBLOCK);
+    mv_log_t *log = MvLog_Create(path.c_str(), MV_LOG_INFO, nullptr);
+    ASSERT_NE(log, nullptr);
+    /* Many times what a pipe holds; a write that waits would never end. */
+    for (int i = 0; i < 20000; i++) {
+        MvLog_Write(log, MV_EVENT_FLOW_PLACED, "flow=%d", i);
+    }
+    std::string all(1 << 20, ' ');
+    ssize_t length = read(reader, &all[0], all.size());
+    ASSERT_GT(length, 0);
+    all.resize((size_t)length);
+    EXPECT_EQ(all.back(), '\n');
+    sleep(1);
+    MvLog_Write(log, MV_EVENT_NODE_STOPPED, "node=1");
+    std::string rest(1 << 16, ' ');
+    length = read(reader, &rest[0], rest.size());
+    ASSERT_GT(length, 0);
+    rest.resize((size_t)length);
+    EXPECT_NE(rest.find("not_taken="), std::string::npos);
+    MvLog_Destroy(log);
+    close(reader);
+}
--- /dev/null
+++ b/packages/net/test/http1_test.cc
@@ -0,0 +1,194 @@
+#include "masticvane/net.h"
+
+#include <apr_general.h>
+#include <apr_network_io.h>
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace {
+
+const char *const kAddress = "127.89.0.1";
+
+struct result_t {
+    int count = 0;
+    mv_http1_outcome_t outcome = MV_HTTP1_NOT_SENT;
+    unsigned status = 0;
+    std::string body;
+    uint64_t index = 0;
+};
+
+void
+keep(void *context, const mv_http1_answer_t *answer)
+{
+    auto *result = static_cast<result_t *>(context);
+    result->count++;
+    result->outcome = answer->outcome;
+    result->status = answer->status;
+    result->body.assign(answer->body ? answer->body : "", answer->length);
+    result->index = answer->index;
+}
+
+unsigned
+echo(void *, const char *target, mv_buffer_t *body)
+{
+    if (std::string(target) != "/here") {
+        return 404;
+    }
+    MvBuffer_Append(body, "good", 4);
+    return 200;
+}
+
+/* A client and, on @port, either our server or bytes given by hand. */
+struct Http1 : testing::Test {
+    Http1()
+    {
+        apr_initialize();
+        apr_pool_create(&pool, nullptr);
+        loop = MvLoop_Create(pool, 16);
+    }
+
+    ~Http1() override
+    {
+        MvHttp1_DestroyClient(client);
+        MvHttp1_StopServing(server);
+        apr_pool_destroy(pool);
+    }
+
+    void connect(uint16_t port)
+    {
+        std::string where = std::string(kAddress) + ":" + std::to_string(port);
+        client = MvHttp1_CreateClient(loop, where.c_str(), "X-Index");
+    }
+
+    void serve(uint16_t port)
+    {
+        server = MvHttp1_Serve(loop, kAddress, port, echo, nullptr, nullptr);
+        ASSERT_NE(server, nullptr);
+        connect(port);
+    }
+
+    void listen(uint16_t port)
+    {
+        listener = MvNet_Listen(pool, kAddress, port, SOCK_STREAM, false,
+                                nullptr);
+        ASSERT_NE(listener, nullptr);
+        connect(port);
+    }
+
+    /* Answer the next connection with @bytes, then close it if told. */
+    void answer(const std::string &bytes, bool close)
+    {
+        apr_socket_t *socket = nullptr;
+        for (int i = 0; i < 200 && !socket; i++) {
+            MvLoop_Run(loop, MV_MILLISECOND);
+            apr_socket_accept(&socket, listener, pool);
+        }
+        ASSERT_NE(socket, nullptr);
+        apr_size_t length = bytes.size();
+        apr_socket_send(socket, bytes.data(), &length);
+        if (close) {
+            apr_socket_close(socket);
+        }
+    }
+
+    result_t call(const char *method, const char *target,
+                  mv_time_t timeout = MV_SECOND, const std::string &bytes = "",
+                  bool close = false)
+    {
+        result_t result;
+        mv_http1_request_t request = {method, target,  nullptr,
+                                      nullptr, 0, timeout};
+        MvHttp1_Call(client, &request, g_get_monotonic_time(), keep, &result);
+        EXPECT_EQ(result.count, 0);
+        if (listener) {
+            answer(bytes, close);
+        }
+        for (int i = 0; i < 3000 && result.count == 0; i++) {
+            MvLoop_Run(loop, MV_MILLISECOND);
+            MvHttp1_Timer(client, g_get_monotonic_time());
+        }
+        EXPECT_EQ(result.count, 1);
+        return result;
+    }
+
+    apr_pool_t *pool = nullptr;
+    mv_loop_t *loop = nullptr;
+    mv_http1_client_t *client = nullptr;
+    mv_http1_server_t *server = nullptr;
+    apr_socket_t *listener = nullptr;
+};
+
+} // namespace
+
+TEST_F(Http1, TheServerAnswersGetsAndRefusesTheRestClearly)
+{
+    serve(18090);
+    std::string long_target = "/" + std::string(5000, 'x');
+    struct {
+        const char *method;
+        const char *target;
+        unsigned status;
+        const char *body;
+    } const cases[] = {
+        {"GET", "/here", 200, "good"},
+        {"GET", "/else", 404, ""},
+        {"POST", "/here", 405, ""},
+        {"GET", long_target.c_str(), 414, ""},
+        {"GET", "/here", 200, "good"},
+    };
+    for (const auto &c : cases) {
+        result_t result = call(c.method, c.target);
+        EXPECT_EQ(result.outcome, MV_HTTP1_ANSWERED) << c.method << c.target;
+        EXPECT_EQ(result.status, c.status) << c.method << c.target;
+        EXPECT_EQ(result.body, c.body);
+    }
+}
+
+TEST_F(Http1, AnswersThatAreNotWholeAreNoAnswers)
+{
+    listen(18091);
+    struct {
+        const char *what;
+        const char *bytes;
+        bool close;
+        mv_http1_outcome_t outcome;
+    } const cases[] = {
+        {"whole", "HTTP/1.1 200 OK\r\nX-Index: 17\r\nContent-Length: 2\r\n\r\nab",
+         true, MV_HTTP1_ANSWERED},
+        {"body breaks off", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab",
+         true, MV_HTTP1_UNKNOWN},
+        {"head breaks off", "HTTP/1.1 200 OK\r\nConte", true,
+         MV_HTTP1_UNKNOWN},
+        {"closed at once", "", true, MV_HTTP1_UNKNOWN},
+        {"not HTTP", "nonsense\r\n\r\n", true, MV_HTTP1_UNKNOWN},
+        {"silence", "", false, MV_HTTP1_UNKNOWN},
+    };
+    for (const auto &c : cases) {
+        MvHttp1_DestroyClient(client);
+        connect(18091);
+        result_t result =
+            call("GET", "/", 200 * MV_MILLISECOND, c.bytes, c.close);
+        EXPECT_EQ(result.outcome, c.outcome) << c.what;
+        if (c.outcome == MV_HTTP1_ANSWERED) {
+            EXPECT_EQ(result.body, "ab");
+            EXPECT_EQ(result.index, 17u);
+        }
+    }
+}
+
+TEST_F(Http1, WhatNeverReachedTheServerIsSaidSo)
+{
+    connect(18092);
+    result_t result = call("POST", "/");
+    EXPECT_EQ(result.outcome, MV_HTTP1_NOT_SENT);
+}
+
+TEST(Http1Address, WhatIsNoAddressMakesNoClient)
+{
+    for (const char *address :
+         {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:70000"}) {
+        EXPECT_EQ(MvHttp1_CreateClient(nullptr, address, nullptr), nullptr)
+            << address;
+    }
+}
