--- a/packages/net/include/masticvane/net.h
+++ b/packages/net/include/masticvane/net.h
@@ -34,6 +34,14 @@
  */
 mv_message_t *MvMessage_Decode(const uint8_t *data, size_t length);
 
+/**
+ * MvPacked_IsPlausible() - May these bytes be given to msgpack?
+ *
+ * The library allocates what an array says it holds; here every array fits
+ * into the bytes that follow, and no type is used that we do not write.
+ */
+bool MvPacked_IsPlausible(const uint8_t *data, size_t length);
+
 /** MvMessage_Free() - Free a decoded message; NULL is accepted. */
 void MvMessage_Free(mv_message_t *message);
 
--- a/packages/net/src/codec.c
+++ b/packages/net/src/codec.c
@@ -457,6 +457,9 @@
     if (type <= 0x7f || type >= 0xe0) {
         return 1; /* Small numbers. */
     }
+    if (type == 0xc0) {
+        return 1; /* Nil. */
+    }
     if (type >= 0x90 && type <= 0x9f) {
         *elements = type & 0x0f;
         return 1;
@@ -482,9 +485,8 @@
     return count <= left - 1 - prefix ? 1 + prefix + (size_t)count : 0;
 }
 
-/* The library allocates what an array says it holds: check that first. */
-static bool
-is_plausible(const uint8_t *data, size_t length)
+bool
+MvPacked_IsPlausible(const uint8_t *data, size_t length)
 {
     size_t at = 0;
     while (at < length) {
@@ -505,7 +507,7 @@
     size_t offset = 0;
     msgpack_unpacked_init(&result);
     mv_message_t *message = NULL;
-    if (is_plausible(data, length) &&
+    if (MvPacked_IsPlausible(data, length) &&
         msgpack_unpack_next(&result, (const char *)data, length, &offset) ==
             MSGPACK_UNPACK_SUCCESS &&
         offset == length) {
--- a/packages/net/test/http1_test.cc
+++ b/packages/net/test/http1_test.cc
@@ -55,29 +55,33 @@
         apr_pool_destroy(pool);
     }
 
-    void connect(uint16_t port)
+    void
+    connect(uint16_t port)
     {
         std::string where = std::string(kAddress) + ":" + std::to_string(port);
         client = MvHttp1_CreateClient(loop, where.c_str(), "X-Index");
     }
 
-    void serve(uint16_t port)
+    void
+    serve(uint16_t port)
     {
         server = MvHttp1_Serve(loop, kAddress, port, echo, nullptr, nullptr);
         ASSERT_NE(server, nullptr);
         connect(port);
     }
 
-    void listen(uint16_t port)
+    void
+    listen(uint16_t port)
     {
-        listener = MvNet_Listen(pool, kAddress, port, SOCK_STREAM, false,
-                                nullptr);
+        listener =
+            MvNet_Listen(pool, kAddress, port, SOCK_STREAM, false, nullptr);
         ASSERT_NE(listener, nullptr);
         connect(port);
     }
 
     /* Answer the next connection with @bytes, then close it if told. */
-    void answer(const std::string &bytes, bool close)
+    void
+    answer(const std::string &bytes, bool close)
     {
         apr_socket_t *socket = nullptr;
         for (int i = 0; i < 200 && !socket; i++) {
@@ -92,13 +96,13 @@
         }
     }
 
-    result_t call(const char *method, const char *target,
-                  mv_time_t timeout = MV_SECOND, const std::string &bytes = "",
-                  bool close = false)
+    result_t
+    call(const char *method, const char *target, mv_time_t timeout = MV_SECOND,
+         const std::string &bytes = "", bool close = false)
     {
         result_t result;
-        mv_http1_request_t request = {method, target,  nullptr,
-                                      nullptr, 0, timeout};
+        mv_http1_request_t request = {method,  target, nullptr,
+                                      nullptr, 0,      timeout};
         MvHttp1_Call(client, &request, g_get_monotonic_time(), keep, &result);
         EXPECT_EQ(result.count, 0);
         if (listener) {
@@ -131,10 +135,8 @@
         unsigned status;
         const char *body;
     } const cases[] = {
-        {"GET", "/here", 200, "good"},
-        {"GET", "/else", 404, ""},
-        {"POST", "/here", 405, ""},
-        {"GET", long_target.c_str(), 414, ""},
+        {"GET", "/here", 200, "good"}, {"GET", "/else", 404, ""},
+        {"POST", "/here", 405, ""},    {"GET", long_target.c_str(), 414, ""},
         {"GET", "/here", 200, "good"},
     };
     for (const auto &c : cases) {
@@ -154,8 +156,9 @@
         bool close;
         mv_http1_outcome_t outcome;
     } const cases[] = {
-        {"whole", "HTTP/1.1 200 OK\r\nX-Index: 17\r\nContent-Length: 2\r\n\r\nab",
-         true, MV_HTTP1_ANSWERED},
+        {"whole",
+         "HTTP/1.1 200 OK\r\nX-Index: 17\r\nContent-Length: 2\r\n\r\nab", true,
+         MV_HTTP1_ANSWERED},
         {"body breaks off", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab",
          true, MV_HTTP1_UNKNOWN},
         {"head breaks off", "HTTP/1.1 200 OK\r\nConte", true,
--- a/packages/replica/src/delta.c
+++ b/packages/replica/src/delta.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <zlib.h>
 
+#include "masticvane/net.h"
 #include "replica_private.h"
 
 #define DELTA_FIELDS 4
@@ -242,7 +243,8 @@
     mv_merge_t merge = MV_MERGE_MALFORMED;
     delta_t delta;
     msgpack_unpacked_init(&result);
-    if (msgpack_unpack_next(&result, bytes, length, &offset) ==
+    if (MvPacked_IsPlausible((const uint8_t *)bytes, length) &&
+        msgpack_unpack_next(&result, bytes, length, &offset) ==
             MSGPACK_UNPACK_SUCCESS &&
         offset == length && get_delta(&result.data, &delta)) {
         merge = merge_delta(replica, now, &delta);
--- a/packages/replica/test/feed_test.cc
+++ b/packages/replica/test/feed_test.cc
@@ -296,6 +296,13 @@
     MvReplica_Advance(from, 50);
     mv_buffer_t bytes = {};
     ASSERT_TRUE(MvReplica_EncodeSince(from, 0, &bytes));
+    /* Found by fuzzing: arrays that say they hold a thousand million. */
+    for (const char *liar :
+         {"\x00\xdd\x7f\xff\xff\xff", "\x00\xdf\x01\xa8\x90\x90",
+          "\x00\x94\x00\x05\x01\xdd\x70\xfa\x76\x01"}) {
+        EXPECT_EQ(MvReplica_Merge(to, 0, liar, 6 + (liar[1] == '\x94') * 4),
+                  MV_MERGE_MALFORMED);
+    }
     for (size_t length = 0; length < bytes.length; length++) {
         EXPECT_EQ(MvReplica_Merge(to, 0, (char *)bytes.data, length),
                   MV_MERGE_MALFORMED);
