Histograms of handling, of changes and of store calls; lines say how old knowledge was

Cause: an engineer could see that a node was wrong but not how old what it knew was when it decided, how long a change took to reach packets, or which calls of the store failed and how slowly; a lost and regained watcher and an overload had no line.

Change: latencies may carry labels; store_call_seconds by kind and outcome (one histogram for sixteen pairs, watches included), packet_handling_seconds (one value for each packet of a batch), decision_knowledge_age_seconds at packets, change_in_force_seconds from the first word of a change (a store's answer or a heartbeat with a newer revision) to the table that packets use; six classes below a millisecond. A table says of which revision it was made and carries the oldest change that no packet has used, also when it replaces one that was never taken. Flow lines carry revision and age_ms. New lines: 3005 and 3006 (heartbeats of a neighbour ended, are back after gone_ms), 6008 and 6009 (late flows begin and cease to wait).

Ruled out: measuring a change from its write (the store's answers carry no time); one timestamp a packet (a batch's clock reads are shared).

Conclusion: each line says what it rested on and how old that was.

--- a/packages/base/include/masticvane/base.h
+++ b/packages/base/include/masticvane/base.h
@@ -162,14 +162,14 @@
 
 /** enum mv_latency_id - Every latency that is counted in classes. */
 typedef enum mv_latency_id {
-#define MV_LATENCY(id, name, text) MV_LATENCY_##id,
+#define MV_LATENCY(id, name, labels, text) MV_LATENCY_##id,
 #include "masticvane/latencies.def"
 #undef MV_LATENCY
     MV_LATENCY_COUNT,
 } mv_latency_id_t;
 
 /** Classes of a latency; the last one has no upper bound. */
-#define MV_LATENCY_CLASSES 12
+#define MV_LATENCY_CLASSES 18
 
 /**
  * struct mv_counters - One set of counters, written by one or more threads.
@@ -196,6 +196,14 @@
 void MvCounters_AddLatency(mv_counters_t *counters, mv_latency_id_t id,
                            mv_time_t value);
 
+/** MvCounters_AddLatencies() - Count @n values that are alike. */
+void MvCounters_AddLatencies(mv_counters_t *counters, mv_latency_id_t id,
+                             mv_time_t value, uint64_t n);
+
+/** MvCounters_LatencyCount() - Values counted so far. */
+uint64_t MvCounters_LatencyCount(const mv_counters_t *counters,
+                                 mv_latency_id_t id);
+
 /**
  * MvCounters_Expose() - Append all as text in the exposition format that
  * Prometheus reads, names beginning with "masticvane_".
--- a/packages/base/src/counters.c
+++ b/packages/base/src/counters.c
@@ -1,6 +1,7 @@
 #include "masticvane/base.h"
 
 #include <inttypes.h>
+#include <string.h>
 
 static const char *const counter_names[] = {
 #define MV_COUNTER(id, name, text) [MV_COUNTER_##id] = (name),
@@ -50,38 +51,69 @@
 
 typedef struct latency_text {
     const char *name;
+    const char *labels;
     const char *text;
 } latency_text_t;
 
 static const latency_text_t latency_texts[] = {
-#define MV_LATENCY(id, name, text) [MV_LATENCY_##id] = {(name), (text)},
+#define MV_LATENCY(id, name, labels, text)                                    \
+    [MV_LATENCY_##id] = {(name), (labels), (text)},
 #include "masticvane/latencies.def"
 #undef MV_LATENCY
 };
 
 /* Upper bounds of the classes. */
 static const mv_time_t class_bounds[MV_LATENCY_CLASSES] = {
-    MV_MILLISECOND,       2 * MV_MILLISECOND,
-    5 * MV_MILLISECOND,   10 * MV_MILLISECOND,
-    20 * MV_MILLISECOND,  50 * MV_MILLISECOND,
-    100 * MV_MILLISECOND, 200 * MV_MILLISECOND,
-    500 * MV_MILLISECOND, MV_SECOND,
-    5 * MV_SECOND,        MV_NEVER,
+    10,
+    20,
+    50,
+    100,
+    200,
+    500,
+    MV_MILLISECOND,
+    2 * MV_MILLISECOND,
+    5 * MV_MILLISECOND,
+    10 * MV_MILLISECOND,
+    20 * MV_MILLISECOND,
+    50 * MV_MILLISECOND,
+    100 * MV_MILLISECOND,
+    200 * MV_MILLISECOND,
+    500 * MV_MILLISECOND,
+    MV_SECOND,
+    5 * MV_SECOND,
+    MV_NEVER,
 };
 
 void
-MvCounters_AddLatency(mv_counters_t *counters, mv_latency_id_t id,
-                      mv_time_t value)
+MvCounters_AddLatencies(mv_counters_t *counters, mv_latency_id_t id,
+                        mv_time_t value, uint64_t n)
 {
     unsigned class = 0;
     while (value > class_bounds[class]) {
         class ++;
     }
-    __atomic_fetch_add(&counters->classes[id][class], 1, __ATOMIC_RELAXED);
-    __atomic_fetch_add(&counters->sum[id], (uint64_t)MAX(value, 0),
+    __atomic_fetch_add(&counters->classes[id][class], n, __ATOMIC_RELAXED);
+    __atomic_fetch_add(&counters->sum[id], n * (uint64_t)MAX(value, 0),
                        __ATOMIC_RELAXED);
 }
 
+void
+MvCounters_AddLatency(mv_counters_t *counters, mv_latency_id_t id,
+                      mv_time_t value)
+{
+    MvCounters_AddLatencies(counters, id, value, 1);
+}
+
+uint64_t
+MvCounters_LatencyCount(const mv_counters_t *counters, mv_latency_id_t id)
+{
+    uint64_t count = 0;
+    for (unsigned i = 0; i < MV_LATENCY_CLASSES; i++) {
+        count += __atomic_load_n(&counters->classes[id][i], __ATOMIC_RELAXED);
+    }
+    return count;
+}
+
 static void G_GNUC_PRINTF(2, 3)
     append_line(mv_buffer_t *out, const char *format, ...)
 {
@@ -94,14 +126,26 @@
 }
 
 static void
-expose_latency(const mv_counters_t *counters, unsigned id, mv_buffer_t *out)
+expose_latency_head(unsigned id, mv_buffer_t *out)
 {
     const latency_text_t *latency = &latency_texts[id];
-    uint64_t count = 0;
+    if (id > 0 && !strcmp(latency->name, latency_texts[id - 1].name)) {
+        return;
+    }
     append_line(out, "# HELP masticvane_%s_seconds %s\n", latency->name,
                 latency->text);
     append_line(out, "# TYPE masticvane_%s_seconds histogram\n",
                 latency->name);
+}
+
+static void
+expose_latency(const mv_counters_t *counters, unsigned id, mv_buffer_t *out)
+{
+    const latency_text_t *latency = &latency_texts[id];
+    const char *comma = *latency->labels ? "," : "";
+    char labels[LINE_BYTES / 2] = "";
+    uint64_t count = 0;
+    expose_latency_head(id, out);
     for (unsigned i = 0; i < MV_LATENCY_CLASSES; i++) {
         char bound[32] = "+Inf";
         count += __atomic_load_n(&counters->classes[id][i], __ATOMIC_RELAXED);
@@ -109,15 +153,18 @@
             (void)snprintf(bound, sizeof(bound), "%g",
                            (double)class_bounds[i] / MV_SECOND);
         }
-        append_line(out,
-                    "masticvane_%s_seconds_bucket{le=\"%s\"} %" PRIu64 "\n",
-                    latency->name, bound, count);
+        append_line(
+            out, "masticvane_%s_seconds_bucket{%s%sle=\"%s\"} %" PRIu64 "\n",
+            latency->name, latency->labels, comma, bound, count);
+    }
+    if (*latency->labels) {
+        (void)snprintf(labels, sizeof(labels), "{%s}", latency->labels);
     }
     uint64_t sum = __atomic_load_n(&counters->sum[id], __ATOMIC_RELAXED);
-    append_line(out, "masticvane_%s_seconds_sum %.6f\n", latency->name,
-                (double)sum / MV_SECOND);
-    append_line(out, "masticvane_%s_seconds_count %" PRIu64 "\n",
-                latency->name, count);
+    append_line(out, "masticvane_%s_seconds_sum%s %.6f\n", latency->name,
+                labels, (double)sum / MV_SECOND);
+    append_line(out, "masticvane_%s_seconds_count%s %" PRIu64 "\n",
+                latency->name, labels, count);
 }
 
 void
--- a/packages/base/test/base_test.cc
+++ b/packages/base/test/base_test.cc
@@ -87,7 +87,7 @@
     code.insert("| masticvane_" name "_total | " text " |");
 #include "masticvane/counters.def"
 #undef MV_COUNTER
-#define MV_LATENCY(id, name, text)                                            \
+#define MV_LATENCY(id, name, labels, text)                                    \
     code.insert("| masticvane_" name "_seconds | " text " |");
 #include "masticvane/latencies.def"
 #undef MV_LATENCY
@@ -109,6 +109,9 @@
     MvCounters_Add(&counters, MV_COUNTER_PACKETS_IN, 7);
     MvCounters_AddLatency(&counters, MV_LATENCY_OPENING, 3 * MV_MILLISECOND);
     MvCounters_AddLatency(&counters, MV_LATENCY_OPENING, 9 * MV_SECOND);
+    MvCounters_AddLatencies(&counters, MV_LATENCY_HANDLING, 15, 32);
+    MvCounters_AddLatency(&counters, MV_LATENCY_STORE_WRITE_UNKNOWN,
+                          4 * MV_MILLISECOND);
     MvCounters_Expose(&counters, &text);
     std::string all((const char *)text.data, text.length);
     for (const char *expected :
@@ -117,9 +120,17 @@
           "masticvane_opening_seconds_bucket{le=\"0.005\"} 1\n",
           "masticvane_opening_seconds_bucket{le=\"+Inf\"} 2\n",
           "masticvane_opening_seconds_sum 9.003000\n",
-          "masticvane_opening_seconds_count 2\n"}) {
+          "masticvane_opening_seconds_count 2\n",
+          "masticvane_packet_handling_seconds_bucket{le=\"2e-05\"} 32\n",
+          "masticvane_store_call_seconds_bucket{kind=\"write\","
+          "outcome=\"unknown\",le=\"0.005\"} 1\n",
+          "masticvane_store_call_seconds_count{kind=\"write\","
+          "outcome=\"unknown\"} 1\n"}) {
         EXPECT_NE(all.find(expected), std::string::npos) << expected;
     }
+    const std::string head = "# TYPE masticvane_store_call_seconds histogram";
+    EXPECT_NE(all.find(head), std::string::npos);
+    EXPECT_EQ(all.find(head), all.rfind(head)) << "said once for all labels";
     MvBuffer_Clear(&text);
 }
 
--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -194,7 +194,9 @@
 static void
 note_unheard(mv_tags_control_t *control, mv_time_t now)
 {
-    if (MvFeed_KnowledgeAge(control->feed, now) < STALE_AFTER) {
+    mv_time_t age = MvFeed_KnowledgeAge(control->feed, now);
+    __atomic_store_n(&control->daemon.heard_at, now - age, __ATOMIC_RELAXED);
+    if (age < STALE_AFTER) {
         control->unheard_at = 0;
         return;
     }
--- a/packages/masticvaned/src/tags_control.h
+++ b/packages/masticvaned/src/tags_control.h
@@ -15,6 +15,7 @@
  * struct mv_tags_control - The control thread.
  * @daemon: shared with the traffic thread
  * @is_changed: the traffic thread needs a new table
+ * @learned_at: first word of the oldest change that is in no table yet, or 0
  * @dump_at: when the state asked for by a signal is written, 0 for never
  * @lost_at: when the store became unreachable
  * @stop_began: when the planned stop began
@@ -43,6 +44,7 @@
     mv_time_t next_look;
     GRand *random;
     bool is_changed;
+    mv_time_t learned_at;
     mv_time_t dump_at;
     bool was_reachable;
     bool is_stopping;
--- a/packages/masticvaned/src/tags_knowledge.c
+++ b/packages/masticvaned/src/tags_knowledge.c
@@ -29,6 +29,16 @@
                 version, before, revision, routes);
 }
 
+static void
+note_change(mv_tags_control_t *control, mv_time_t now)
+{
+    control->is_changed = true;
+    if (control->learned_at == 0) {
+        mv_time_t behind = MvFeed_BehindSince(control->feed);
+        control->learned_at = behind > 0 ? behind : now;
+    }
+}
+
 void
 MvTagsKnowledge_Take(void *context, const mv_store_item_t *item)
 {
@@ -37,7 +47,9 @@
     mv_time_t now = g_get_monotonic_time();
     mv_notice_t notice = MvPlatform_Decode(
         item->key, item->deleted ? NULL : item->value, item->length, &error);
-    control->is_changed = control->is_changed || notice.kind;
+    if (notice.kind) {
+        note_change(control, now);
+    }
     if (g_str_has_prefix(item->key, MV_NODE_PREFIX)) {
         MvFeed_Learn(control->feed, now, item->key,
                      item->deleted ? NULL : item->value);
@@ -70,9 +82,15 @@
     control->is_changed = false;
     MvDirectory_SetNearNodes(control->directory,
                              MvFeed_NearNodes(control->feed));
+    mv_table_t *unused = __atomic_exchange_n(&control->daemon.next_table, NULL,
+                                             __ATOMIC_ACQ_REL);
+    mv_time_t waiting = unused ? MvTable_LearnedAt(unused) : 0;
+    MvTable_Destroy(unused);
     mv_table_t *table = MvDirectory_Table(control->directory, now);
-    MvTable_Destroy(__atomic_exchange_n(&control->daemon.next_table, table,
-                                        __ATOMIC_ACQ_REL));
+    MvTable_SetSource(table, MvReplica_Revision(control->replica),
+                      waiting > 0 ? waiting : control->learned_at);
+    control->learned_at = 0;
+    __atomic_store_n(&control->daemon.next_table, table, __ATOMIC_RELEASE);
 }
 
 /* Words between nodes */
@@ -106,10 +124,21 @@
                 MvReplica_Revision(control->replica));
 }
 
+static void
+log_heard(void *context, mv_node_id_t id, bool is_back, mv_time_t gone)
+{
+    const mv_tags_control_t *control = context;
+    MvLog_Write(control->daemon.log,
+                is_back ? MV_EVENT_HEARTBEATS_BACK : MV_EVENT_HEARTBEATS_ENDED,
+                "id=%u gone_ms=%" PRId64 " revision=%" PRIu64, id,
+                gone / MV_MILLISECOND, MvReplica_Revision(control->replica));
+}
+
 static const mv_feed_ops_t feed_ops = {
     .send = send_message,
     .meet = meet,
     .role = log_role,
+    .heard = log_heard,
 };
 
 static void
--- a/packages/masticvaned/src/tags_packets.c
+++ b/packages/masticvaned/src/tags_packets.c
@@ -130,6 +130,13 @@
                    name->port);
 }
 
+static mv_time_t
+knowledge_age(mv_tags_daemon_t *daemon)
+{
+    return g_get_monotonic_time() -
+           __atomic_load_n(&daemon->heard_at, __ATOMIC_RELAXED);
+}
+
 static void
 log_decision(void *context, const mv_flow_decision_t *decision)
 {
@@ -138,12 +145,14 @@
     format_name(&decision->name, name, sizeof(name));
     MvLog_Write(packets->daemon->log, decision->event,
                 "flow=%s server=%" PRIx64 " instead_of=%" PRIx64
-                " why=%s version=%" PRIu64
-                " candidates=%u outstanding=%u offers=%u took_us=%" PRId64,
+                " why=%s version=%" PRIu64 " candidates=%u outstanding=%u"
+                " offers=%u took_us=%" PRId64 " revision=%" PRIu64
+                " age_ms=%" PRId64,
                 name, decision->server, decision->instead_of,
                 MvCounters_Name(decision->reason), decision->version,
                 decision->candidates, decision->outstanding, decision->offers,
-                decision->took);
+                decision->took, decision->revision,
+                knowledge_age(packets->daemon) / MV_MILLISECOND);
 }
 
 static const mv_forwarder_ops_t forwarder_ops = {
@@ -194,11 +203,27 @@
 {
     mv_table_t *table = __atomic_exchange_n(&packets->daemon->next_table, NULL,
                                             __ATOMIC_ACQ_REL);
-    if (table) {
-        MvForwarder_Adopt(packets->forwarder, table);
+    if (!table) {
+        return;
+    }
+    mv_time_t learned_at = MvTable_LearnedAt(table);
+    MvForwarder_Adopt(packets->forwarder, table);
+    if (learned_at > 0) {
+        MvCounters_AddLatency(&packets->daemon->counters, MV_LATENCY_IN_FORCE,
+                              g_get_monotonic_time() - learned_at);
     }
 }
 
+static void
+count_handled(mv_tags_packets_t *packets, mv_time_t began, unsigned handled)
+{
+    mv_counters_t *counters = &packets->daemon->counters;
+    MvCounters_AddLatencies(counters, MV_LATENCY_HANDLING,
+                            g_get_monotonic_time() - began, handled);
+    MvCounters_AddLatencies(counters, MV_LATENCY_KNOWLEDGE,
+                            knowledge_age(packets->daemon), handled);
+}
+
 static void
 socket_ready(mv_watch_t *watch, int events)
 {
@@ -211,11 +236,13 @@
     mv_time_t now = g_get_monotonic_time();
     __atomic_store_n(&packets->daemon->last_packet_at, now, __ATOMIC_RELAXED);
     for (int i = 0; i < BATCHES_PER_WAKE && count == BATCH; i++) {
+        mv_time_t began = g_get_monotonic_time();
         count = receive(packets, lengths);
         for (int p = 0; p < count; p++) {
             handle(packets, &packets->frames[p], lengths[p], now);
         }
         flush(packets);
+        count_handled(packets, began, (unsigned)count);
     }
     packets->has_more = count == BATCH;
 }
--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -217,11 +217,14 @@
  * @send: send @message to node @to; may be lost
  * @meet: from now on node @neighbour may be sent to
  * @role: this node begins or ends to watch
+ * @heard: heartbeats of a neighbour ended, or came back after @gone
  */
 typedef struct mv_feed_ops {
     void (*send)(void *context, mv_node_id_t to, const mv_message_t *message);
     void (*meet)(void *context, const mv_neighbour_t *neighbour);
     void (*role)(void *context, bool watches, unsigned rank);
+    void (*heard)(void *context, mv_node_id_t id, bool is_back,
+                  mv_time_t gone);
 } mv_feed_ops_t;
 
 /** typedef mv_feed_t - This node's place among its neighbours. */
@@ -262,6 +265,12 @@
 /** MvFeed_KnowledgeAge() - Since the store or a fresh watcher was heard. */
 mv_time_t MvFeed_KnowledgeAge(const mv_feed_t *feed, mv_time_t now);
 
+/**
+ * MvFeed_BehindSince() - First word of a revision that the copy has not yet
+ * reached, or 0.
+ */
+mv_time_t MvFeed_BehindSince(const mv_feed_t *feed);
+
 /** MvFeed_NearNodes() - Nodes of the own data centre, this one included. */
 unsigned MvFeed_NearNodes(const mv_feed_t *feed);
 
--- a/packages/replica/src/feed.c
+++ b/packages/replica/src/feed.c
@@ -18,6 +18,8 @@
     mv_time_t removed_at;
     mv_time_t fresh_at;
     mv_time_t pulled_at;
+    mv_time_t heard_at;
+    bool is_lost;
 } member_t;
 
 struct mv_feed {
@@ -33,6 +35,8 @@
     bool watches;
     mv_time_t next_heartbeat;
     uint64_t pushed;
+    uint64_t behind_revision;
+    mv_time_t behind_since;
 };
 
 mv_feed_settings_t
@@ -328,10 +332,60 @@
     feed->ops->send(feed->context, member->neighbour.id, &message);
 }
 
+mv_time_t
+MvFeed_BehindSince(const mv_feed_t *feed)
+{
+    bool is_behind = feed->behind_revision > MvReplica_Revision(feed->replica);
+    return is_behind ? feed->behind_since : 0;
+}
+
+static void
+note_revision(mv_feed_t *feed, mv_time_t now, uint64_t revision)
+{
+    if (revision <= MvReplica_Revision(feed->replica)) {
+        return;
+    }
+    if (MvFeed_BehindSince(feed) == 0) {
+        feed->behind_since = now;
+    }
+    feed->behind_revision = MAX(feed->behind_revision, revision);
+}
+
+static void
+note_heard(mv_feed_t *feed, mv_time_t now, member_t *member)
+{
+    if (member->is_lost) {
+        member->is_lost = false;
+        feed->ops->heard(feed->context, member->neighbour.id, true,
+                         now - member->heard_at);
+    }
+    member->heard_at = now;
+}
+
+/* Only who watches sends heartbeats: one may also have ceased to watch. */
+static void
+note_lost(mv_feed_t *feed, mv_time_t now)
+{
+    GHashTableIter iter;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iter, feed->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        member_t *member = value;
+        mv_time_t gone = now - member->heard_at;
+        if (member->heard_at > 0 && !member->is_lost &&
+            gone > feed->settings.silence) {
+            member->is_lost = true;
+            feed->ops->heard(feed->context, member->neighbour.id, false, gone);
+        }
+    }
+}
+
 static void
 take_heartbeat(mv_feed_t *feed, mv_time_t now, member_t *member,
                const mv_message_t *message)
 {
+    note_heard(feed, now, member);
+    note_revision(feed, now, message->version);
     /* A stale one makes room at once; the next in rank goes first. */
     member->fresh_at =
         message->target ? now
@@ -380,6 +434,7 @@
 MvFeed_Timer(mv_feed_t *feed, mv_time_t now)
 {
     g_hash_table_foreach_remove(feed->members, forget, &now);
+    note_lost(feed, now);
     mv_time_t due = choose_role(feed, now);
     if (!feed->watches) {
         feed->pushed = 0;
--- a/packages/replica/test/feed_test.cc
+++ b/packages/replica/test/feed_test.cc
@@ -116,6 +116,55 @@
                              return name;
                          });
 
+TEST(Feed, EachLostAndRegainedNeighbourIsToldOnceWithItsTime)
+{
+    feed_world world(8);
+    world.run(5 * MV_SECOND);
+    ASSERT_EQ(world.watchers().size(), 1u);
+    const int leader = world.watchers()[0];
+    const mv_node_id_t id = world.nodes[leader]->id;
+    for (int i = 0; i < 8; i++) {
+        world.cut.insert({leader, i});
+    }
+    world.run(4 * MV_SECOND);
+    for (int i = 0; i < 8; i++) {
+        EXPECT_EQ(world.nodes[i]->lost.count(id), i == leader ? 0u : 1u) << i;
+    }
+    world.cut.clear();
+    world.run(2 * MV_SECOND);
+    for (int i = 0; i < 8; i++) {
+        EXPECT_EQ(world.nodes[i]->lost.count(id), 0u) << i;
+        EXPECT_EQ(world.nodes[i]->told_twice, 0) << i;
+        if (i != leader) {
+            EXPECT_GE(world.nodes[i]->longest_gone, 4 * MV_SECOND) << i;
+            EXPECT_LE(world.nodes[i]->longest_gone, 5 * MV_SECOND) << i;
+        }
+    }
+}
+
+/* What the histogram of changes begins with. */
+TEST(Feed, ANodeKnowsSinceWhenItIsBehind)
+{
+    feed_world world(2);
+    world.run(5 * MV_SECOND);
+    const int leader = world.watchers()[0];
+    feed_node &other = *world.nodes[1 - leader];
+    EXPECT_EQ(MvFeed_BehindSince(other.feed), 0);
+
+    const mv_time_t told = world.now;
+    const uint64_t next = MvReplica_Revision(other.replica) + 3;
+    mv_message_t heartbeat = {};
+    heartbeat.kind = MV_MESSAGE_COPY_HEARTBEAT;
+    heartbeat.from = world.nodes[leader]->id;
+    heartbeat.version = next;
+    heartbeat.target = 1;
+    MvFeed_Message(other.feed, told, &heartbeat);
+    MvFeed_Message(other.feed, told + MV_MILLISECOND, &heartbeat);
+    EXPECT_EQ(MvFeed_BehindSince(other.feed), told);
+    MvReplica_Advance(other.replica, next);
+    EXPECT_EQ(MvFeed_BehindSince(other.feed), 0);
+}
+
 TEST(Feed, ARefusedNodeLearnsFromItsNeighbours)
 {
     feed_world world(6);
--- a/packages/replica/test/feed_world.cc
+++ b/packages/replica/test/feed_world.cc
@@ -233,6 +233,18 @@
 {
 }
 
+void
+heard(void *context, mv_node_id_t id, bool is_back, mv_time_t gone)
+{
+    auto *node = static_cast<feed_node *>(context);
+    bool is_news =
+        is_back ? node->lost.erase(id) > 0 : node->lost.insert(id).second;
+    node->told_twice += is_news ? 0 : 1;
+    if (is_back) {
+        node->longest_gone = MAX(node->longest_gone, gone);
+    }
+}
+
 char *
 random_keys(void *)
 {
@@ -250,7 +262,7 @@
     }
 }
 
-const mv_feed_ops_t kFeedOps = {send_message, meet, role};
+const mv_feed_ops_t kFeedOps = {send_message, meet, role, heard};
 const mv_registration_ops_t kRegistrationOps = {random_keys, registered};
 
 } // namespace
--- a/packages/replica/test/feed_world.h
+++ b/packages/replica/test/feed_world.h
@@ -36,6 +36,10 @@
     mv_registration_t *registration;
     std::map<std::string, std::string> known;
     std::map<std::string, mv_time_t> known_at;
+    /* Neighbours whose heartbeats ended and did not come back. */
+    std::set<mv_node_id_t> lost;
+    mv_time_t longest_gone;
+    int told_twice;
 };
 
 struct feed_world {
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -193,6 +193,18 @@
 /** MvDirectory_Table() - New snapshot; freed with MvTable_Destroy(). */
 mv_table_t *MvDirectory_Table(mv_directory_t *directory, mv_time_t now);
 
+/**
+ * MvTable_SetSource() - Say what the snapshot was made of.
+ * @revision: every change of the store up to it
+ * @learned_at: first word of the oldest change that packets do not use yet, 0
+ *              for none
+ */
+void MvTable_SetSource(mv_table_t *table, uint64_t revision,
+                       mv_time_t learned_at);
+
+/** MvTable_LearnedAt() - As set. */
+mv_time_t MvTable_LearnedAt(const mv_table_t *table);
+
 /** MvTable_Destroy() - Free; NULL is accepted. */
 void MvTable_Destroy(mv_table_t *table);
 
@@ -283,6 +295,7 @@
  * @outstanding: flows begun at the server and not ended, as counted here
  * @offers: opening packets sent so far
  * @version: configuration that decided
+ * @revision: of the store, as this node knew it
  * @took: time since the flow's first packet
  */
 typedef struct mv_flow_decision {
@@ -296,6 +309,7 @@
     unsigned outstanding;
     unsigned offers;
     uint64_t version;
+    uint64_t revision;
     mv_time_t took;
 } mv_flow_decision_t;
 
--- a/packages/tags/src/flows.c
+++ b/packages/tags/src/flows.c
@@ -143,6 +143,7 @@
         .outstanding = standing ? standing->outstanding : 0,
         .offers = flow->offer_count,
         .version = forwarder->table->version,
+        .revision = forwarder->table->revision,
         .took = now - flow->began_at,
     };
     forwarder->ops->decided(forwarder->context, &decision);
--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -99,6 +99,7 @@
         .is_rare = true,
         .reason = verdict->reason,
         .version = forwarder->table ? forwarder->table->version : 0,
+        .revision = forwarder->table ? forwarder->table->revision : 0,
     };
     forwarder->ops->decided(forwarder->context, &decision);
 }
@@ -180,6 +181,7 @@
     flow->asked_at = now - packet->waited;
     flow->urgency = route->route.urgency;
     MvFlow_SetPhase(forwarder, flow, MV_FLOW_HELD);
+    MvHolding_Began(forwarder, now);
     return (mv_flow_verdict_t){.reason = MV_COUNTER_FLOWS_HELD};
 }
 
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -113,6 +113,9 @@
     GRand *random;
     unsigned sample;
     mv_time_t stray_at;
+    mv_time_t overload_began;
+    mv_time_t held_at;
+    unsigned held_count;
     mv_table_t *table;
     GHashTable *standings;
     GHashTable *centres;
@@ -197,6 +200,9 @@
     mv_time_t duration;
 } mv_service_load_t;
 
+/** MvHolding_Began() - A flow is held from now on. */
+void MvHolding_Began(mv_forwarder_t *forwarder, mv_time_t now);
+
 /** MvHolding_Ended() - A flow of @service took @duration. */
 void MvHolding_Ended(mv_forwarder_t *forwarder, unsigned service,
                      mv_time_t duration);
--- a/packages/tags/src/holding.c
+++ b/packages/tags/src/holding.c
@@ -10,6 +10,8 @@
 /* A flow that waits so long may use any slot nearby. */
 #define FULL_SHARE_AFTER (400 * MV_MILLISECOND)
 #define CHECK_INTERVAL (5 * MV_MILLISECOND)
+/* An overload is over when no flow was held for so long. */
+#define OVERLOAD_QUIET MV_SECOND
 /* The mean of so many of the last flows tells how long one takes. */
 #define SMOOTHING 64
 
@@ -83,6 +85,31 @@
     return ready > target && !has_room(forwarder, service, now, held);
 }
 
+void
+MvHolding_Began(mv_forwarder_t *forwarder, mv_time_t now)
+{
+    forwarder->held_at = now;
+    forwarder->held_count++;
+    if (forwarder->overload_began == 0) {
+        forwarder->overload_began = now;
+        forwarder->ops->event(forwarder->context, MV_EVENT_OVERLOAD_BEGAN, 0,
+                              0);
+    }
+}
+
+static void
+note_overload_end(mv_forwarder_t *forwarder, mv_time_t now)
+{
+    if (forwarder->overload_began == 0 || !MvList_IsEmpty(&forwarder->held) ||
+        now - forwarder->held_at < OVERLOAD_QUIET) {
+        return;
+    }
+    forwarder->ops->event(forwarder->context, MV_EVENT_OVERLOAD_ENDED, 0,
+                          forwarder->held_count);
+    forwarder->overload_began = 0;
+    forwarder->held_count = 0;
+}
+
 /* The most urgent, of those the one whose caller waits longest. */
 static mv_flow_t *
 first_held(const mv_forwarder_t *forwarder)
@@ -137,5 +164,6 @@
             release(forwarder, other, now);
         }
     }
+    note_overload_end(forwarder, now);
     return MvList_IsEmpty(&forwarder->held) ? MV_NEVER : now + CHECK_INTERVAL;
 }
--- a/packages/tags/src/table.c
+++ b/packages/tags/src/table.c
@@ -35,6 +35,19 @@
     return false;
 }
 
+void
+MvTable_SetSource(mv_table_t *table, uint64_t revision, mv_time_t learned_at)
+{
+    table->revision = revision;
+    table->learned_at = learned_at;
+}
+
+mv_time_t
+MvTable_LearnedAt(const mv_table_t *table)
+{
+    return table->learned_at;
+}
+
 void
 MvTable_Destroy(mv_table_t *table)
 {
--- a/packages/tags/src/table.h
+++ b/packages/tags/src/table.h
@@ -57,6 +57,9 @@
 /**
  * struct mv_table - Everything the traffic thread reads.
  * @version: configuration
+ * @revision: of the store, every change up to it is in the table
+ * @learned_at: first word of the oldest change that packets do not use yet, or
+ *              0
  * @flow_idle: a flow silent for longer may be forgotten
  * @near_nodes: entry VMs of the own data centre, this one included
  * @server_count: entries in @servers
@@ -70,6 +73,8 @@
  */
 struct mv_table {
     uint64_t version;
+    uint64_t revision;
+    mv_time_t learned_at;
     mv_time_t flow_idle;
     unsigned near_nodes;
     unsigned server_count;
--- a/packages/tags/test/load_test.cc
+++ b/packages/tags/test/load_test.cc
@@ -230,6 +230,11 @@
     mv_server_t one = world.server(1, "booking", "casa");
     EXPECT_EQ(world.go_on(1000, MvServer_Tag(&one)).server, 1u);
     EXPECT_EQ(world.counter(MV_COUNTER_FLOWS_HELD), 1u);
+    const auto told = [&world](int event) {
+        return std::count(world.events.begin(), world.events.end(), event);
+    };
+    EXPECT_EQ(told(MV_EVENT_OVERLOAD_BEGAN), 1);
+    EXPECT_EQ(told(MV_EVENT_OVERLOAD_ENDED), 1);
 }
 
 TEST(Load, ALateCallerWaitsForNobodyWhenThereIsRoom)
