--- a/packages/replica/test/feed_test.cc
+++ b/packages/replica/test/feed_test.cc
@@ -270,6 +270,36 @@
     EXPECT_LE(world.watchers().size(), 6u);
 }
 
+/* Nobody has a disk: what was known is gone until the store is back. */
+TEST(Feed, AllPowerLostWhileTheStoreIsAway)
+{
+    for (reach how : {reach::silent, reach::refused}) {
+        feed_world world(87, 3);
+        world.run(kSettled);
+        world.write("number/1", "1");
+        world.run(kSettled);
+        for (int i = 0; i < 87; i++) {
+            world.nodes[i]->reaches = how;
+            world.stop(i);
+        }
+        for (int i = 0; i < 87; i++) {
+            world.start(i);
+        }
+        uint64_t before = world.calls();
+        world.run(8 * MV_SECOND);
+        EXPECT_LE(world.calls() - before, 87u * 16u) << "no stampede";
+        for (auto &node : world.nodes) {
+            node->reaches = reach::good;
+        }
+        before = world.calls();
+        EXPECT_GE(world.spread_time("number/1", "1", kInForce), 0);
+        EXPECT_FALSE(world.went_back);
+        world.run(kSettled);
+        EXPECT_LE(world.calls() - before, 87u * 6u + 6u * 16u);
+        EXPECT_LE(world.watchers().size(), 6u);
+    }
+}
+
 TEST(Feed, AWokenNodeWatchesForItselfAtOnce)
 {
     feed_world world(8);
--- a/packages/tags/test/tags_world.h
+++ b/packages/tags/test/tags_world.h
@@ -5,6 +5,7 @@
 #define MV_TAGS_WORLD_H
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -11,6 +11,8 @@
 import tempfile
 
 CORE = "packages/core/src/"
+TAGS = "packages/tags/src/"
+REPLICA = "packages/replica/src/"
 # promise, file, from, to, test program, filter
 MUTANTS = [
     ("moves wait for acknowledgement", CORE + "buckets.c",
@@ -97,6 +99,22 @@
      "return member->spread_left + (gone ? SPREAD_MAX : 0);", "return member->spread_left + (gone ? 0 : 0);", "flows_test", "Members*"),
     ("a change under later ones is known as accepted", "packages/config/src/generate.c",
      "        if (!strcmp(deployment->recent_changes[i], change_id)) {", "        if (i < 0) {", "store_test", "Confirm*"),
+    ("tags name lives, not addresses", TAGS + "directory.c",
+     "life[] = {server->id, (uint64_t)server->started_at};", "life[] = {server->address, server->port};", "tags_test", "*Disagreement*"),
+    ("a tag that nobody here knows is dropped", TAGS + "forwarder.c",
+     "        return (mv_flow_verdict_t){.reason = MV_COUNTER_PACKETS_UNKNOWN_TAG};", "        return (mv_flow_verdict_t){.kind = MV_FLOW_RESET, .reason = MV_COUNTER_PACKETS_UNKNOWN_TAG};", "tags_test", "*Disagreement*"),
+    ("servers that left stay known for their flows", TAGS + "directory.c",
+     "            now - record->withdrawn_at > directory->settings.keep) {", "            now > record->withdrawn_at) {", "tags_test", "*Disagreement*"),
+    ("a tag of another service is dropped", TAGS + "forwarder.c",
+     "    if (!MvTable_Allows(route, server->service)) {", "    if (!route) {", "tags_test", "Tags.*"),
+    ("an older route table never comes back", TAGS + "directory.c",
+     "    if (routing->version <= directory->routing->version) {", "    if (routing->version == 0) {", "tags_test", "Tags.*"),
+    ("a key never goes back", REPLICA + "replica.c",
+     "    if (item->revision <= entry->revision) {", "    if (item->revision + 9 <= entry->revision) {", "feed_test", "Feed.Knowledge*"),
+    ("a watcher that hears nothing says so", REPLICA + "feed.c",
+     "    message.target = is_fresh(feed, now);", "    message.target = is_fresh(feed, now) || true;", "feed_test", "*Watchers*"),
+    ("calls that fail grow rarer", REPLICA + "follower.c",
+     "    follower->pause = (mv_time_t)(share * (double)follower->back_off);", "    follower->pause = (mv_time_t)(share * 1000);", "feed_test", "Feed.*"),
 ]
 
 
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -258,6 +258,27 @@
             if not node.process and self.plant != "recovery":
                 await node.start()
 
+    async def blackout(self, rng):
+        """All power is lost while the store is away; then it answers one node
+        only, which is a seed, and later all."""
+        if self.store.mode:
+            return
+        self.disturb(14.0)
+        every = range(len(self.nodes))
+        self.store.mode.update({i: rng.choice(["silent", "busy"]) for i in every})
+        running = [node for node in self.nodes if node.process]
+        for node in running:
+            await node.end(signal.SIGKILL)
+        for node in running:
+            await node.start()
+        await asyncio.sleep(rng.uniform(1.0, 3.0))
+        self.store.mode.pop(0, None)
+        seed = self.nodes[0]
+        if seed.process:
+            for node in running:
+                await self.wait_ready(node, 5.0)
+        self.store.mode.clear()
+
     async def pause(self, rng):
         node = rng.choice(self.nodes)
         if node.process:
@@ -342,7 +363,7 @@
     def schedule(self, seconds, seed):
         """The same for a seed whatever the machine does."""
         kinds = ["change", "leave", "roll", "change", "kill", "pause", "store_fault", "forget",
-                 "start_alone", "crash", "lose", "change", "kill_all"]
+                 "start_alone", "crash", "lose", "change", "kill_all", "blackout"]
         if self.plant:
             # One calm change, or what the planted fault needs, and time to see it.
             kind = {"leaving": "leave", "recovery": "kill_all"}.get(self.plant, "change")
