--- a/packages/masticvaned/src/tags_packets.c
+++ b/packages/masticvaned/src/tags_packets.c
@@ -146,12 +146,12 @@
     MvLog_Write(packets->daemon->log, decision->event,
                 "flow=%s server=%" PRIx64 " instead_of=%" PRIx64
                 " why=%s version=%" PRIu64 " candidates=%u outstanding=%u"
-                " offers=%u took_us=%" PRId64 " revision=%" PRIu64
-                " age_ms=%" PRId64,
+                " offers=%u held_us=%" PRId64 " took_us=%" PRId64
+                " revision=%" PRIu64 " age_ms=%" PRId64,
                 name, decision->server, decision->instead_of,
                 MvCounters_Name(decision->reason), decision->version,
                 decision->candidates, decision->outstanding, decision->offers,
-                decision->took, decision->revision,
+                decision->held, decision->took, decision->revision,
                 knowledge_age(packets->daemon) / MV_MILLISECOND);
 }
 
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -296,7 +296,8 @@
  * @offers: opening packets sent so far
  * @version: configuration that decided
  * @revision: of the store, as this node knew it
- * @took: time since the flow's first packet
+ * @held: time that it waited here for a free server
+ * @took: time since its first packet, or since it was held no longer
  */
 typedef struct mv_flow_decision {
     mv_log_event_t event;
@@ -310,6 +311,7 @@
     unsigned offers;
     uint64_t version;
     uint64_t revision;
+    mv_time_t held;
     mv_time_t took;
 } mv_flow_decision_t;
 
--- a/packages/tags/src/flows.c
+++ b/packages/tags/src/flows.c
@@ -145,6 +145,7 @@
         .offers = flow->offer_count,
         .version = forwarder->table->version,
         .revision = forwarder->table->revision,
+        .held = flow->held,
         .took = now - flow->began_at,
     };
     forwarder->ops->decided(forwarder->context, &decision);
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -76,6 +76,7 @@
  * @name: its identity
  * @phase: &enum mv_flow_phase
  * @began_at: its first opening packet came
+ * @held: time that it waited here for a free server
  * @asked_at: its caller sent the first opening packet, as far as can be told
  * @urgency: of its route
  * @offered_at: the last opening packet went out
@@ -93,6 +94,7 @@
     mv_flow_name_t name;
     mv_flow_phase_t phase;
     mv_time_t began_at;
+    mv_time_t held;
     mv_time_t asked_at;
     uint8_t urgency;
     mv_time_t offered_at;
--- a/packages/tags/src/holding.c
+++ b/packages/tags/src/holding.c
@@ -133,6 +133,7 @@
 {
     MvCounters_AddLatency(forwarder->counters, MV_LATENCY_HELD,
                           now - flow->began_at);
+    flow->held = now - flow->began_at;
     flow->began_at = now;
     MvFlow_SetPhase(forwarder, flow, MV_FLOW_OPENING);
     if (!MvFlow_OfferAgain(forwarder, flow, now)) {
--- a/packages/tags/src/openings.c
+++ b/packages/tags/src/openings.c
@@ -31,8 +31,13 @@
     }
     mv_flow_verdict_t verdict =
         MvFlow_Offer(forwarder, flow, now, (unsigned)position);
-    MvCounters_Add(forwarder->counters, MV_COUNTER_OPENINGS_RESENT, 1);
-    MvFlow_Tell(forwarder, flow, now, MV_EVENT_FLOW_RESENT, true);
+    if (flow->offer_count > 1) {
+        MvCounters_Add(forwarder->counters, MV_COUNTER_OPENINGS_RESENT, 1);
+    }
+    MvFlow_Tell(forwarder, flow, now,
+                flow->offer_count > 1 ? MV_EVENT_FLOW_RESENT
+                                      : MV_EVENT_FLOW_PLACED,
+                true);
     flow->seen_at = now;
     forwarder->ops->send(forwarder->context, &verdict, flow->opening,
                          flow->opening_length);
--- a/packages/tags/test/load_test.cc
+++ b/packages/tags/test/load_test.cc
@@ -268,6 +268,15 @@
     world.run(6 * MV_MILLISECOND);
     EXPECT_TRUE(world.opened.count(1001));
     EXPECT_FALSE(world.opened.count(1000));
+    const auto placed =
+        std::find_if(world.decisions.begin(), world.decisions.end(),
+                     [](const mv_flow_decision_t &one) {
+                         return one.name.caller_port == 1001;
+                     });
+    ASSERT_NE(placed, world.decisions.end()) << "told whatever the sample";
+    EXPECT_EQ(placed->event, MV_EVENT_FLOW_PLACED);
+    EXPECT_GT(placed->held, 0);
+    EXPECT_EQ(world.counter(MV_COUNTER_OPENINGS_RESENT), 0u);
 }
 
 TEST(Load, AHeldFlowWhoseRouteLeadsNowhereAnyMoreIsLetGo)
