Log budget in bytes, a sample that holds at once, a store that never answered is told

Change: log.bytes_per_second (32768 in the mode tags), MvLog_Tick at each turn of the control thread, flow_sample read anew with the other limits, 2003 when the store has not answered 1.5 s after the start (2004 then has the whole time), Connection: close and HTTP/1.0 kept to, 400 for what is no request.

Ruled out: a shorter limit for 2003 (a call may take 1.2 s).

--- a/packages/base/include/masticvane/base.h
+++ b/packages/base/include/masticvane/base.h
@@ -368,12 +368,16 @@
 mv_log_t *MvLog_Create(const char *path, mv_log_level_t level, GError **error);
 
 /**
- * MvLog_SetBudget() - Write so many lines a second at most, 0 for all.
+ * MvLog_SetBudget() - Write so much a second at most, 0 for all.
  *
- * What is left out is counted and said once in the next second that has a
- * line.
+ * What is left out is counted and said once a second, by the next line or
+ * MvLog_Tick().
  */
-void MvLog_SetBudget(mv_log_t *log, unsigned lines_per_second);
+void MvLog_SetBudget(mv_log_t *log, unsigned lines_per_second,
+                     unsigned bytes_per_second);
+
+/** MvLog_Tick() - Say what was left out in a second that is over. */
+void MvLog_Tick(mv_log_t *log);
 
 /** MvLog_Destroy() - Close the log; NULL is accepted. */
 void MvLog_Destroy(mv_log_t *log);
--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -20,8 +20,10 @@
     mv_log_level_t level;
     pthread_mutex_t lock;
     unsigned line_budget;
+    unsigned byte_budget;
     time_t second;
     unsigned lines;
+    unsigned bytes;
     unsigned over_budget;
     unsigned not_taken;
 };
@@ -66,9 +68,13 @@
 }
 
 void
-MvLog_SetBudget(mv_log_t *log, unsigned lines_per_second)
+MvLog_SetBudget(mv_log_t *log, unsigned lines_per_second,
+                unsigned bytes_per_second)
 {
+    pthread_mutex_lock(&log->lock);
     log->line_budget = lines_per_second;
+    log->byte_budget = bytes_per_second;
+    pthread_mutex_unlock(&log->lock);
 }
 
 void
@@ -141,25 +147,47 @@
     finish_line(log, line, length);
 }
 
-/* Return: false when this second's lines are used up. */
-static bool
-take_from_budget(mv_log_t *log, const struct timespec *now)
+static void
+note_second(mv_log_t *log, const struct timespec *now)
 {
-    if (now->tv_sec != log->second) {
-        log->second = now->tv_sec;
-        log->lines = 0;
-        if (log->over_budget + log->not_taken > 0) {
-            report_left_out(log, now);
-        }
+    if (now->tv_sec == log->second) {
+        return;
     }
-    if (log->line_budget > 0 && log->lines >= log->line_budget) {
+    log->second = now->tv_sec;
+    log->lines = 0;
+    log->bytes = 0;
+    if (log->over_budget + log->not_taken > 0) {
+        report_left_out(log, now);
+    }
+}
+
+/* Return: false when this second's lines or bytes are used up. */
+static bool
+take_from_budget(mv_log_t *log, size_t length)
+{
+    if ((log->line_budget > 0 && log->lines >= log->line_budget) ||
+        (log->byte_budget > 0 && log->bytes + length > log->byte_budget)) {
         log->over_budget++;
         return false;
     }
     log->lines++;
+    log->bytes += (unsigned)length;
     return true;
 }
 
+void
+MvLog_Tick(mv_log_t *log)
+{
+    struct timespec now;
+    if (!log) {
+        return;
+    }
+    clock_gettime(CLOCK_REALTIME, &now);
+    pthread_mutex_lock(&log->lock);
+    note_second(log, &now);
+    pthread_mutex_unlock(&log->lock);
+}
+
 void
 MvLog_Write(mv_log_t *log, mv_log_event_t event, const char *format, ...)
 {
@@ -172,15 +200,16 @@
     }
     struct timespec now;
     clock_gettime(CLOCK_REALTIME, &now);
+    char line[LINE_MAX_BYTES];
+    size_t length = format_head(line, known, &now);
+    va_list args;
+    va_start(args, format);
+    length += (size_t)vsnprintf(line + length, LINE_MAX_BYTES - length, format,
+                                args);
+    va_end(args);
     pthread_mutex_lock(&log->lock);
-    if (take_from_budget(log, &now)) {
-        char line[LINE_MAX_BYTES];
-        size_t length = format_head(line, known, &now);
-        va_list args;
-        va_start(args, format);
-        length += (size_t)vsnprintf(line + length, LINE_MAX_BYTES - length,
-                                    format, args);
-        va_end(args);
+    note_second(log, &now);
+    if (take_from_budget(log, MIN(length, LINE_MAX_BYTES - 2) + 1)) {
         finish_line(log, line, length);
     }
     pthread_mutex_unlock(&log->lock);
--- a/packages/base/test/base_test.cc
+++ b/packages/base/test/base_test.cc
@@ -145,7 +145,7 @@
 {
     std::string path = new_folder() + "/log";
     mv_log_t *log = MvLog_Create(path.c_str(), MV_LOG_INFO, nullptr);
-    MvLog_SetBudget(log, 10);
+    MvLog_SetBudget(log, 10, 0);
     for (int i = 0; i < 5000; i++) {
         MvLog_Write(log, MV_EVENT_FLOW_PLACED, "flow=%d", i);
     }
@@ -166,6 +166,35 @@
     EXPECT_TRUE(said);
 }
 
+TEST(Log, TheByteBudgetIsKeptAndSaidWithoutAFurtherLine)
+{
+    std::string path = new_folder() + "/log";
+    mv_log_t *log = MvLog_Create(path.c_str(), MV_LOG_INFO, nullptr);
+    MvLog_SetBudget(log, 0, 2000);
+    const std::string text(300, 'x');
+    for (int i = 0; i < 1000; i++) {
+        MvLog_Write(log, MV_EVENT_FLOW_PLACED, "flow=%s", text.c_str());
+    }
+    sleep(2);
+    MvLog_Tick(log);
+    MvLog_Tick(log);
+    MvLog_Destroy(log);
+    std::ifstream file(path);
+    std::string line;
+    size_t bytes = 0;
+    int said = 0;
+    while (std::getline(file, line)) {
+        bool is_report = line.find("over_budget=") != std::string::npos;
+        said += is_report;
+        bytes += is_report ? 0 : line.size() + 1;
+    }
+    /* The writing may lie in two seconds. */
+    EXPECT_LE(bytes, 2u * 2000u);
+    EXPECT_GE(bytes, 1500u);
+    EXPECT_GE(said, 1);
+    EXPECT_LE(said, 2);
+}
+
 TEST(Log, AReaderThatDoesNotReadIsNotWaitedFor)
 {
     std::string path = new_folder() + "/pipe";
--- a/packages/masticvaned/src/main.c
+++ b/packages/masticvaned/src/main.c
@@ -15,7 +15,7 @@
     mv_log_t *log =
         MvLog_Create(settings->log_file, settings->log_level, &error);
     if (log) {
-        MvLog_SetBudget(log, settings->line_budget);
+        MvLog_SetBudget(log, settings->line_budget, settings->byte_budget);
     }
     int status = log ? MvTagsControl_Run(settings, log, &error) : 1;
     if (error) {
--- a/packages/masticvaned/src/settings.c
+++ b/packages/masticvaned/src/settings.c
@@ -8,6 +8,7 @@
 #define MAX_FLOWS (1 << 28)
 #define MAX_SECONDS 86400
 #define MAX_LINES 1000000
+#define MAX_BYTES 1000000000
 
 typedef struct reading {
     mv_ini_t *ini;
@@ -242,6 +243,9 @@
     settings->line_budget =
         (unsigned)number(reading, "log", "lines_per_second", 0, MAX_LINES,
                          settings->forwarding == MV_FORWARDING_TAGS ? 50 : 0);
+    settings->byte_budget = (unsigned)number(
+        reading, "log", "bytes_per_second", 0, MAX_BYTES,
+        settings->forwarding == MV_FORWARDING_TAGS ? 32768 : 0);
     settings->flow_sample =
         (unsigned)number(reading, "log", "flow_sample", 0, MAX_FLOWS, 256);
 }
--- a/packages/masticvaned/src/settings.h
+++ b/packages/masticvaned/src/settings.h
@@ -40,6 +40,7 @@
  * @seeds: "ADDRESS:PORT" separated by commas, where this node fetches one
  * @metrics_port: TCP port at which metrics are read, 0 for none
  * @line_budget: log lines a second at most, 0 for all
+ * @byte_budget: log bytes a second at most, 0 for all
  * @flow_sample: one flow in so many is logged, 0 for none but rare ones
  * @flow_limit: a flow older than this may be forgotten
  * @self: this VM's own addresses
@@ -69,6 +70,7 @@
     char *seeds;
     mv_time_t flow_limit;
     unsigned line_budget;
+    unsigned byte_budget;
     unsigned flow_sample;
     mv_peer_settings_t self;
     char data_centre[MV_NAME_MAX];
--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -10,6 +10,8 @@
 #define MAX_DESCRIPTORS 256
 #define LONGEST_WAIT (250 * MV_MILLISECOND)
 #define SWEEP_INTERVAL (5 * MV_SECOND)
+/* A store that has not answered a node for so long since its start is away. */
+#define FIRST_ANSWER_LIMIT (1500 * MV_MILLISECOND)
 /* Settings may change without a signal. */
 #define LOOK_INTERVAL (2 * MV_SECOND)
 /* The fabric notices within two of its questions, half a second apart. */
@@ -51,13 +53,16 @@
 note_reachable(mv_tags_control_t *control, mv_time_t now)
 {
     bool reachable = MvFollower_IsReachable(control->follower);
-    if (reachable == control->was_reachable ||
+    bool never_answered = !reachable && control->lost_at == 0 &&
+                          !control->was_reachable &&
+                          now - control->began_at > FIRST_ANSWER_LIMIT;
+    if ((reachable == control->was_reachable && !never_answered) ||
         !MvFeed_Watches(control->feed)) {
         return;
     }
     control->was_reachable = reachable;
     if (!reachable) {
-        control->lost_at = now;
+        control->lost_at = never_answered ? control->began_at : now;
         MvLog_Write(control->daemon.log, MV_EVENT_STORE_UNREACHABLE,
                     "revision=%" PRIu64, MvReplica_Revision(control->replica));
         return;
@@ -67,6 +72,7 @@
                 MvReplica_Revision(control->replica),
                 control->lost_at ? (now - control->lost_at) / MV_MILLISECOND
                                  : 0);
+    control->lost_at = 0;
 }
 
 /* Settings */
@@ -99,11 +105,16 @@
     }
     else {
         control->stop_limit = settings->stop_limit;
-        MvLog_SetBudget(daemon->log, settings->line_budget);
+        MvLog_SetBudget(daemon->log, settings->line_budget,
+                        settings->byte_budget);
+        __atomic_store_n(&daemon->flow_sample, settings->flow_sample,
+                         __ATOMIC_RELAXED);
         MvLog_Write(daemon->log, MV_EVENT_SETTINGS_RELOADED,
-                    "stop_ms=%" PRId64 " lines_per_second=%u",
+                    "stop_ms=%" PRId64
+                    " lines_per_second=%u bytes_per_second=%u flow_sample=%u",
                     settings->stop_limit / MV_MILLISECOND,
-                    settings->line_budget);
+                    settings->line_budget, settings->byte_budget,
+                    settings->flow_sample);
     }
     MvSettings_Destroy(settings);
     MvFindings_Destroy(findings);
@@ -231,6 +242,7 @@
 loop(mv_tags_control_t *control)
 {
     mv_time_t now = g_get_monotonic_time();
+    control->began_at = now;
     while (!should_end(control, now)) {
         mv_time_t next = run_timers(control, now);
         MvLoop_Run(control->loop, CLAMP(next - now, 0, LONGEST_WAIT));
@@ -240,6 +252,7 @@
         MvStore_Poll(control->store, 0);
         MvTagsKnowledge_Publish(control, now);
         note_reachable(control, now);
+        MvLog_Tick(control->daemon.log);
         take_signals(control, now);
         watch_settings(control, now);
         if (MvTagsAnswers_IsReady(control) != control->was_ready) {
@@ -313,11 +326,13 @@
 int
 MvTagsControl_Run(const mv_settings_t *settings, mv_log_t *log, GError **error)
 {
-    mv_tags_control_t control = {.daemon = {.settings = settings,
-                                            .log = log,
-                                            .fabric = MvPlatform_Fabric()},
-                                 .stop_limit = settings->stop_limit,
-                                 .random = g_rand_new()};
+    mv_tags_control_t control = {
+        .daemon = {.settings = settings,
+                   .flow_sample = settings->flow_sample,
+                   .log = log,
+                   .fabric = MvPlatform_Fabric()},
+        .stop_limit = settings->stop_limit,
+        .random = g_rand_new()};
     mv_tags_packets_t *packets = NULL;
     pthread_mutex_init(&control.daemon.dump_lock, NULL);
     apr_pool_create(&control.pool, NULL);
--- a/packages/masticvaned/src/tags_control.h
+++ b/packages/masticvaned/src/tags_control.h
@@ -17,7 +17,8 @@
  * @is_changed: the traffic thread needs a new table
  * @learned_at: first word of the oldest change that is in no table yet, or 0
  * @dump_at: when the state asked for by a signal is written, 0 for never
- * @lost_at: when the store became unreachable
+ * @began_at: when the loop began
+ * @lost_at: when the store became unreachable, 0 while it is not
  * @stop_began: when the planned stop began
  * @stop_limit: longest planned stop
  * @read_at: modification time of the settings that are in force
@@ -49,6 +50,7 @@
     bool was_reachable;
     bool is_stopping;
     bool was_ready;
+    mv_time_t began_at;
     mv_time_t lost_at;
     mv_time_t stop_began;
     mv_time_t next_sweep;
--- a/packages/masticvaned/src/tags_mode.h
+++ b/packages/masticvaned/src/tags_mode.h
@@ -20,6 +20,7 @@
  * @counters: thread-safe
  * @fabric: form of packets
  * @next_table: newest table for the traffic thread, taken by atomic exchange
+ * @flow_sample: as the settings in force have it
  * @heard_at: monotonic time at which the store or a fresh neighbour was last
  *            heard, 0 for never
  * @last_packet_at: monotonic time of the last packet from a caller
@@ -33,6 +34,7 @@
     mv_counters_t counters;
     const mv_fabric_ops_t *fabric;
     mv_table_t *next_table;
+    unsigned flow_sample;
     mv_time_t heard_at;
     mv_time_t last_packet_at;
     bool wants_dump;
--- a/packages/masticvaned/src/tags_packets.c
+++ b/packages/masticvaned/src/tags_packets.c
@@ -201,6 +201,9 @@
 static void
 adopt_table(mv_tags_packets_t *packets)
 {
+    MvForwarder_SetSample(
+        packets->forwarder,
+        __atomic_load_n(&packets->daemon->flow_sample, __ATOMIC_RELAXED));
     mv_table_t *table = __atomic_exchange_n(&packets->daemon->next_table, NULL,
                                             __ATOMIC_ACQ_REL);
     if (!table) {
@@ -333,7 +336,6 @@
     packets->loop = MvLoop_Create(packets->pool, 2);
     packets->forwarder = MvForwarder_Create(&forwarder_ops, packets,
                                             &daemon->counters, g_random_int());
-    MvForwarder_SetSample(packets->forwarder, daemon->settings->flow_sample);
     if (!packets->loop || !open_socket(packets, error) ||
         !start_thread(packets)) {
         MvTagsPackets_Join(packets);
--- a/packages/net/src/http1_server.c
+++ b/packages/net/src/http1_server.c
@@ -19,6 +19,7 @@
     char target[MAX_TARGET];
     size_t target_length;
     bool too_long;
+    bool closes;
 } session_t;
 
 struct mv_http1_server {
@@ -61,6 +62,19 @@
     return http_status_str((enum http_status)status);
 }
 
+static void
+append_answer(session_t *session, unsigned status, const mv_buffer_t *body)
+{
+    char *head = g_strdup_printf(
+        "HTTP/1.1 %u %s\r\nContent-Type: text/plain; charset=utf-8\r\n"
+        "Content-Length: %zu\r\n%s\r\n",
+        status, reason_of(status), body->length,
+        session->closes ? "Connection: close\r\n" : "");
+    MvBuffer_Append(&session->stream.out, head, strlen(head));
+    MvBuffer_Append(&session->stream.out, body->data, body->length);
+    g_free(head);
+}
+
 static int
 on_request(http_parser *parser)
 {
@@ -74,14 +88,9 @@
     else if (!session->too_long) {
         status = server->handler(server->context, session->target, &body);
     }
-    char *head = g_strdup_printf(
-        "HTTP/1.1 %u %s\r\nContent-Type: text/plain; charset=utf-8\r\n"
-        "Content-Length: %zu\r\n\r\n",
-        status, reason_of(status), body.length);
-    MvBuffer_Append(&session->stream.out, head, strlen(head));
-    MvBuffer_Append(&session->stream.out, body.data, body.length);
+    session->closes = !http_should_keep_alive(parser);
+    append_answer(session, status, &body);
     MvBuffer_Clear(&body);
-    g_free(head);
     session->target_length = 0;
     session->too_long = false;
     return 0;
@@ -92,30 +101,50 @@
     .on_message_complete = on_request,
 };
 
+static void
+parse(session_t *session, const char *bytes, size_t length)
+{
+    const mv_buffer_t empty = {0};
+    http_parser_execute(&session->parser, &server_settings, bytes, length);
+    if (HTTP_PARSER_ERRNO(&session->parser) != HPE_OK && !session->closes) {
+        session->closes = true;
+        append_answer(session, HTTP_STATUS_BAD_REQUEST, &empty);
+    }
+}
+
+/* Return: false when the caller is gone. */
+static bool
+read_session(session_t *session)
+{
+    char bytes[MV_STREAM_READ_BYTES];
+    apr_size_t length = sizeof(bytes);
+    apr_status_t status =
+        apr_socket_recv(session->stream.socket, bytes, &length);
+    if (APR_STATUS_IS_EAGAIN(status)) {
+        return true;
+    }
+    if (status != APR_SUCCESS || length == 0) {
+        return false;
+    }
+    if (!session->closes) {
+        parse(session, bytes, length);
+    }
+    return true;
+}
+
 static void
 session_ready(mv_watch_t *watch, int events)
 {
     mv_stream_t *stream = MV_CONTAINER_OF(watch, mv_stream_t, watch);
     session_t *session = MV_CONTAINER_OF(stream, session_t, stream);
-    char bytes[MV_STREAM_READ_BYTES];
-    apr_size_t length = sizeof(bytes);
     session->heard = g_get_monotonic_time();
-    if (events & (APR_POLLIN | APR_POLLHUP | APR_POLLERR)) {
-        apr_status_t status = apr_socket_recv(stream->socket, bytes, &length);
-        if (APR_STATUS_IS_EAGAIN(status)) {
-            return;
-        }
-        if (status != APR_SUCCESS || length == 0) {
-            free_session(session);
-            return;
-        }
-        http_parser_execute(&session->parser, &server_settings, bytes, length);
-        if (HTTP_PARSER_ERRNO(&session->parser) != HPE_OK) {
-            free_session(session);
-            return;
-        }
+    if ((events & (APR_POLLIN | APR_POLLHUP | APR_POLLERR)) &&
+        !read_session(session)) {
+        free_session(session);
+        return;
     }
-    if (!MvStream_Flush(stream)) {
+    if (!MvStream_Flush(stream) ||
+        (session->closes && stream->out.length == 0)) {
         free_session(session);
     }
 }
--- a/packages/net/test/http1_test.cc
+++ b/packages/net/test/http1_test.cc
@@ -116,6 +116,29 @@
         return result;
     }
 
+    /* All that the server says to @bytes until it closes, or within 1 s. */
+    std::string
+    talk(uint16_t port, const std::string &bytes, bool &closed)
+    {
+        std::string all;
+        char part[512];
+        apr_socket_t *socket = MvNet_Connect(pool, kAddress, port);
+        apr_size_t length = bytes.size();
+        EXPECT_NE(socket, nullptr);
+        MvLoop_Run(loop, MV_MILLISECOND);
+        apr_socket_send(socket, bytes.data(), &length);
+        closed = false;
+        for (int i = 0; i < 1000 && !closed; i++) {
+            MvLoop_Run(loop, MV_MILLISECOND);
+            length = sizeof(part);
+            apr_status_t status = apr_socket_recv(socket, part, &length);
+            all.append(part, length);
+            closed = APR_STATUS_IS_EOF(status);
+        }
+        apr_socket_close(socket);
+        return all;
+    }
+
     apr_pool_t *pool = nullptr;
     mv_loop_t *loop = nullptr;
     mv_http1_client_t *client = nullptr;
@@ -147,6 +170,30 @@
     }
 }
 
+TEST_F(Http1, TheServerClosesWhenAskedToAndAfterNonsense)
+{
+    serve(18091);
+    struct {
+        const char *bytes;
+        const char *answer;
+        bool closes;
+    } const cases[] = {
+        {"GET /here HTTP/1.1\r\nConnection: close\r\n\r\n", "HTTP/1.1 200 ",
+         true},
+        {"GET /here HTTP/1.0\r\n\r\n", "HTTP/1.1 200 ", true},
+        {"nonsense\r\n\r\n", "HTTP/1.1 400 ", true},
+        {"GET /here HTTP/1.1\r\n\r\n", "HTTP/1.1 200 ", false},
+    };
+    for (const auto &c : cases) {
+        bool closed = false;
+        std::string all = talk(18091, c.bytes, closed);
+        EXPECT_EQ(all.rfind(c.answer, 0), 0u) << c.bytes << all;
+        EXPECT_EQ(closed, c.closes) << c.bytes;
+        EXPECT_EQ(all.find("Connection: close") != std::string::npos,
+                  c.closes);
+    }
+}
+
 TEST_F(Http1, AnswersThatAreNotWholeAreNoAnswers)
 {
     listen(18091);
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -48,6 +48,7 @@
 file = {log}
 flow_sample = 1
 lines_per_second = 2000
+bytes_per_second = 0
 """
 
 
