The copy's work grows with its size, and long deleted keys stay deleted

Cause, by reading and then by a count: the copy kept its entries in a list in the order of revisions and looked for each place from the end; a whole list comes in the order of names, so that 21,000 keys took some 110 million steps; each delta walked all entries twice to find the last few. Deleted keys were let go after whole lists only, which a node that is fed may never read; and once let go, an older delta could bring such a key back.

Conclusion: a fault of "never goes back" under a rare order of events, and the cost of a start at the size to design for.

--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -263,6 +263,7 @@
         if (now >= control->next_sweep) {
             control->next_sweep = now + SWEEP_INTERVAL;
             MvTagsAnswers_Sweep(control, now);
+            MvReplica_Forget(control->replica, now);
             control->is_changed = true;
         }
     }
--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -48,6 +48,13 @@
 bool MvReplica_Apply(mv_replica_t *replica, mv_time_t now,
                      const mv_store_item_t *item);
 
+/**
+ * MvReplica_Forget() - Let go of keys that were deleted long ago.
+ *
+ * Called now and then.  Older news of such a key are refused even so.
+ */
+void MvReplica_Forget(mv_replica_t *replica, mv_time_t now);
+
 /** MvReplica_Advance() - Every change up to @revision has been applied. */
 void MvReplica_Advance(mv_replica_t *replica, uint64_t revision);
 
--- a/packages/replica/src/delta.c
+++ b/packages/replica/src/delta.c
@@ -45,12 +45,6 @@
     pack_text(packer, entry->value, entry->length);
 }
 
-static const mv_copy_entry_t *
-at(const mv_list_t *item)
-{
-    return MV_CONTAINER_OF(item, mv_copy_entry_t, link);
-}
-
 /* Which keys are written. */
 typedef struct selection {
     uint64_t since;
@@ -68,28 +62,45 @@
                             : entry->revision > selection->since;
 }
 
+/* Return: the first entry that may be wanted; those before it are not. */
+static GSequenceIter *
+first_of(const mv_replica_t *replica, const selection_t *selection)
+{
+    return selection->whole || selection->is_public
+               ? g_sequence_get_begin_iter(replica->by_revision)
+               : MvReplica_FirstAfter(replica, selection->since);
+}
+
+static GPtrArray *
+select_entries(const mv_replica_t *replica, const selection_t *selection)
+{
+    GPtrArray *entries = g_ptr_array_new();
+    GSequenceIter *iter = first_of(replica, selection);
+    for (; !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter)) {
+        mv_copy_entry_t *entry = g_sequence_get(iter);
+        if (is_wanted(entry, selection)) {
+            g_ptr_array_add(entries, entry);
+        }
+    }
+    return entries;
+}
+
 static void
 pack_selected(const mv_replica_t *replica, const selection_t *selection,
               mv_buffer_t *out)
 {
-    size_t count = 0;
-    MV_LIST_FOREACH(item, &replica->by_revision)
-    {
-        count += is_wanted(at(item), selection);
-    }
+    GPtrArray *entries = select_entries(replica, selection);
     msgpack_packer packer;
     msgpack_packer_init(&packer, out, append);
     msgpack_pack_array(&packer, DELTA_FIELDS);
     msgpack_pack_uint64(&packer, selection->whole ? 0 : selection->since);
     msgpack_pack_uint64(&packer, replica->revision);
     msgpack_pack_uint8(&packer, selection->whole);
-    msgpack_pack_array(&packer, count);
-    MV_LIST_FOREACH(item, &replica->by_revision)
-    {
-        if (is_wanted(at(item), selection)) {
-            pack_entry(&packer, at(item));
-        }
+    msgpack_pack_array(&packer, entries->len);
+    for (unsigned i = 0; i < entries->len; i++) {
+        pack_entry(&packer, g_ptr_array_index(entries, i));
     }
+    g_ptr_array_unref(entries);
 }
 
 static bool
--- a/packages/replica/src/replica.c
+++ b/packages/replica/src/replica.c
@@ -23,7 +23,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
     replica->changed = changed;
     replica->context = context;
-    MvList_Init(&replica->by_revision);
+    replica->by_revision = g_sequence_new(NULL);
     return replica;
 }
 
@@ -33,6 +33,7 @@
     if (!replica) {
         return;
     }
+    g_sequence_free(replica->by_revision);
     g_hash_table_unref(replica->entries);
     g_free(replica);
 }
@@ -49,33 +50,71 @@
     return replica->count;
 }
 
-/* Most changes are the newest: the place is looked for from the end. */
+static gint
+compare_revisions(gconstpointer a, gconstpointer b, gpointer context)
+{
+    const mv_copy_entry_t *one = a;
+    const mv_copy_entry_t *other = b;
+    (void)context;
+    return (one->revision > other->revision) -
+           (one->revision < other->revision);
+}
+
 static void
-link_by_revision(mv_replica_t *replica, mv_copy_entry_t *entry)
+unlink_entry(mv_copy_entry_t *entry)
 {
-    mv_list_t *place = &replica->by_revision;
-    while (place->prev != &replica->by_revision &&
-           MV_CONTAINER_OF(place->prev, mv_copy_entry_t, link)->revision >
-               entry->revision) {
-        place = place->prev;
+    if (entry->place) {
+        g_sequence_remove(entry->place);
+        entry->place = NULL;
     }
-    MvList_InsertBefore(place, &entry->link);
 }
 
 static void
-forget_deleted(mv_replica_t *replica, mv_time_t now)
-{
-    MV_LIST_FOREACH(item, &replica->by_revision)
-    {
-        mv_copy_entry_t *entry = MV_CONTAINER_OF(item, mv_copy_entry_t, link);
-        if (entry->deleted && entry->revision <= replica->revision &&
-            now - entry->changed_at > KEEP_DELETED) {
-            replica->deletions_known_from =
-                MAX(replica->deletions_known_from, entry->revision);
-            MvList_Remove(&entry->link);
-            g_hash_table_remove(replica->entries, entry->key);
-        }
+link_by_revision(mv_replica_t *replica, mv_copy_entry_t *entry)
+{
+    unlink_entry(entry);
+    entry->place = g_sequence_insert_sorted(replica->by_revision, entry,
+                                            compare_revisions, NULL);
+}
+
+GSequenceIter *
+MvReplica_FirstAfter(const mv_replica_t *replica, uint64_t since)
+{
+    mv_copy_entry_t last = {.revision = since};
+    return g_sequence_search(replica->by_revision, &last, compare_revisions,
+                             NULL);
+}
+
+/**
+ * struct forgetting - Which deleted keys may be forgotten.
+ */
+typedef struct forgetting {
+    mv_replica_t *replica;
+    mv_time_t now;
+} forgetting_t;
+
+static gboolean
+is_forgotten(gpointer key, gpointer value, gpointer context)
+{
+    const forgetting_t *forgetting = context;
+    mv_replica_t *replica = forgetting->replica;
+    mv_copy_entry_t *entry = value;
+    (void)key;
+    if (!entry->deleted || entry->revision > replica->revision ||
+        forgetting->now - entry->changed_at <= KEEP_DELETED) {
+        return FALSE;
     }
+    replica->deletions_known_from =
+        MAX(replica->deletions_known_from, entry->revision);
+    unlink_entry(entry);
+    return TRUE;
+}
+
+void
+MvReplica_Forget(mv_replica_t *replica, mv_time_t now)
+{
+    forgetting_t forgetting = {replica, now};
+    g_hash_table_foreach_remove(replica->entries, is_forgotten, &forgetting);
 }
 
 static mv_copy_entry_t *
@@ -86,7 +125,6 @@
         entry = g_new0(mv_copy_entry_t, 1);
         entry->key = g_strdup(key);
         entry->deleted = true;
-        MvList_Init(&entry->link);
         g_hash_table_insert(replica->entries, entry->key, entry);
     }
     return entry;
@@ -110,10 +148,21 @@
     entry->deleted = item->deleted;
 }
 
+/* What is not known and as old as that was deleted since. */
+static bool
+is_long_gone(const mv_replica_t *replica, const mv_store_item_t *item)
+{
+    return item->revision <= replica->deletions_known_from &&
+           !g_hash_table_contains(replica->entries, item->key);
+}
+
 bool
 MvReplica_Apply(mv_replica_t *replica, mv_time_t now,
                 const mv_store_item_t *item)
 {
+    if (is_long_gone(replica, item)) {
+        return false;
+    }
     mv_copy_entry_t *entry = find_or_add(replica, item->key);
     entry->listed = true;
     if (item->revision <= entry->revision) {
@@ -123,7 +172,6 @@
     entry->revision = item->revision;
     entry->changed_at = now;
     set_value(replica, entry, item);
-    MvList_Remove(&entry->link);
     link_by_revision(replica, entry);
     if (!was_deleted || !item->deleted) {
         replica->changed(replica->context, item);
@@ -140,19 +188,23 @@
 void
 MvReplica_BeginList(mv_replica_t *replica)
 {
-    MV_LIST_FOREACH(item, &replica->by_revision)
-    {
-        MV_CONTAINER_OF(item, mv_copy_entry_t, link)->listed = false;
+    GHashTableIter iter;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iter, replica->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        mv_copy_entry_t *entry = value;
+        entry->listed = false;
     }
 }
 
 void
 MvReplica_EndList(mv_replica_t *replica, mv_time_t now, uint64_t revision)
 {
-    MV_LIST_FOREACH(link, &replica->by_revision)
-    {
-        const mv_copy_entry_t *entry =
-            MV_CONTAINER_OF(link, mv_copy_entry_t, link);
+    GHashTableIter iter;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iter, replica->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const mv_copy_entry_t *entry = value;
         if (entry->listed || entry->deleted || entry->revision > revision) {
             continue;
         }
@@ -164,7 +216,7 @@
         }
     }
     MvReplica_Advance(replica, revision);
-    forget_deleted(replica, now);
+    MvReplica_Forget(replica, now);
 }
 
 const char *
--- a/packages/replica/src/replica_private.h
+++ b/packages/replica/src/replica_private.h
@@ -8,7 +8,7 @@
 
 /**
  * struct mv_copy_entry - One key of the copy.
- * @link: in the order of revisions
+ * @place: in the order of revisions, NULL before its first one
  * @key: its name
  * @value: its value, NULL when @deleted
  * @length: bytes in @value
@@ -18,7 +18,7 @@
  * @changed_at: when this node learned of it
  */
 typedef struct mv_copy_entry {
-    mv_list_t link;
+    GSequenceIter *place;
     char *key;
     char *value;
     size_t length;
@@ -31,14 +31,14 @@
 /**
  * struct mv_replica - The copy.
  * @entries: by key
- * @by_revision: all entries, the newest last
+ * @by_revision: all entries that have a revision, the newest last
  * @count: entries that exist
  * @revision: every change up to it is in the copy
  * @deletions_known_from: keys deleted up to it may be forgotten
  */
 struct mv_replica {
     GHashTable *entries;
-    mv_list_t by_revision;
+    GSequence *by_revision;
     size_t count;
     uint64_t revision;
     uint64_t deletions_known_from;
@@ -46,4 +46,8 @@
     void *context;
 };
 
+/** MvReplica_FirstAfter() - The oldest entry newer than @since, or the end. */
+GSequenceIter *MvReplica_FirstAfter(const mv_replica_t *replica,
+                                    uint64_t since);
+
 #endif
--- a/packages/replica/test/replica_test.cc
+++ b/packages/replica/test/replica_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <ctime>
 #include <deque>
 #include <map>
 #include <string>
@@ -250,3 +251,103 @@
     store.answer(MV_STORE_DONE, 41, {item("b", "1", 4)});
     EXPECT_EQ(known.size(), 1u);
 }
+
+namespace {
+
+void
+count_change(void *context, const mv_store_item_t *)
+{
+    ++*static_cast<int *>(context);
+}
+
+struct copy_t {
+    copy_t() : replica(MvReplica_Create(count_change, &changes))
+    {
+    }
+    ~copy_t()
+    {
+        MvReplica_Destroy(replica);
+    }
+
+    bool
+    apply(const char *key, const char *value, uint64_t revision)
+    {
+        mv_store_item_t one = item(key, value, revision);
+        return MvReplica_Apply(replica, now, &one);
+    }
+
+    size_t
+    bytes_since(uint64_t since) const
+    {
+        mv_buffer_t bytes = {};
+        EXPECT_TRUE(MvReplica_EncodeSince(replica, since, &bytes));
+        size_t length = bytes.length;
+        MvBuffer_Clear(&bytes);
+        return length;
+    }
+
+    int changes = 0;
+    mv_time_t now = MV_SECOND;
+    mv_replica_t *replica;
+};
+
+double
+processor_seconds(int keys)
+{
+    double best = 1e9;
+    for (int round = 0; round < 3; round++) {
+        copy_t copy;
+        const clock_t began = clock();
+        MvReplica_BeginList(copy.replica);
+        for (int i = 0; i < keys; i++) {
+            /* In the order of names, which is none of revisions. */
+            uint64_t revision = (uint64_t)i * 7919 % (uint64_t)keys + 1;
+            copy.apply(std::to_string(i).c_str(), "x", revision);
+        }
+        MvReplica_EndList(copy.replica, copy.now, (uint64_t)keys);
+        EXPECT_EQ(copy.changes, keys);
+        best = MIN(best, (double)(clock() - began) / CLOCKS_PER_SEC);
+    }
+    return best;
+}
+
+} // namespace
+
+/* Servers come and go thousands of times a day while nobody lists anew. */
+TEST(Copy, WhatWasDeletedLongAgoIsLetGoAndDoesNotComeBack)
+{
+    copy_t copy;
+    copy.apply("kept", "x", 1);
+    copy.apply("gone", "x", 2);
+    copy.apply("gone", nullptr, 3);
+    MvReplica_Advance(copy.replica, 3);
+    copy.now += 30 * MV_SECOND;
+    MvReplica_Forget(copy.replica, copy.now);
+    EXPECT_FALSE(copy.apply("gone", "x", 2)) << "remembered as deleted";
+
+    copy.now += MV_MINUTE;
+    MvReplica_Forget(copy.replica, copy.now);
+    EXPECT_FALSE(copy.apply("gone", "x", 2)) << "forgotten, and too old";
+    EXPECT_EQ(copy.bytes_since(2), copy.bytes_since(0))
+        << "whoever missed the deletion gets a whole copy";
+    EXPECT_EQ(MvReplica_Count(copy.replica), 1u);
+    EXPECT_TRUE(copy.apply("gone", "y", 4)) << "it may be made anew";
+    EXPECT_EQ(MvReplica_Count(copy.replica), 2u);
+}
+
+TEST(Copy, WhatIsNotYetCompleteIsNotForgotten)
+{
+    copy_t copy;
+    copy.apply("gone", nullptr, 5);
+    MvReplica_Advance(copy.replica, 4);
+    copy.now += 2 * MV_MINUTE;
+    MvReplica_Forget(copy.replica, copy.now);
+    EXPECT_FALSE(copy.apply("gone", "x", 4));
+}
+
+TEST(Copy, AListOfFourTimesTheKeysIsNoSixteenTimesTheWork)
+{
+    const double quarter = processor_seconds(5250);
+    const double whole = processor_seconds(21000);
+    EXPECT_LT(whole / quarter, 10) << "four by rights, sixteen if squared";
+}
