Tables are made in one pass, and freed by the thread that makes them

Change: services and lives by hash, lists as long as they are; the forwarder hands the old table back and the control thread frees it; held flows are looked up once a run, rounds go over their services only, and a service that is full stays out.

Ruled out: keeping room for later servers (a table never changes); freeing tables with the next one only (it would stay for hours of no change).

--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -319,6 +319,7 @@
     MvReplica_Destroy(control->replica);
     MvDirectory_Destroy(control->directory);
     MvTable_Destroy(control->daemon.next_table);
+    MvTable_Destroy(control->daemon.used_table);
     g_rand_free(control->random);
     free(control->daemon.dump);
     apr_pool_destroy(control->pool);
--- a/packages/masticvaned/src/tags_knowledge.c
+++ b/packages/masticvaned/src/tags_knowledge.c
@@ -76,6 +76,8 @@
 void
 MvTagsKnowledge_Publish(mv_tags_control_t *control, mv_time_t now)
 {
+    MvTable_Destroy(__atomic_exchange_n(&control->daemon.used_table, NULL,
+                                        __ATOMIC_ACQ_REL));
     if (!control->is_changed) {
         return;
     }
--- a/packages/masticvaned/src/tags_mode.h
+++ b/packages/masticvaned/src/tags_mode.h
@@ -20,6 +20,8 @@
  * @counters: thread-safe
  * @fabric: form of packets
  * @next_table: newest table for the traffic thread, taken by atomic exchange
+ * @used_table: one that the traffic thread is done with, for the control
+ *              thread to free, taken by atomic exchange
  * @flow_sample: as the settings in force have it
  * @heard_at: monotonic time at which the store or a fresh neighbour was last
  *            heard, 0 for never
@@ -34,6 +36,7 @@
     mv_counters_t counters;
     const mv_fabric_ops_t *fabric;
     mv_table_t *next_table;
+    mv_table_t *used_table;
     unsigned flow_sample;
     mv_time_t heard_at;
     mv_time_t last_packet_at;
--- a/packages/masticvaned/src/tags_packets.c
+++ b/packages/masticvaned/src/tags_packets.c
@@ -208,7 +208,9 @@
         return;
     }
     mv_time_t learned_at = MvTable_LearnedAt(table);
-    MvForwarder_Adopt(packets->forwarder, table);
+    mv_table_t *used = MvForwarder_Adopt(packets->forwarder, table);
+    MvTable_Destroy(__atomic_exchange_n(&packets->daemon->used_table, used,
+                                        __ATOMIC_ACQ_REL));
     if (learned_at > 0) {
         MvCounters_AddLatency(&packets->daemon->counters, MV_LATENCY_IN_FORCE,
                               g_get_monotonic_time() - learned_at);
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -346,8 +346,12 @@
 /** MvForwarder_SetSample() - Tell of one flow in @one_in; 0 for none. */
 void MvForwarder_SetSample(mv_forwarder_t *forwarder, unsigned one_in);
 
-/** MvForwarder_Adopt() - Use @table from now on; the old one is freed. */
-void MvForwarder_Adopt(mv_forwarder_t *forwarder, mv_table_t *table);
+/**
+ * MvForwarder_Adopt() - Use @table from now on.
+ *
+ * Return: the one before, or NULL; its caller frees it, on any thread.
+ */
+mv_table_t *MvForwarder_Adopt(mv_forwarder_t *forwarder, mv_table_t *table);
 
 /**
  * MvForwarder_Packet() - Decide about one packet from a caller.
--- a/packages/tags/src/directory.c
+++ b/packages/tags/src/directory.c
@@ -18,6 +18,7 @@
     mv_directory_settings_t settings;
     uint32_t data_centre;
     GHashTable *announced;
+    GHashTable *lives;
     mv_list_t records;
     mv_routing_t *routing;
     unsigned near_nodes;
@@ -51,6 +52,21 @@
     g_free(routing);
 }
 
+static guint
+hash_life(gconstpointer key)
+{
+    return MvServer_Tag(key);
+}
+
+static gboolean
+is_same_life(gconstpointer a, gconstpointer b)
+{
+    const mv_server_t *one = a;
+    const mv_server_t *other = b;
+    return one->id == other->id && one->started_at == other->started_at &&
+           !strcmp(one->service, other->service);
+}
+
 mv_directory_t *
 MvDirectory_Create(const mv_directory_settings_t *settings)
 {
@@ -59,6 +75,7 @@
     directory->data_centre = MvDataCentre_Hash(settings->data_centre);
     directory->announced =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    directory->lives = g_hash_table_new(hash_life, is_same_life);
     MvList_Init(&directory->records);
     directory->routing = MvRouting_Create();
     directory->near_nodes = 1;
@@ -66,8 +83,9 @@
 }
 
 static void
-free_record(record_t *record)
+free_record(mv_directory_t *directory, record_t *record)
 {
+    g_hash_table_remove(directory->lives, &record->server);
     MvList_Remove(&record->link);
     g_free(record);
 }
@@ -80,33 +98,31 @@
     }
     MV_LIST_FOREACH(item, &directory->records)
     {
-        free_record(MV_CONTAINER_OF(item, record_t, link));
+        free_record(directory, MV_CONTAINER_OF(item, record_t, link));
     }
     g_hash_table_unref(directory->announced);
+    g_hash_table_unref(directory->lives);
     MvRouting_Destroy(directory->routing);
     g_free(directory);
 }
 
-static bool
-is_same_life(const record_t *record, const mv_server_t *server)
+/* A life that vanished for a while may be announced again. */
+static record_t *
+find_life(mv_directory_t *directory, const mv_server_t *server)
 {
-    return record->server.id == server->id &&
-           record->server.started_at == server->started_at &&
-           !strcmp(record->server.service, server->service);
+    return g_hash_table_lookup(directory->lives, server);
 }
 
-/* A life that vanished for a while and is announced again. */
 static record_t *
-find_life(mv_directory_t *directory, const mv_server_t *server)
+add_life(mv_directory_t *directory, const mv_server_t *server)
 {
-    MV_LIST_FOREACH(item, &directory->records)
-    {
-        record_t *record = MV_CONTAINER_OF(item, record_t, link);
-        if (is_same_life(record, server)) {
-            return record;
-        }
-    }
-    return NULL;
+    record_t *record = g_new0(record_t, 1);
+    record->server = *server;
+    record->server.state = MV_SERVER_READY;
+    record->tag = MvServer_Tag(server);
+    MvList_Append(&directory->records, &record->link);
+    g_hash_table_insert(directory->lives, &record->server, record);
+    return record;
 }
 
 static void
@@ -136,7 +152,7 @@
                      const mv_server_t *server)
 {
     record_t *record = g_hash_table_lookup(directory->announced, key);
-    if (record && is_same_life(record, server)) {
+    if (record && is_same_life(&record->server, server)) {
         return update(record, now, server);
     }
     if (record) {
@@ -146,11 +162,7 @@
     }
     record = find_life(directory, server);
     if (!record) {
-        record = g_new0(record_t, 1);
-        record->server = *server;
-        record->server.state = MV_SERVER_READY;
-        record->tag = MvServer_Tag(server);
-        MvList_Append(&directory->records, &record->link);
+        record = add_life(directory, server);
     }
     g_hash_table_replace(directory->announced, g_strdup(key), record);
     return update(record, now, server);
@@ -229,19 +241,40 @@
 
 /* Snapshot */
 
+/**
+ * struct builder - A snapshot in the making.
+ * @directory: what it is made of
+ * @table: the snapshot
+ * @services: of mv_table_service_t
+ * @by_name: position of a service and one; names belong to the directory
+ */
+typedef struct builder {
+    const mv_directory_t *directory;
+    mv_table_t *table;
+    GArray *services;
+    GHashTable *by_name;
+} builder_t;
+
+/* Return: its position, or -1. */
+static int
+find_service(const builder_t *builder, const char *name)
+{
+    return GPOINTER_TO_INT(g_hash_table_lookup(builder->by_name, name)) - 1;
+}
+
 static unsigned
-service_position(GArray *services, const char *name)
+service_position(builder_t *builder, const char *name)
 {
-    for (unsigned i = 0; i < services->len; i++) {
-        if (!strcmp(g_array_index(services, mv_table_service_t, i).name,
-                    name)) {
-            return i;
-        }
+    int found = find_service(builder, name);
+    if (found >= 0) {
+        return (unsigned)found;
     }
     mv_table_service_t service = {.flow_limit = UINT32_MAX};
     g_strlcpy(service.name, name, sizeof(service.name));
-    g_array_append_val(services, service);
-    return services->len - 1;
+    g_array_append_val(builder->services, service);
+    g_hash_table_insert(builder->by_name, (gpointer)name,
+                        GINT_TO_POINTER((int)builder->services->len));
+    return builder->services->len - 1;
 }
 
 static void
@@ -252,7 +285,7 @@
         record_t *record = MV_CONTAINER_OF(item, record_t, link);
         if (!record->is_announced &&
             now - record->withdrawn_at > directory->settings.keep) {
-            free_record(record);
+            free_record(directory, record);
         }
     }
 }
@@ -278,9 +311,10 @@
 }
 
 static void
-add_servers(const mv_directory_t *directory, mv_table_t *table,
-            GArray *services)
+add_servers(builder_t *builder)
 {
+    const mv_directory_t *directory = builder->directory;
+    mv_table_t *table = builder->table;
     MV_LIST_FOREACH(item, &directory->records)
     {
         const record_t *record = MV_CONTAINER_OF(item, record_t, link);
@@ -289,7 +323,7 @@
         *server = (mv_table_server_t){
             .server = record->server,
             .tag = record->tag,
-            .service = service_position(services, record->server.service),
+            .service = service_position(builder, record->server.service),
             .data_centre = data_centre,
             .is_near = data_centre == directory->data_centre,
             .takes_new = takes_new(record),
@@ -304,17 +338,17 @@
 }
 
 static void
-add_routes(const mv_directory_t *directory, mv_table_t *table,
-           GArray *services)
+add_routes(builder_t *builder)
 {
-    const GArray *routes = directory->routing->routes;
+    const GArray *routes = builder->directory->routing->routes;
+    mv_table_t *table = builder->table;
     table->routes = g_new0(mv_table_route_t, routes->len + 1);
     for (unsigned i = 0; i < routes->len; i++) {
         mv_table_route_t *route = &table->routes[table->route_count++];
         route->route = g_array_index(routes, mv_route_t, i);
         for (unsigned s = 0; s < route->route.share_count; s++) {
             const mv_route_share_t *share = &route->route.shares[s];
-            route->services[s] = service_position(services, share->service);
+            route->services[s] = service_position(builder, share->service);
             route->total_weight += share->weight;
         }
         g_hash_table_insert(
@@ -324,12 +358,18 @@
     }
 }
 
+/* Servers of each service that take new flows, in room that fits. */
 static void
-fill_services(const mv_directory_t *directory, mv_table_t *table)
+fill_services(mv_table_t *table)
 {
-    const GArray *limits = directory->routing->limits;
+    for (unsigned i = 0; i < table->server_count; i++) {
+        const mv_table_server_t *server = &table->servers[i];
+        table->services[server->service].count += server->takes_new;
+    }
     for (unsigned i = 0; i < table->service_count; i++) {
-        table->services[i].servers = g_new0(unsigned, table->server_count + 1);
+        mv_table_service_t *service = &table->services[i];
+        service->servers = g_new0(unsigned, service->count + 1);
+        service->count = 0;
     }
     for (unsigned i = 0; i < table->server_count; i++) {
         const mv_table_server_t *server = &table->servers[i];
@@ -338,13 +378,19 @@
             service->servers[service->count++] = i;
         }
     }
+}
+
+static void
+set_limits(const builder_t *builder)
+{
+    const GArray *limits = builder->directory->routing->limits;
     for (unsigned i = 0; i < limits->len; i++) {
         const mv_connection_limit_t *limit =
             &g_array_index(limits, mv_connection_limit_t, i);
-        for (unsigned s = 0; s < table->service_count; s++) {
-            if (!strcmp(table->services[s].name, limit->service)) {
-                table->services[s].flow_limit = limit->flows;
-            }
+        int position = find_service(builder, limit->service);
+        if (position >= 0) {
+            g_array_index(builder->services, mv_table_service_t, position)
+                .flow_limit = limit->flows;
         }
     }
 }
@@ -365,7 +411,11 @@
 {
     drop_forgotten(directory, now);
     mv_table_t *table = g_new0(mv_table_t, 1);
-    GArray *services = g_array_new(FALSE, TRUE, sizeof(mv_table_service_t));
+    builder_t builder = {
+        .directory = directory,
+        .table = table,
+        .services = g_array_new(FALSE, TRUE, sizeof(mv_table_service_t)),
+        .by_name = g_hash_table_new(g_str_hash, g_str_equal)};
     table->version = directory->routing->version;
     table->flow_idle = directory->routing->flow_idle;
     table->near_nodes = directory->near_nodes;
@@ -373,11 +423,13 @@
     table->by_tag = g_hash_table_new(NULL, NULL);
     table->servers =
         g_new0(mv_table_server_t, list_length(&directory->records) + 1);
-    add_servers(directory, table, services);
-    add_routes(directory, table, services);
-    table->service_count = services->len;
+    add_servers(&builder);
+    add_routes(&builder);
+    set_limits(&builder);
+    g_hash_table_unref(builder.by_name);
+    table->service_count = builder.services->len;
     table->services =
-        (mv_table_service_t *)(void *)g_array_free(services, FALSE);
-    fill_services(directory, table);
+        (mv_table_service_t *)(void *)g_array_free(builder.services, FALSE);
+    fill_services(table);
     return table;
 }
--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -63,10 +63,10 @@
            MvTable_Server(forwarder->table, GPOINTER_TO_UINT(key)) < 0;
 }
 
-void
+mv_table_t *
 MvForwarder_Adopt(mv_forwarder_t *forwarder, mv_table_t *table)
 {
-    MvTable_Destroy(forwarder->table);
+    mv_table_t *before = forwarder->table;
     forwarder->table = table;
     g_hash_table_foreach_remove(forwarder->standings, is_unknown_now,
                                 forwarder);
@@ -75,6 +75,7 @@
     for (unsigned i = 0; i < table->server_count; i++) {
         forwarder->by_position[i] = MvStanding_Of(forwarder, i);
     }
+    return before;
 }
 
 void
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -70,6 +70,8 @@
     MV_FLOW_CLOSED,
 } mv_flow_phase_t;
 
+typedef struct mv_service_load mv_service_load_t;
+
 /**
  * struct mv_flow - A flow that this node has seen.
  * @link: in the list of its phase
@@ -77,6 +79,9 @@
  * @phase: &enum mv_flow_phase
  * @began_at: its first opening packet came
  * @held: time that it waited here for a free server
+ * @route: where it goes, while held flows are looked through
+ * @service: position of its service, in the same way
+ * @load: of its service, in the same way
  * @asked_at: its caller sent the first opening packet, as far as can be told
  * @urgency: of its route
  * @offered_at: the last opening packet went out
@@ -95,6 +100,9 @@
     mv_flow_phase_t phase;
     mv_time_t began_at;
     mv_time_t held;
+    const mv_table_route_t *route;
+    unsigned service;
+    mv_service_load_t *load;
     mv_time_t asked_at;
     uint8_t urgency;
     mv_time_t offered_at;
@@ -198,12 +206,16 @@
 /**
  * struct mv_service_load - What the forwarder sees of a service, by name.
  * @duration: mean time from opening to end of its last flows
- * @first: held flow that goes first, while they are looked through
+ * @link: among those whose held flows are looked through
+ * @first: the held flow that goes first, in one round
+ * @is_full: it has no room for that one; the others wait as well
  */
-typedef struct mv_service_load {
+struct mv_service_load {
     mv_time_t duration;
+    mv_list_t link;
     mv_flow_t *first;
-} mv_service_load_t;
+    bool is_full;
+};
 
 /** MvHolding_Began() - A flow is held from now on. */
 void MvHolding_Began(mv_forwarder_t *forwarder, mv_time_t now);
--- a/packages/tags/src/holding.c
+++ b/packages/tags/src/holding.c
@@ -22,6 +22,7 @@
     mv_service_load_t *load = g_hash_table_lookup(forwarder->services, name);
     if (!load) {
         load = g_new0(mv_service_load_t, 1);
+        MvList_Init(&load->link);
         g_hash_table_insert(forwarder->services, g_strdup(name), load);
     }
     return load;
@@ -141,44 +142,62 @@
     }
 }
 
-/* A service without room holds back its own flows only. */
+/* What stays the same for all rounds; those that cannot wait are let go. */
 static void
-find_first_of_each(mv_forwarder_t *forwarder, mv_time_t now)
+look_up_all(mv_forwarder_t *forwarder, mv_list_t *loads, mv_time_t now)
 {
-    GHashTableIter iter;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iter, forwarder->services);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        mv_service_load_t *load = value;
-        load->first = NULL;
-    }
     MV_LIST_FOREACH(item, &forwarder->held)
     {
         mv_flow_t *flow = MV_CONTAINER_OF(item, mv_flow_t, link);
-        const mv_table_route_t *route = route_of(forwarder, flow);
-        if (!route || route->route.share_count == 0 ||
+        flow->route = route_of(forwarder, flow);
+        if (!flow->route || flow->route->route.share_count == 0 ||
             now - flow->asked_at >= HOLD_LIMIT) {
             release(forwarder, flow, now);
             continue;
         }
-        mv_service_load_t *load =
-            load_of(forwarder, MvFlow_Service(route, &flow->name));
-        if (!load->first || goes_before(flow, load->first)) {
+        flow->service = MvFlow_Service(flow->route, &flow->name);
+        flow->load = load_of(forwarder, flow->service);
+        flow->load->is_full = false;
+        MvList_Remove(&flow->load->link);
+        MvList_Append(loads, &flow->load->link);
+    }
+}
+
+static void
+find_first_of_each(const mv_forwarder_t *forwarder, const mv_list_t *loads)
+{
+    MV_LIST_FOREACH(item, loads)
+    {
+        MV_CONTAINER_OF(item, mv_service_load_t, link)->first = NULL;
+    }
+    MV_LIST_FOREACH(item, &forwarder->held)
+    {
+        mv_flow_t *flow = MV_CONTAINER_OF(item, mv_flow_t, link);
+        mv_service_load_t *load = flow->load;
+        if (!load->is_full &&
+            (!load->first || goes_before(flow, load->first))) {
             load->first = flow;
         }
     }
 }
 
-/* Return: whether one was released. */
+/* A service without room holds back its own flows only.
+ * Return: whether one was released. */
 static bool
-release_first_of_each(mv_forwarder_t *forwarder, mv_time_t now)
+release_first_of_each(mv_forwarder_t *forwarder, const mv_list_t *loads,
+                      mv_time_t now)
 {
     bool any = false;
-    for (unsigned i = 0; i < forwarder->table->service_count; i++) {
-        mv_flow_t *flow = load_of(forwarder, i)->first;
-        if (flow &&
-            !MvHolding_MustWait(forwarder, now, route_of(forwarder, flow), i,
-                                flow->asked_at, now - flow->began_at)) {
+    MV_LIST_FOREACH(item, loads)
+    {
+        mv_service_load_t *load =
+            MV_CONTAINER_OF(item, mv_service_load_t, link);
+        mv_flow_t *flow = load->first;
+        load->is_full =
+            !flow ||
+            MvHolding_MustWait(forwarder, now, flow->route, flow->service,
+                               flow->asked_at, now - flow->began_at);
+        if (!load->is_full) {
             release(forwarder, flow, now);
             any = true;
         }
@@ -186,13 +205,27 @@
     return any;
 }
 
+static void
+release_due(mv_forwarder_t *forwarder, mv_time_t now)
+{
+    mv_list_t loads;
+    bool any = true;
+    MvList_Init(&loads);
+    look_up_all(forwarder, &loads, now);
+    while (any) {
+        find_first_of_each(forwarder, &loads);
+        any = release_first_of_each(forwarder, &loads, now);
+    }
+    while (!MvList_IsEmpty(&loads)) {
+        MvList_Remove(loads.next);
+    }
+}
+
 mv_time_t
 MvHolding_Run(mv_forwarder_t *forwarder, mv_time_t now)
 {
-    bool any = !MvList_IsEmpty(&forwarder->held);
-    while (any) {
-        find_first_of_each(forwarder, now);
-        any = release_first_of_each(forwarder, now);
+    if (!MvList_IsEmpty(&forwarder->held)) {
+        release_due(forwarder, now);
     }
     note_overload_end(forwarder, now);
     return MvList_IsEmpty(&forwarder->held) ? MV_NEVER : now + CHECK_INTERVAL;
--- a/packages/tags/test/tags_world.cc
+++ b/packages/tags/test/tags_world.cc
@@ -101,7 +101,8 @@
 void
 tags_world::publish()
 {
-    MvForwarder_Adopt(forwarder, MvDirectory_Table(directory, now));
+    mv_table_t *table = MvDirectory_Table(directory, now);
+    MvTable_Destroy(MvForwarder_Adopt(forwarder, table));
 }
 
 mv_flow_verdict_t
