Traffic threads of both modes start by the same code

Cause: starting a thread and opening its datagram socket stood in packets.c and tags_packets.c; only the latter kept signals from the thread. Ruled out: a common packet thread (the modes read other things of a packet). Change: threads.c, used by the three traffic threads; a socket without a descriptor is an error with its place now. The test world builds its packets in one place. Conclusion: behaviour unchanged but for signals, which belong to the control thread in both modes.

--- a/packages/masticvaned/src/packets.c
+++ b/packages/masticvaned/src/packets.c
@@ -2,17 +2,19 @@
 #include "daemon.h"
 
 #include <apr_network_io.h>
-#include <apr_portable.h>
 #include <arpa/inet.h>
 #include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 
+#include "threads.h"
+
 #define PACKET_MAX 65536
 #define WAIT (100 * MV_MILLISECOND)
 #define BATCH 32
 #define BATCHES_PER_WAKE 8
 #define SOCKET_BUFFER_BYTES (4 << 20)
+#define SOCKET_BUFFER_BYTES (4 << 20)
 
 /* Packets that go out through one socket in one call. */
 typedef struct outbox {
@@ -197,18 +199,12 @@
 }
 
 static apr_socket_t *
-open_socket(packet_thread_t *thread, uint16_t port, int *fd, GError **error)
+open_socket(const packet_thread_t *thread, uint16_t port, int *fd,
+            GError **error)
 {
-    apr_os_sock_t handle;
-    int size = SOCKET_BUFFER_BYTES;
-    const mv_settings_t *settings = thread->packets->daemon->settings;
-    apr_socket_t *socket = MvNet_Listen(thread->pool, settings->self.address,
-                                        port, SOCK_DGRAM, true, error);
-    if (socket && apr_os_sock_get(&handle, socket) == APR_SUCCESS) {
-        *fd = handle;
-        setsockopt(handle, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
-    }
-    return socket;
+    return MvThread_OpenDatagrams(
+        thread->pool, thread->packets->daemon->settings->self.address, port,
+        true, SOCKET_BUFFER_BYTES, fd, error);
 }
 
 static bool
@@ -234,7 +230,7 @@
                  APR_POLLIN);
     MvLoop_Watch(thread->loop, &thread->relay_watch, thread->relay,
                  APR_POLLIN);
-    thread->started = pthread_create(&thread->thread, NULL, run, thread) == 0;
+    thread->started = MvThread_Start(&thread->thread, run, thread);
     return thread->started;
 }
 
--- a/packages/masticvaned/src/proxy.c
+++ b/packages/masticvaned/src/proxy.c
@@ -1,6 +1,7 @@
 /* The traffic thread for requests: HTTP/2 on both sides. */
 #include "daemon.h"
 #include "retained.h"
+#include "threads.h"
 
 #include <apr_network_io.h>
 #include <arpa/inet.h>
@@ -658,7 +659,7 @@
         proxy->random, g_get_real_time(), monotonic());
     expect_peers(proxy);
     if (open_ports(proxy, error)) {
-        proxy->started = pthread_create(&proxy->thread, NULL, run, proxy) == 0;
+        proxy->started = MvThread_Start(&proxy->thread, run, proxy);
     }
     if (!proxy->started) {
         MvProxy_Join(proxy);
--- a/packages/masticvaned/src/tags_packets.c
+++ b/packages/masticvaned/src/tags_packets.c
@@ -1,12 +1,11 @@
 /* The traffic thread: packets from callers to backend servers. */
 #include <apr_network_io.h>
-#include <apr_portable.h>
 #include <arpa/inet.h>
-#include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
 
 #include "tags_mode.h"
+#include "threads.h"
 
 #define PACKET_MAX 2048
 #define LONGEST_WAIT (100 * MV_MILLISECOND)
@@ -306,34 +305,12 @@
 open_socket(mv_tags_packets_t *packets, GError **error)
 {
     const mv_settings_t *settings = packets->daemon->settings;
-    apr_os_sock_t handle;
-    int size = SOCKET_BUFFER_BYTES;
-    packets->socket =
-        MvNet_Listen(packets->pool, settings->self.address,
-                     settings->packet_port, SOCK_DGRAM, false, error);
-    if (!packets->socket ||
-        apr_os_sock_get(&handle, packets->socket) != APR_SUCCESS) {
-        return false;
-    }
-    packets->fd = handle;
-    setsockopt(handle, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+    packets->socket = MvThread_OpenDatagrams(
+        packets->pool, settings->self.address, settings->packet_port, false,
+        SOCKET_BUFFER_BYTES, &packets->fd, error);
     packets->watch.ready = socket_ready;
-    return MvLoop_Watch(packets->loop, &packets->watch, packets->socket,
-                        APR_POLLIN);
-}
-
-/* Signals belong to the control thread. */
-static bool
-start_thread(mv_tags_packets_t *packets)
-{
-    sigset_t all;
-    sigset_t before;
-    sigfillset(&all);
-    pthread_sigmask(SIG_BLOCK, &all, &before);
-    packets->started =
-        pthread_create(&packets->thread, NULL, run, packets) == 0;
-    pthread_sigmask(SIG_SETMASK, &before, NULL);
-    return packets->started;
+    return packets->socket && MvLoop_Watch(packets->loop, &packets->watch,
+                                           packets->socket, APR_POLLIN);
 }
 
 mv_tags_packets_t *
@@ -345,8 +322,9 @@
     packets->loop = MvLoop_Create(packets->pool, 2);
     packets->forwarder = MvForwarder_Create(&forwarder_ops, packets,
                                             &daemon->counters, g_random_int());
-    if (!packets->loop || !open_socket(packets, error) ||
-        !start_thread(packets)) {
+    packets->started = packets->loop && open_socket(packets, error) &&
+                       MvThread_Start(&packets->thread, run, packets);
+    if (!packets->started) {
         MvTagsPackets_Join(packets);
         return NULL;
     }
--- a/packages/tags/test/size_test.cc
+++ b/packages/tags/test/size_test.cc
@@ -22,8 +22,7 @@
 {
     for (int i = 0; i < servers; i++) {
         const std::string service = service_name(i % services);
-        world.announce(
-            world.server((uint64_t)i + 1, service.c_str(), "casa"));
+        world.announce(world.server((uint64_t)i + 1, service.c_str(), "casa"));
     }
     std::map<uint16_t, std::string> routes;
     for (int i = 0; i < services; i++) {
--- a/packages/tags/test/tags_world.cc
+++ b/packages/tags/test/tags_world.cc
@@ -106,31 +106,32 @@
 }
 
 mv_flow_verdict_t
-tags_world::open(uint16_t port, uint16_t to, uint32_t copy)
+tags_world::take(mv_flow_packet_t packet, uint16_t port, uint16_t to)
 {
-    mv_flow_packet_t packet = {};
     packet.caller = kCaller;
     packet.caller_port = port;
     packet.address = kAddress;
     packet.port = to;
+    const uint8_t bytes[34] = {(uint8_t)(packet.is_opening ? 0x80 : 0x08)};
+    return MvForwarder_Packet(forwarder, now, &packet, bytes, sizeof(bytes));
+}
+
+mv_flow_verdict_t
+tags_world::open(uint16_t port, uint16_t to, uint32_t copy)
+{
+    mv_flow_packet_t packet = {};
     packet.copy = copy;
     packet.is_opening = true;
-    const uint8_t bytes[34] = {0x80};
-    return MvForwarder_Packet(forwarder, now, &packet, bytes, sizeof(bytes));
+    return take(packet, port, to);
 }
 
 mv_flow_verdict_t
 tags_world::go_on(uint16_t port, uint32_t tag, uint16_t to, bool closing)
 {
     mv_flow_packet_t packet = {};
-    packet.caller = kCaller;
-    packet.caller_port = port;
-    packet.address = kAddress;
-    packet.port = to;
     packet.tag = tag;
     packet.is_closing = closing;
-    const uint8_t bytes[34] = {0x08};
-    return MvForwarder_Packet(forwarder, now, &packet, bytes, sizeof(bytes));
+    return take(packet, port, to);
 }
 
 uint32_t
--- a/packages/tags/test/tags_world.h
+++ b/packages/tags/test/tags_world.h
@@ -26,6 +26,8 @@
     void route(uint64_t version, std::map<uint16_t, std::string> services);
     void publish();
 
+    mv_flow_verdict_t take(mv_flow_packet_t packet, uint16_t port,
+                           uint16_t to);
     /* Packets of the caller's flow from @port to 198.18.0.1:@to. */
     mv_flow_verdict_t open(uint16_t port, uint16_t to = 443,
                            uint32_t copy = 0);
