Both modes take and send many datagrams by the same code

Cause: receiving, collecting and sending by one call stood in packets.c and tags_packets.c and had drifted apart: one did not count what the socket refused, the other took an interrupted call for a lost packet. Ruled out: keeping them apart for the relay's headers (a stride and a room say where a packet goes). Change: datagrams.c with an outbox; packets_unsent counts in both modes, an interrupted call is made again. Conclusion: one copy; two small faults gone.

--- a/packages/masticvaned/src/packets.c
+++ b/packages/masticvaned/src/packets.c
@@ -7,23 +7,14 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#include "threads.h"
+#include "datagrams.h"
 
 #define PACKET_MAX 65536
 #define WAIT (100 * MV_MILLISECOND)
-#define BATCH 32
 #define BATCHES_PER_WAKE 8
 #define SOCKET_BUFFER_BYTES (4 << 20)
 #define SOCKET_BUFFER_BYTES (4 << 20)
 
-/* Packets that go out through one socket in one call. */
-typedef struct outbox {
-    unsigned count;
-    struct mmsghdr messages[BATCH];
-    struct iovec parts[BATCH];
-    struct sockaddr_in to[BATCH];
-} outbox_t;
-
 /* Room for a relay header in front of each packet. */
 typedef struct frame {
     uint8_t bytes[MV_RELAY_HEADER_BYTES + PACKET_MAX];
@@ -43,8 +34,8 @@
     int fabric_fd;
     int relay_fd;
     frame_t *frames;
-    outbox_t forwards;
-    outbox_t relays;
+    mv_outbox_t forwards;
+    mv_outbox_t relays;
 } packet_thread_t;
 
 struct mv_packets {
@@ -54,37 +45,6 @@
     packet_thread_t threads[];
 };
 
-static void
-post(outbox_t *outbox, const struct sockaddr_in *to, uint8_t *data,
-     size_t length)
-{
-    unsigned i = outbox->count++;
-    outbox->to[i] = *to;
-    outbox->parts[i] = (struct iovec){data, length};
-    outbox->messages[i].msg_hdr =
-        (struct msghdr){.msg_name = &outbox->to[i],
-                        .msg_namelen = sizeof(outbox->to[i]),
-                        .msg_iov = &outbox->parts[i],
-                        .msg_iovlen = 1};
-}
-
-/* What the socket does not take at once is lost, as on any network. */
-static void
-flush(outbox_t *outbox, int fd)
-{
-    unsigned sent = 0;
-    while (sent < outbox->count) {
-        int count = sendmmsg(fd, outbox->messages + sent, outbox->count - sent,
-                             MSG_DONTWAIT);
-        if (count <= 0 && errno != EINTR) {
-            /* The first one cannot be sent: go on behind it. */
-            count = 1;
-        }
-        sent += count > 0 ? (unsigned)count : 0;
-    }
-    outbox->count = 0;
-}
-
 static void
 carry_out(packet_thread_t *thread, const mv_verdict_t *verdict, frame_t *frame,
           size_t length)
@@ -95,7 +55,7 @@
         struct sockaddr_in to = {.sin_family = AF_INET,
                                  .sin_port = htons(verdict->port),
                                  .sin_addr.s_addr = htonl(verdict->address)};
-        post(&thread->forwards, &to, packet, length);
+        MvOutbox_Add(&thread->forwards, &to, packet, length);
     }
     if (verdict->kind == MV_VERDICT_RELAY) {
         const struct sockaddr_in *to =
@@ -103,8 +63,8 @@
         MvRelay_Write(daemon->settings->keyring, daemon->settings->self.id,
                       verdict->hops, packet, length, frame->bytes);
         if (to->sin_family == AF_INET) {
-            post(&thread->relays, to, frame->bytes,
-                 length + MV_RELAY_HEADER_BYTES);
+            MvOutbox_Add(&thread->relays, to, frame->bytes,
+                         length + MV_RELAY_HEADER_BYTES);
         }
     }
 }
@@ -113,19 +73,9 @@
 static int
 receive(packet_thread_t *thread, int fd, size_t offset, size_t *lengths)
 {
-    struct mmsghdr messages[BATCH] = {0};
-    struct iovec parts[BATCH];
-    for (int i = 0; i < BATCH; i++) {
-        parts[i] = (struct iovec){thread->frames[i].bytes + offset,
-                                  sizeof(frame_t) - offset};
-        messages[i].msg_hdr.msg_iov = &parts[i];
-        messages[i].msg_hdr.msg_iovlen = 1;
-    }
-    int count = recvmmsg(fd, messages, BATCH, MSG_DONTWAIT, NULL);
-    for (int i = 0; i < count; i++) {
-        lengths[i] = messages[i].msg_len;
-    }
-    return MAX(count, 0);
+    return MvDatagrams_Receive(fd, thread->frames[0].bytes + offset,
+                               sizeof(frame_t), sizeof(frame_t) - offset,
+                               lengths);
 }
 
 static void
@@ -140,8 +90,10 @@
 static void
 flush_both(packet_thread_t *thread)
 {
-    flush(&thread->forwards, thread->fabric_fd);
-    flush(&thread->relays, thread->relay_fd);
+    unsigned lost = MvOutbox_Send(&thread->forwards, thread->fabric_fd) +
+                    MvOutbox_Send(&thread->relays, thread->relay_fd);
+    MvCounters_Add(&thread->packets->daemon->counters,
+                   MV_COUNTER_PACKETS_UNSENT, lost);
 }
 
 static void
@@ -149,10 +101,10 @@
 {
     packet_thread_t *thread =
         MV_CONTAINER_OF(watch, packet_thread_t, fabric_watch);
-    size_t lengths[BATCH];
-    int count = BATCH;
+    size_t lengths[MV_DATAGRAMS];
+    int count = MV_DATAGRAMS;
     (void)events;
-    for (int i = 0; i < BATCHES_PER_WAKE && count == BATCH; i++) {
+    for (int i = 0; i < BATCHES_PER_WAKE && count == MV_DATAGRAMS; i++) {
         count =
             receive(thread, thread->fabric_fd, MV_RELAY_HEADER_BYTES, lengths);
         for (int p = 0; p < count; p++) {
@@ -168,10 +120,10 @@
     packet_thread_t *thread =
         MV_CONTAINER_OF(watch, packet_thread_t, relay_watch);
     mv_daemon_t *daemon = thread->packets->daemon;
-    size_t lengths[BATCH];
-    int count = BATCH;
+    size_t lengths[MV_DATAGRAMS];
+    int count = MV_DATAGRAMS;
     (void)events;
-    for (int i = 0; i < BATCHES_PER_WAKE && count == BATCH; i++) {
+    for (int i = 0; i < BATCHES_PER_WAKE && count == MV_DATAGRAMS; i++) {
         count = receive(thread, thread->relay_fd, 0, lengths);
         for (int p = 0; p < count; p++) {
             frame_t *frame = &thread->frames[p];
@@ -202,9 +154,9 @@
 open_socket(const packet_thread_t *thread, uint16_t port, int *fd,
             GError **error)
 {
-    return MvThread_OpenDatagrams(
-        thread->pool, thread->packets->daemon->settings->self.address, port,
-        true, SOCKET_BUFFER_BYTES, fd, error);
+    return MvDatagrams_Open(thread->pool,
+                            thread->packets->daemon->settings->self.address,
+                            port, true, SOCKET_BUFFER_BYTES, fd, error);
 }
 
 static bool
@@ -214,7 +166,7 @@
     thread->fabric_watch.ready = fabric_ready;
     thread->relay_watch.ready = relay_ready;
     apr_pool_create(&thread->pool, NULL);
-    thread->frames = g_new(frame_t, BATCH);
+    thread->frames = g_new(frame_t, MV_DATAGRAMS);
     thread->loop = MvLoop_Create(thread->pool, 4);
     thread->reader = MvNode_AddReader(daemon->node);
     thread->fabric = open_socket(thread, daemon->settings->packet_port,
--- a/packages/masticvaned/src/proxy.c
+++ b/packages/masticvaned/src/proxy.c
@@ -1,7 +1,7 @@
 /* The traffic thread for requests: HTTP/2 on both sides. */
 #include "daemon.h"
+#include "datagrams.h"
 #include "retained.h"
-#include "threads.h"
 
 #include <apr_network_io.h>
 #include <arpa/inet.h>
--- a/packages/masticvaned/src/tags_packets.c
+++ b/packages/masticvaned/src/tags_packets.c
@@ -4,12 +4,11 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "datagrams.h"
 #include "tags_mode.h"
-#include "threads.h"
 
 #define PACKET_MAX 2048
 #define LONGEST_WAIT (100 * MV_MILLISECOND)
-#define BATCH 32
 #define BATCHES_PER_WAKE 8
 #define SOCKET_BUFFER_BYTES (1 << 20)
 
@@ -31,48 +30,27 @@
     mv_forwarder_t *forwarder;
     mv_time_t next_timer;
     bool has_more;
-    frame_t frames[BATCH];
-    frame_t outgoing[BATCH];
-    unsigned out_count;
-    struct mmsghdr out[BATCH];
-    struct iovec out_parts[BATCH];
-    struct sockaddr_in out_to[BATCH];
+    frame_t frames[MV_DATAGRAMS];
+    frame_t outgoing[MV_DATAGRAMS];
+    mv_outbox_t outbox;
 };
 
-/* What the socket does not take at once is lost, as on any network. */
 static void
 flush(mv_tags_packets_t *packets)
 {
-    unsigned sent = 0;
-    while (sent < packets->out_count) {
-        int count = sendmmsg(packets->fd, packets->out + sent,
-                             packets->out_count - sent, MSG_DONTWAIT);
-        if (count <= 0) {
-            MvCounters_Add(&packets->daemon->counters,
-                           MV_COUNTER_PACKETS_UNSENT, 1);
-            count = 1;
-        }
-        sent += (unsigned)count;
-    }
-    packets->out_count = 0;
+    unsigned lost = MvOutbox_Send(&packets->outbox, packets->fd);
+    MvCounters_Add(&packets->daemon->counters, MV_COUNTER_PACKETS_UNSENT,
+                   lost);
 }
 
 static void
 post(mv_tags_packets_t *packets, uint32_t address, uint16_t port,
      uint8_t *data, size_t length)
 {
-    unsigned i = packets->out_count++;
-    packets->out_to[i] =
-        (struct sockaddr_in){.sin_family = AF_INET,
-                             .sin_port = htons(port),
-                             .sin_addr.s_addr = htonl(address)};
-    packets->out_parts[i] = (struct iovec){data, length};
-    packets->out[i] =
-        (struct mmsghdr){.msg_hdr = {.msg_name = &packets->out_to[i],
-                                     .msg_namelen = sizeof(packets->out_to[i]),
-                                     .msg_iov = &packets->out_parts[i],
-                                     .msg_iovlen = 1}};
-    if (packets->out_count == BATCH) {
+    const struct sockaddr_in to = {.sin_family = AF_INET,
+                                   .sin_port = htons(port),
+                                   .sin_addr.s_addr = htonl(address)};
+    if (!MvOutbox_Add(&packets->outbox, &to, data, length)) {
         flush(packets);
     }
 }
@@ -90,7 +68,7 @@
 post_reset(mv_tags_packets_t *packets, const mv_flow_packet_t *packet)
 {
     const mv_settings_t *settings = packets->daemon->settings;
-    uint8_t *bytes = packets->outgoing[packets->out_count].packet;
+    uint8_t *bytes = packets->outgoing[packets->outbox.count].packet;
     size_t length = packets->daemon->fabric->reset(packet, bytes);
     MvCounters_Add(&packets->daemon->counters, MV_COUNTER_FLOWS_REFUSED, 1);
     post(packets, packet->caller, settings->packet_port, bytes, length);
@@ -102,7 +80,7 @@
           const uint8_t *bytes, size_t length)
 {
     mv_tags_packets_t *packets = context;
-    uint8_t *packet = packets->outgoing[packets->out_count].packet;
+    uint8_t *packet = packets->outgoing[packets->outbox.count].packet;
     memcpy(packet, bytes, length);
     post_forward(packets, verdict, packet, length);
 }
@@ -184,18 +162,8 @@
 static int
 receive(mv_tags_packets_t *packets, size_t *lengths)
 {
-    struct mmsghdr messages[BATCH] = {0};
-    struct iovec parts[BATCH];
-    for (int i = 0; i < BATCH; i++) {
-        parts[i] = (struct iovec){packets->frames[i].packet, PACKET_MAX};
-        messages[i].msg_hdr.msg_iov = &parts[i];
-        messages[i].msg_hdr.msg_iovlen = 1;
-    }
-    int count = recvmmsg(packets->fd, messages, BATCH, MSG_DONTWAIT, NULL);
-    for (int i = 0; i < count; i++) {
-        lengths[i] = messages[i].msg_len;
-    }
-    return MAX(count, 0);
+    return MvDatagrams_Receive(packets->fd, packets->frames[0].packet,
+                               sizeof(frame_t), PACKET_MAX, lengths);
 }
 
 static void
@@ -231,13 +199,13 @@
 {
     mv_tags_packets_t *packets =
         MV_CONTAINER_OF(watch, mv_tags_packets_t, watch);
-    size_t lengths[BATCH];
-    int count = BATCH;
+    size_t lengths[MV_DATAGRAMS];
+    int count = MV_DATAGRAMS;
     (void)events;
     adopt_table(packets);
     mv_time_t now = g_get_monotonic_time();
     __atomic_store_n(&packets->daemon->last_packet_at, now, __ATOMIC_RELAXED);
-    for (int i = 0; i < BATCHES_PER_WAKE && count == BATCH; i++) {
+    for (int i = 0; i < BATCHES_PER_WAKE && count == MV_DATAGRAMS; i++) {
         mv_time_t began = g_get_monotonic_time();
         count = receive(packets, lengths);
         for (int p = 0; p < count; p++) {
@@ -246,7 +214,7 @@
         flush(packets);
         count_handled(packets, began, (unsigned)count);
     }
-    packets->has_more = count == BATCH;
+    packets->has_more = count == MV_DATAGRAMS;
 }
 
 static void
@@ -305,7 +273,7 @@
 open_socket(mv_tags_packets_t *packets, GError **error)
 {
     const mv_settings_t *settings = packets->daemon->settings;
-    packets->socket = MvThread_OpenDatagrams(
+    packets->socket = MvDatagrams_Open(
         packets->pool, settings->self.address, settings->packet_port, false,
         SOCKET_BUFFER_BYTES, &packets->fd, error);
     packets->watch.ready = socket_ready;
