A route's share that cannot be used is said, and large weights do not wrap

Cause, by reading: a fifth service of a route, a share without a service or with a weight that is no number was left out without a word; the sum of weights was kept in 32 bits, so that three of the largest sent every flow to the first.

Ruled out: refusing the whole configuration for one share (its other routes would stay as they were).

Conclusion: nothing of a configuration is lost unsaid.

--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -26,7 +26,7 @@
 /* What is known */
 
 /** Services that one route may name. */
-#define MV_ROUTE_SERVICES 4
+#define MV_ROUTE_SERVICES 8
 
 /** enum mv_server_state - What a backend server says of itself. */
 typedef enum mv_server_state {
@@ -427,7 +427,8 @@
 
 /**
  * typedef mv_decode_t - Decode a key and its value, NULL when deleted.
- * @error: set when the value is not understood
+ * @error: set when the value is not understood, or only in part: then the
+ *         notice is readable and holds the rest
  */
 typedef mv_notice_t (*mv_decode_t)(const char *key, const char *value,
                                    size_t length, GError **error);
--- a/packages/tags/src/flows.c
+++ b/packages/tags/src/flows.c
@@ -54,8 +54,7 @@
     if (route->route.share_count < 2 || route->total_weight == 0) {
         return route->services[0];
     }
-    uint32_t point =
-        (uint32_t)(XXH3_64bits(name, sizeof(*name)) % route->total_weight);
+    uint64_t point = XXH3_64bits(name, sizeof(*name)) % route->total_weight;
     unsigned i = 0;
     while (i + 1 < route->route.share_count &&
            point >= route->route.shares[i].weight) {
--- a/packages/tags/src/table.h
+++ b/packages/tags/src/table.h
@@ -50,7 +50,7 @@
  */
 typedef struct mv_table_route {
     mv_route_t route;
-    uint32_t total_weight;
+    uint64_t total_weight;
     unsigned services[MV_ROUTE_SERVICES];
 } mv_table_route_t;
 
--- a/packages/tags/test/tags_test.cc
+++ b/packages/tags/test/tags_test.cc
@@ -424,6 +424,32 @@
     }
 }
 
+TEST(Shares, TheLargestWeightsAreSharedAsTheySay)
+{
+    tags_world world;
+    mv_routing_t *routing = MvRouting_Create();
+    mv_route_t route = {};
+    routing->version = 1;
+    route.address = 0xc6120001;
+    route.port = 443;
+    for (const char *service : {"a", "b", "c"}) {
+        mv_route_share_t *share = &route.shares[route.share_count++];
+        share->weight = INT32_MAX;
+        g_strlcpy(share->service, service, MV_NAME_MAX);
+        world.announce(world.server(route.share_count, service, "casa"));
+    }
+    g_array_append_val(routing->routes, route);
+    MvDirectory_Route(world.directory, routing);
+    world.publish();
+    std::map<uint64_t, int> flows;
+    for (uint16_t port = 1; port <= 600; port++) {
+        flows[world.open(port).server]++;
+    }
+    for (uint64_t id = 1; id <= 3; id++) {
+        EXPECT_GT(flows[id], 150) << id;
+    }
+}
+
 TEST(TagCollisions, TheElderKeepsTheTagAndTheYoungerGetsNoFlows)
 {
     for (bool elder_first : {true, false}) {
