replica: changes of the store reach nodes along a tree of subscriptions

Cause: each data centre had a watcher for about 24 nodes, so calls of the store grew with the nodes (302 a second at 3,000), and each watcher sent heartbeats to all nodes of its group. Each start also cost a watch that another node could have answered.

Change: nodes are ranked by the hash of their ids; each subscribes to one that ranks before it (relay_tree.c, source.c) and passes heartbeats and changes on to at most 8 subscribers (24 while others are lost). A node without a source asks its ancestors, then those that replace the first one, then any, and watches after three of them. A node that was registered before a restart no longer watches at its start. A watcher whose calls fail for 0.3 s says so at once.

Ruled out: a second level of watch groups (the watcher of 600 nodes would still send to 50); one watcher for all data centres (one that is cut off must go on).

--- a/packages/core/include/masticvane/core.h
+++ b/packages/core/include/masticvane/core.h
@@ -459,6 +459,7 @@
  * @MV_MESSAGE_REPLICA_PULL: request for changes of the store
  * @MV_MESSAGE_REPLICA_DELTA: changes of the store
  * @MV_MESSAGE_SERVERS: health of servers, by tag
+ * @MV_MESSAGE_REPLICA_SUBSCRIBE: request for heartbeats and changes of the store
  * @MV_MESSAGE_KIND_COUNT: number that follows the last kind
  */
 typedef enum mv_message_kind {
@@ -484,6 +485,7 @@
     MV_MESSAGE_REPLICA_PULL,
     MV_MESSAGE_REPLICA_DELTA,
     MV_MESSAGE_SERVERS,
+    MV_MESSAGE_REPLICA_SUBSCRIBE,
     MV_MESSAGE_KIND_COUNT,
 } mv_message_kind_t;
 
@@ -495,7 +497,8 @@
  *            bits of the sender's configuration version
  * @target: node to probe, in a ping request; in a ping or acknowledgement the
  *          node that requested the probe, or MV_NO_NODE; in a replica
- *          heartbeat 1 when the sender's replica is fresh, otherwise 0
+ *          heartbeat 1 when the sender's replica is fresh, in a subscription 1
+ *          when a heartbeat is to answer it at once, otherwise 0
  * @service: service of bucket updates
  * @version: version of the bucket states (BUCKETS, BUCKETS_ACK), 0 when they
  *           are not to be acknowledged; the newest one compared (DIGESTS), the
--- a/packages/core/src/node.c
+++ b/packages/core/src/node.c
@@ -36,6 +36,7 @@
            message->kind == MV_MESSAGE_REPLICA_HEARTBEAT ||
            message->kind == MV_MESSAGE_REPLICA_PULL ||
            message->kind == MV_MESSAGE_REPLICA_DELTA ||
+           message->kind == MV_MESSAGE_REPLICA_SUBSCRIBE ||
            message->kind == MV_MESSAGE_SERVERS ||
            message->kind == MV_MESSAGE_MOVE;
 }
--- a/packages/masticvaned/src/tags_cluster.c
+++ b/packages/masticvaned/src/tags_cluster.c
@@ -149,14 +149,14 @@
 };
 
 void
-MvTagsCluster_SendReports(mv_tags_control_t *control, mv_time_t now)
+MvTagsCluster_SendReports(mv_tags_control_t *control)
 {
     mv_report_t *report = MvReports_TakeAll(&control->daemon.reports_out);
     while (report) {
         mv_message_t message = {.kind = MV_MESSAGE_SERVERS,
                                 .loads = report->records,
                                 .load_count = report->count};
-        MvFanout_Broadcast(control->fanout, now, &message);
+        MvFanout_Broadcast(control->fanout, &message);
         report = MvReports_Free(report);
     }
 }
--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -244,17 +244,19 @@
 static mv_time_t
 run_timers(mv_tags_control_t *control, mv_time_t now)
 {
-    mv_time_t next = MvFanout_Timer(control->fanout, now);
-    next = MIN(next, MvFollower_Timer(control->follower, now));
-    next = MIN(next,
-               MvBootstrap_Timer(control->bootstrap, now,
-                                 !MvFollower_IsComplete(control->follower)));
-    /* A node without a port for peers does not register. */
+    mv_time_t next = MV_NEVER;
+    /* The registration goes first: a node that was registered before its
+     * restart receives the changes from another one and need not watch.  A
+     * node without a port for peers does not register. */
     if (MvFollower_IsComplete(control->follower) &&
         control->daemon.settings->self.control_port > 0) {
-        next = MIN(next, MvRegistration_Timer(control->registration, now));
+        next = MvRegistration_Timer(control->registration, now);
     }
-    return next;
+    next = MIN(next, MvFanout_Timer(control->fanout, now));
+    next = MIN(next, MvFollower_Timer(control->follower, now));
+    return MIN(next,
+               MvBootstrap_Timer(control->bootstrap, now,
+                                 !MvFollower_IsComplete(control->follower)));
 }
 
 static void
@@ -270,7 +272,7 @@
         track_store_contact(control, now);
         MvStore_Poll(control->store, 0);
         MvTagsCluster_PublishTable(control, now);
-        MvTagsCluster_SendReports(control, now);
+        MvTagsCluster_SendReports(control);
         log_store_reachability(control, now);
         MvLog_Tick(control->daemon.log);
         handle_signals(control, now);
--- a/packages/masticvaned/src/tags_control.h
+++ b/packages/masticvaned/src/tags_control.h
@@ -85,7 +85,7 @@
  * MvTagsCluster_SendReports() - Send this node's server reports to the nodes
  * of the same data centre.
  */
-void MvTagsCluster_SendReports(mv_tags_control_t *control, mv_time_t now);
+void MvTagsCluster_SendReports(mv_tags_control_t *control);
 
 /** MvTagsCluster_FanoutOps() - Callbacks of the fanout; static. */
 const mv_fanout_ops_t *MvTagsCluster_FanoutOps(void);
--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -9,8 +9,8 @@
  * later ones.
  *
  * The follower updates the replica by lists and watches of the store.  The
- * change distribution (fanout) lets a few nodes of a data centre follow the
- * store and pass changes on to the others.  The registration writes the node's
+ * change distribution (fanout) lets one node of a data centre follow the store
+ * and pass changes on to the others.  The registration writes the node's
  * own record and the signing keys into the store.
  *
  * Nothing here does I/O: the store is a vtable, time and randomness are
@@ -167,6 +167,8 @@
  * @watch_timeout: long-poll timeout of a watch; a store that does not answer
  *                 is noticed after this time and the grace period that the
  *                 store client adds
+ * @contact_timeout: timeout of the first watch after MvFollower_SetActive(),
+ * so that other nodes learn soon that this one has contact
  * @coalesce_delay: delay of the next watch after a change, so that changes in
  *                  quick succession cost one call
  * @back_off: mean delay after the first failed call, doubled after each
@@ -175,6 +177,7 @@
  */
 typedef struct mv_follower_settings {
     mv_time_t watch_timeout;
+    mv_time_t contact_timeout;
     mv_time_t coalesce_delay;
     mv_time_t back_off;
     mv_time_t max_back_off;
@@ -234,6 +237,12 @@
 /** MvFollower_IsComplete() - Whether a full list has been applied. */
 bool MvFollower_IsComplete(const mv_follower_t *follower);
 
+/**
+ * MvFollower_FailingSince() - Time since which no store call has succeeded, as
+ * noticed by MvFollower_Timer(); 0 while calls succeed.
+ */
+mv_time_t MvFollower_FailingSince(const mv_follower_t *follower);
+
 /** MvFollower_IsReachable() - Whether the last store call succeeded. */
 bool MvFollower_IsReachable(const mv_follower_t *follower);
 
@@ -274,33 +283,46 @@
 /** MvNodeRecord_Value() - Value of a record; freed with g_free(). */
 char *MvNodeRecord_Value(const mv_node_record_t *record);
 
-/* Change distribution: a few nodes watch the store and update the others */
+/* Change distribution: one node of a data centre watches the store; the others
+ * receive the changes along a tree of subscriptions */
 
 /**
- * struct mv_fanout_settings - Intervals and group sizes of the fanout.
+ * struct mv_fanout_settings - Intervals and sizes of the fanout.
  * @data_centre: data centre of this node
  * @heartbeat_interval: interval between two heartbeats of a watching node
- * @heartbeat_timeout: time without a heartbeat after which a peer counts as
- *                     lost; time without a fresh heartbeat after which, plus
- *                     @rank_delay, another node starts to watch
- * @rank_delay: delay added to @heartbeat_timeout for each node of the watch
- *              group that ranks before the own one
+ * @heartbeat_timeout: time without a heartbeat after which a source is lost
+ * @depth_delay: delay added to @heartbeat_timeout for each node between the
+ *               store and this one
+ * @registration_time: time after its start in which a node waits for its
+ *                     registration before it watches
  * @freshness_limit: time without a store reply after which the heartbeats of a
  *                   watching node report it as not fresh
+ * @failure_limit: time of failing store calls with the same effect
+ * @answer_timeout: time that a node has to answer a subscription before the
+ *                  next one is asked
+ * @subscribe_interval: interval at which a subscription is renewed
+ * @subscription_time: time after which a subscription that is not renewed ends
  * @pull_interval: minimum interval between two pulls from the same node
- * @watch_group_size: mean number of nodes in a watch group above which the
- *                    number of groups is doubled
- * @report_group_size: the same limit for the groups of nodes that exchange
- *                     reports on backend servers
+ * @branching: subscribers that a node has while all nodes run
+ * @max_subscribers: subscribers that a node accepts while others are lost
+ * @report_group_size: mean number of nodes in a group that exchanges reports
+ *                     on backend servers above which the number of groups is
+ *                     doubled
  */
 typedef struct mv_fanout_settings {
     char data_centre[MV_NAME_MAX];
     mv_time_t heartbeat_interval;
     mv_time_t heartbeat_timeout;
-    mv_time_t rank_delay;
+    mv_time_t depth_delay;
+    mv_time_t registration_time;
     mv_time_t freshness_limit;
+    mv_time_t failure_limit;
+    mv_time_t answer_timeout;
+    mv_time_t subscribe_interval;
+    mv_time_t subscription_time;
     mv_time_t pull_interval;
-    unsigned watch_group_size;
+    unsigned branching;
+    unsigned max_subscribers;
     unsigned report_group_size;
 } mv_fanout_settings_t;
 
@@ -318,9 +340,9 @@
  *            Also called for the record of this node, and again for each
  *            record by MvFanout_SetSelf()
  * @role_changed: this node starts or stops watching the store; @rank is the
- *                number of nodes of its group that rank before it
- * @contact_changed: heartbeats of node @id resumed (@is_back) or stopped;
- *                   @silence is the time without a heartbeat
+ *                number of nodes of its data centre that rank before it
+ * @contact_changed: heartbeats of node @id, the source of this one, stopped,
+ * or resumed (@is_back); @silence is the time without one
  */
 typedef struct mv_fanout_ops {
     void (*send)(void *context, mv_node_id_t to, const mv_message_t *message);
@@ -340,7 +362,8 @@
  * @ops: must outlive the fanout
  * @context: passed to the callbacks
  *
- * The node watches the store at least until MvFanout_SetSelf().
+ * Before MvFanout_SetSelf() the node watches the store, after some time or at
+ * once when the signing keys are missing in the replica.
  *
  * Return: the fanout, to be freed with MvFanout_Destroy().
  */
@@ -380,11 +403,10 @@
  *
  * Sets the sender of @message.  Does nothing before MvFanout_SetSelf().
  */
-void MvFanout_Broadcast(mv_fanout_t *fanout, mv_time_t now,
-                        mv_message_t *message);
+void MvFanout_Broadcast(mv_fanout_t *fanout, mv_message_t *message);
 
 /**
- * MvFanout_HandleResume() - Discard the freshness of all peers after a pause.
+ * MvFanout_HandleResume() - Drop the source after a pause.
  *
  * To be called after the process was paused.  The node watches the store from
  * the next MvFanout_Timer() on, until a fresh heartbeat arrives.
@@ -392,7 +414,7 @@
 void MvFanout_HandleResume(mv_fanout_t *fanout);
 
 /**
- * MvFanout_Timer() - Update the role; send changes and due heartbeats.
+ * MvFanout_Timer() - Update source and role; send changes and heartbeats.
  *
  * Return: the latest time at which to call this function again.
  */
@@ -403,7 +425,7 @@
 
 /**
  * MvFanout_Staleness() - Time since the last reply of the store, or since the
- * last heartbeat of a fresh node of higher rank, whichever is shorter.
+ * last heartbeat of an up-to-date node, whichever is shorter.
  */
 mv_time_t MvFanout_Staleness(const mv_fanout_t *fanout, mv_time_t now);
 
--- a/packages/replica/src/fanout.c
+++ b/packages/replica/src/fanout.c
@@ -1,26 +1,37 @@
-/* Change distribution: a few nodes of a data centre watch the store and update
- * the others.
+/* Change distribution: one node of a data centre watches the store and the
+ * others receive the changes along a tree.
  *
- * The nodes of a watch group are ranked by a hash of their ids, which is the
- * same at every node; the lowest hash ranks highest.  The node of the highest
- * rank watches the store; any other node watches while it receives no fresh
- * heartbeat from a node of higher rank.  This needs no election and no write
- * to the store: two nodes that watch at the same time only cost about one more
- * call per second. */
+ * A node subscribes to its source (source.c), which ranks before it
+ * (relay_tree.c), and sends heartbeats and changes to its own subscribers.  A
+ * heartbeat begins at a node that watches the store and is passed on at once,
+ * so its freshness does not age on the way.  The node that ranks first
+ * watches the store; any other node watches while it has no source.  This
+ * needs no election and no write to the store: two nodes that watch at the
+ * same time only cost about one more call per second.
+ *
+ * A node whose own store calls fail may know less than one that ranks behind
+ * it.  Nodes without a source therefore ask any node, and a node that learns
+ * from a subscription that the subscriber knows more fetches the changes. */
 #include <string.h>
-#include <xxhash.h>
 
-#include "masticvane/replica.h"
+#include "source.h"
 
 /* A node whose record was deleted may still run, partitioned from the store,
- * so messages are sent to it for this time after the deletion. */
+ * so its messages are accepted for this time after the deletion. */
 #define REMOVED_RETENTION (30 * MV_SECOND)
+/* A heartbeat this old still shows that the sender is up to date. */
+#define RECENT_HEARTBEATS 2
+/* A change usually follows within this time the heartbeat that announces it,
+ * when it is sent by stream. */
+#define PULL_DELAY (50 * MV_MILLISECOND)
+/* Records of nodes that start together change the tree once. */
+#define TREE_UPDATE_INTERVAL (100 * MV_MILLISECOND)
 
 typedef struct peer {
+    mv_list_t link; /* in the list of subscribers, or in none */
     mv_node_record_t record;
-    uint64_t rank;
-    mv_time_t removed_at; /* 0 while the record exists */
-    mv_time_t fresh_at;   /* last heartbeat that reported the peer as fresh */
+    mv_time_t removed_at;       /* 0 while the record exists */
+    mv_time_t subscribed_until; /* messages are sent to it until then */
     mv_time_t last_pull;
     mv_time_t last_heartbeat;
     bool is_lost;
@@ -33,14 +44,22 @@
     const mv_fanout_ops_t *ops;
     void *context;
     GHashTable *peers;
+    mv_list_t subscribers;
+    mv_time_t started_at; /* first timer call */
     mv_node_id_t self;
-    uint64_t rank;
-    mv_time_t started_at;
+    mv_relay_tree_t *tree;
+    bool tree_outdated;
+    mv_time_t next_tree_update;
+    mv_time_t next_expiry; /* of a peer whose record was deleted */
+    mv_source_t source;
+    mv_time_t heard_at; /* last heartbeat of an up-to-date node of any rank */
     bool is_watching;
     mv_time_t next_heartbeat;
-    uint64_t pushed_revision; /* next push starts here; 0 when not watching */
+    uint64_t pushed_revision; /* the next push starts here */
     uint64_t behind_revision; /* newest revision that a peer reported */
     mv_time_t behind_since;
+    mv_node_id_t pull_from; /* peer that reported it */
+    mv_time_t pull_at;
 };
 
 mv_fanout_settings_t
@@ -49,16 +68,30 @@
     mv_fanout_settings_t settings = {
         .heartbeat_interval = 300 * MV_MILLISECOND,
         .heartbeat_timeout = MV_SECOND,
-        .rank_delay = 100 * MV_MILLISECOND,
+        .depth_delay = 100 * MV_MILLISECOND,
+        .registration_time = MV_SECOND,
         .freshness_limit = 1600 * MV_MILLISECOND,
+        .failure_limit = 300 * MV_MILLISECOND,
+        .answer_timeout = 250 * MV_MILLISECOND,
+        .subscribe_interval = MV_SECOND,
+        .subscription_time = 3500 * MV_MILLISECOND,
         .pull_interval = 150 * MV_MILLISECOND,
-        .watch_group_size = 24,
+        .branching = 8,
+        .max_subscribers = 24,
         .report_group_size = 64,
     };
     g_strlcpy(settings.data_centre, data_centre, MV_NAME_MAX);
     return settings;
 }
 
+static void
+free_peer(gpointer pointer)
+{
+    peer_t *peer = pointer;
+    MvList_Remove(&peer->link);
+    g_free(peer);
+}
+
 mv_fanout_t *
 MvFanout_Create(const mv_fanout_settings_t *settings, mv_replica_t *replica,
                 mv_follower_t *follower, const mv_fanout_ops_t *ops,
@@ -72,7 +105,10 @@
     fanout->context = context;
     fanout->self = MV_NO_NODE;
     fanout->is_watching = true;
-    fanout->peers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    fanout->peers = g_hash_table_new_full(NULL, NULL, NULL, free_peer);
+    MvList_Init(&fanout->subscribers);
+    fanout->tree = MvRelayTree_Create(settings->branching);
+    MvSource_Init(&fanout->source, 0, &fanout->settings, fanout->tree);
     return fanout;
 }
 
@@ -82,24 +118,32 @@
     if (!fanout) {
         return;
     }
+    MvRelayTree_Destroy(fanout->tree);
     g_hash_table_unref(fanout->peers);
     g_free(fanout);
 }
 
 /* Peers */
 
-static uint64_t
-rank_of(mv_node_id_t id)
+static peer_t *
+find_peer(const mv_fanout_t *fanout, uint32_t id)
 {
-    return XXH3_64bits(&id, sizeof(id));
+    return g_hash_table_lookup(fanout->peers, GUINT_TO_POINTER(id));
+}
+
+static bool
+ranks_before(const mv_fanout_t *fanout, const peer_t *peer)
+{
+    return MvRelayTree_Rank(peer->record.id) < MvRelayTree_Rank(fanout->self);
 }
 
 void
 MvFanout_SetSelf(mv_fanout_t *fanout, mv_time_t now, mv_node_id_t id)
 {
     fanout->self = id;
-    fanout->rank = rank_of(id);
-    fanout->started_at = now;
+    fanout->tree_outdated = true;
+    fanout->next_tree_update = 0;
+    MvSource_Init(&fanout->source, now, &fanout->settings, fanout->tree);
     GHashTableIter iter;
     gpointer value = NULL;
     g_hash_table_iter_init(&iter, fanout->peers);
@@ -117,13 +161,14 @@
     bool is_new = !peer;
     if (is_new) {
         peer = g_new0(peer_t, 1);
+        MvList_Init(&peer->link);
         g_hash_table_insert(fanout->peers, key, peer);
     }
     bool has_new_address =
         strcmp(peer->record.address, record->address) != 0 ||
         peer->record.port != record->port;
+    fanout->tree_outdated |= is_new || peer->removed_at > 0;
     peer->record = *record;
-    peer->rank = rank_of(record->id);
     peer->removed_at = 0;
     if (has_new_address) {
         fanout->ops->add_peer(fanout->context, record);
@@ -141,138 +186,80 @@
         }
         return;
     }
-    peer_t *peer =
-        g_hash_table_lookup(fanout->peers, GUINT_TO_POINTER((guint)record.id));
-    if (peer && !value) {
+    peer_t *peer = value ? NULL : find_peer(fanout, record.id);
+    if (peer) {
         peer->removed_at = now;
+        fanout->tree_outdated = true;
+        fanout->next_expiry = now + REMOVED_RETENTION + 1;
     }
 }
 
-static bool
-is_expired(const peer_t *peer, mv_time_t now)
-{
-    return peer->removed_at > 0 && now - peer->removed_at > REMOVED_RETENTION;
-}
-
 static gboolean
 remove_if_expired(gpointer key, gpointer value, gpointer context)
 {
+    const peer_t *peer = value;
     const mv_time_t *now = context;
     (void)key;
-    return is_expired(value, *now);
-}
-
-/* Watch groups: parts of a data centre that one watching node can serve.
- * Nodes are in the same group when the masked bits of their ranks agree. */
-
-static uint64_t
-group_mask(const mv_fanout_t *fanout, unsigned group_size)
-{
-    uint64_t groups = 1;
-    while (groups * group_size < g_hash_table_size(fanout->peers)) {
-        groups *= 2;
-    }
-    return groups - 1;
+    return peer->removed_at > 0 && *now - peer->removed_at > REMOVED_RETENTION;
 }
 
-static uint64_t
-watch_group_mask(const mv_fanout_t *fanout)
-{
-    return group_mask(fanout, fanout->settings.watch_group_size);
-}
-
-static bool
-is_in_group(const mv_fanout_t *fanout, const peer_t *peer, uint64_t mask)
-{
-    return peer->record.id != fanout->self &&
-           (peer->rank & mask) == (fanout->rank & mask);
-}
-
-unsigned
-MvFanout_LocalNodes(const mv_fanout_t *fanout)
-{
-    return MAX(g_hash_table_size(fanout->peers), 1);
-}
-
-/* Role */
-
-/* The nodes of the watch group that rank before this one. */
-typedef struct higher_ranked {
-    unsigned count;
-    mv_time_t fresh_at;
-} higher_ranked_t;
-
-static higher_ranked_t
-find_higher_ranked(const mv_fanout_t *fanout)
+static void
+update_tree(mv_fanout_t *fanout, mv_time_t now)
 {
     GHashTableIter iter;
     gpointer value = NULL;
-    uint64_t mask = watch_group_mask(fanout);
-    higher_ranked_t higher = {0};
+    bool has_expired_peer =
+        fanout->next_expiry > 0 && now >= fanout->next_expiry;
+    if ((!fanout->tree_outdated && !has_expired_peer) ||
+        now < fanout->next_tree_update) {
+        return;
+    }
+    fanout->tree_outdated = false;
+    fanout->next_tree_update = now + TREE_UPDATE_INTERVAL;
+    if (has_expired_peer) {
+        fanout->next_expiry = 0;
+    }
+    g_hash_table_foreach_remove(fanout->peers, remove_if_expired, &now);
+    MvRelayTree_Reset(fanout->tree, fanout->self);
     g_hash_table_iter_init(&iter, fanout->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const peer_t *peer = value;
-        if (is_in_group(fanout, peer, mask) && peer->rank < fanout->rank) {
-            higher.count++;
-            higher.fresh_at = MAX(higher.fresh_at, peer->fresh_at);
+        if (peer->record.id != fanout->self && peer->removed_at == 0) {
+            MvRelayTree_Add(fanout->tree, peer->record.id);
         }
     }
-    return higher;
+    MvRelayTree_Finish(fanout->tree);
 }
 
-/* Return: time at which this node starts to watch unless a fresh heartbeat
- * arrives. */
-static mv_time_t
-choose_role(mv_fanout_t *fanout, mv_time_t now)
-{
-    higher_ranked_t higher = find_higher_ranked(fanout);
-    mv_time_t timeout = fanout->settings.heartbeat_timeout +
-                        higher.count * fanout->settings.rank_delay;
-    mv_time_t since = MAX(higher.fresh_at, fanout->started_at);
-    bool is_watching = fanout->self == MV_NO_NODE || higher.count == 0 ||
-                       now - since > timeout;
-    if (is_watching != fanout->is_watching) {
-        fanout->ops->role_changed(fanout->context, is_watching, higher.count);
-        fanout->next_heartbeat = now;
-    }
-    fanout->is_watching = is_watching;
-    MvFollower_SetActive(fanout->follower, is_watching);
-    return since + timeout + 1;
-}
-
-mv_time_t
-MvFanout_Staleness(const mv_fanout_t *fanout, mv_time_t now)
+unsigned
+MvFanout_LocalNodes(const mv_fanout_t *fanout)
 {
-    mv_time_t store_contact = MvFollower_LastContact(fanout->follower);
-    return now - MAX(store_contact, find_higher_ranked(fanout).fresh_at);
+    return MAX(g_hash_table_size(fanout->peers), 1);
 }
 
-bool
-MvFanout_IsWatching(const mv_fanout_t *fanout)
-{
-    return fanout->is_watching;
-}
+/* Messages */
 
-void
-MvFanout_HandleResume(mv_fanout_t *fanout)
+static bool
+has_recent_contact(const mv_fanout_t *fanout, mv_time_t now)
 {
-    GHashTableIter iter;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iter, fanout->peers);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        peer_t *peer = value;
-        peer->fresh_at = 0;
+    mv_time_t failing_since = MvFollower_FailingSince(fanout->follower);
+    if (failing_since > 0 &&
+        now - failing_since > fanout->settings.failure_limit) {
+        return false;
     }
-    fanout->started_at = 0;
+    return now - MvFollower_LastContact(fanout->follower) <
+           fanout->settings.freshness_limit;
 }
 
-/* Messages */
-
+/* Whether this node may claim to be up to date in an answer. */
 static bool
 is_fresh(const mv_fanout_t *fanout, mv_time_t now)
 {
-    return now - MvFollower_LastContact(fanout->follower) <
-           fanout->settings.freshness_limit;
+    if (fanout->is_watching) {
+        return has_recent_contact(fanout, now);
+    }
+    return now - fanout->source.fresh_at <
+           RECENT_HEARTBEATS * fanout->settings.heartbeat_interval;
 }
 
 static mv_message_t
@@ -283,43 +270,105 @@
                           .version = MvReplica_Revision(fanout->replica)};
 }
 
+static mv_message_t
+make_heartbeat(const mv_fanout_t *fanout, bool fresh)
+{
+    mv_message_t message = make_message(fanout, MV_MESSAGE_REPLICA_HEARTBEAT);
+    /* In a heartbeat, the target field carries the sender's freshness. */
+    message.target = fresh;
+    return message;
+}
+
 static void
-send_to_group(mv_fanout_t *fanout, mv_time_t now, uint64_t mask,
-              const mv_message_t *message)
+send_to(mv_fanout_t *fanout, mv_node_id_t to, const mv_message_t *message)
 {
-    GHashTableIter iter;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iter, fanout->peers);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const peer_t *peer = value;
-        if (is_in_group(fanout, peer, mask) && !is_expired(peer, now)) {
-            fanout->ops->send(fanout->context, peer->record.id, message);
+    fanout->ops->send(fanout->context, to, message);
+}
+
+/* Also ends the subscriptions that were not renewed. */
+static void
+send_to_subscribers(mv_fanout_t *fanout, mv_time_t now,
+                    const mv_message_t *message)
+{
+    MV_LIST_FOREACH(item, &fanout->subscribers)
+    {
+        peer_t *peer = MV_CONTAINER_OF(item, peer_t, link);
+        if (now >= peer->subscribed_until) {
+            MvList_Remove(&peer->link);
+            continue;
+        }
+        send_to(fanout, peer->record.id, message);
+    }
+}
+
+/* @last: set to the subscriber that ranks last, NULL without subscribers */
+static unsigned
+count_subscribers(const mv_fanout_t *fanout, mv_time_t now, peer_t **last)
+{
+    unsigned count = 0;
+    uint64_t last_rank = 0;
+    *last = NULL;
+    MV_LIST_FOREACH(item, &fanout->subscribers)
+    {
+        peer_t *peer = MV_CONTAINER_OF(item, peer_t, link);
+        uint64_t rank = MvRelayTree_Rank(peer->record.id);
+        if (now >= peer->subscribed_until) {
+            continue;
+        }
+        count++;
+        if (!*last || rank > last_rank) {
+            *last = peer;
+            last_rank = rank;
         }
     }
+    return count;
+}
+
+/* Nodes are in the same report group when the masked bits of their ranks
+ * agree. */
+static uint64_t
+report_group_mask(const mv_fanout_t *fanout)
+{
+    uint64_t groups = 1;
+    while (groups * fanout->settings.report_group_size <
+           g_hash_table_size(fanout->peers)) {
+        groups *= 2;
+    }
+    return groups - 1;
 }
 
 void
-MvFanout_Broadcast(mv_fanout_t *fanout, mv_time_t now, mv_message_t *message)
+MvFanout_Broadcast(mv_fanout_t *fanout, mv_message_t *message)
 {
+    GHashTableIter iter;
+    gpointer value = NULL;
     if (fanout->self == MV_NO_NODE) {
         return;
     }
     message->from = fanout->self;
-    send_to_group(fanout, now,
-                  group_mask(fanout, fanout->settings.report_group_size),
-                  message);
+    uint64_t mask = report_group_mask(fanout);
+    uint64_t own_rank = MvRelayTree_Rank(fanout->self);
+    g_hash_table_iter_init(&iter, fanout->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const peer_t *peer = value;
+        uint64_t rank = MvRelayTree_Rank(peer->record.id);
+        if (peer->record.id != fanout->self &&
+            (rank & mask) == (own_rank & mask)) {
+            send_to(fanout, peer->record.id, message);
+        }
+    }
 }
 
 static void
-send_heartbeats(mv_fanout_t *fanout, mv_time_t now)
+send_heartbeats(mv_fanout_t *fanout, mv_time_t now, bool fresh)
 {
-    mv_message_t message = make_message(fanout, MV_MESSAGE_REPLICA_HEARTBEAT);
-    /* In a heartbeat, the target field carries the sender's freshness. */
-    message.target = is_fresh(fanout, now);
+    mv_message_t message = make_heartbeat(fanout, fresh);
     fanout->next_heartbeat = now + fanout->settings.heartbeat_interval;
-    send_to_group(fanout, now, watch_group_mask(fanout), &message);
+    send_to_subscribers(fanout, now, &message);
 }
 
+/* Sends the changes after @since to node @to, or to all subscribers when it is
+ * NULL. */
 static void
 send_delta(mv_fanout_t *fanout, mv_time_t now, const mv_node_id_t *to,
            uint64_t since)
@@ -330,10 +379,10 @@
         message.blob = (char *)bytes.data;
         message.blob_length = bytes.length;
         if (to) {
-            fanout->ops->send(fanout->context, *to, &message);
+            send_to(fanout, *to, &message);
         }
         else {
-            send_to_group(fanout, now, watch_group_mask(fanout), &message);
+            send_to_subscribers(fanout, now, &message);
         }
     }
     MvBuffer_Clear(&bytes);
@@ -343,7 +392,8 @@
 push_changes(mv_fanout_t *fanout, mv_time_t now)
 {
     uint64_t revision = MvReplica_Revision(fanout->replica);
-    if (revision > fanout->pushed_revision && fanout->pushed_revision > 0) {
+    if (revision > fanout->pushed_revision && fanout->pushed_revision > 0 &&
+        !MvList_IsEmpty(&fanout->subscribers)) {
         send_delta(fanout, now, NULL, fanout->pushed_revision);
     }
     fanout->pushed_revision = revision;
@@ -357,7 +407,7 @@
     }
     peer->last_pull = now;
     mv_message_t message = make_message(fanout, MV_MESSAGE_REPLICA_PULL);
-    fanout->ops->send(fanout->context, peer->record.id, &message);
+    send_to(fanout, peer->record.id, &message);
 }
 
 mv_time_t
@@ -368,16 +418,34 @@
     return is_behind ? fanout->behind_since : 0;
 }
 
+/* Notes that @peer knows changes up to @revision, to be pulled from it unless
+ * they arrive soon. */
 static void
-record_revision(mv_fanout_t *fanout, mv_time_t now, uint64_t revision)
+record_revision(mv_fanout_t *fanout, mv_time_t now, const peer_t *peer,
+                uint64_t revision)
 {
     if (revision <= MvReplica_Revision(fanout->replica)) {
         return;
     }
     if (MvFanout_BehindSince(fanout) == 0) {
         fanout->behind_since = now;
+        fanout->pull_at = now + PULL_DELAY;
     }
     fanout->behind_revision = MAX(fanout->behind_revision, revision);
+    fanout->pull_from = peer->record.id;
+}
+
+static void
+pull_when_due(mv_fanout_t *fanout, mv_time_t now)
+{
+    if (MvFanout_BehindSince(fanout) == 0 || now < fanout->pull_at) {
+        return;
+    }
+    peer_t *peer = find_peer(fanout, fanout->pull_from);
+    fanout->pull_at = now + fanout->settings.pull_interval;
+    if (peer) {
+        pull_changes(fanout, now, peer);
+    }
 }
 
 static void
@@ -391,41 +459,63 @@
     peer->last_heartbeat = now;
 }
 
-/* Only watching nodes send heartbeats, so a lost peer may also have stopped
- * watching. */
 static void
-report_lost_peers(mv_fanout_t *fanout, mv_time_t now)
+handle_heartbeat(mv_fanout_t *fanout, mv_time_t now, peer_t *peer,
+                 const mv_message_t *message)
 {
-    GHashTableIter iter;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iter, fanout->peers);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        peer_t *peer = value;
-        mv_time_t silence = now - peer->last_heartbeat;
-        if (peer->last_heartbeat > 0 && !peer->is_lost &&
-            silence > fanout->settings.heartbeat_timeout) {
-            peer->is_lost = true;
-            fanout->ops->contact_changed(fanout->context, peer->record.id,
-                                         false, silence);
-        }
+    bool peer_is_fresh = message->target != 0;
+    record_heartbeat(fanout, now, peer);
+    record_revision(fanout, now, peer, message->version);
+    if (peer_is_fresh) {
+        fanout->heard_at = now;
+    }
+    if (ranks_before(fanout, peer) &&
+        MvSource_HandleHeartbeat(&fanout->source, now, peer->record.id,
+                                 peer_is_fresh)) {
+        send_heartbeats(fanout, now, peer_is_fresh);
+    }
+}
+
+/* Makes room for @peer: when there are too many subscribers, the one that
+ * ranks last gives way.  It is told so, as it must look for another source. */
+static bool
+accept_subscriber(mv_fanout_t *fanout, mv_time_t now, const peer_t *peer)
+{
+    peer_t *last = NULL;
+    if (now < peer->subscribed_until || count_subscribers(fanout, now, &last) <
+                                            fanout->settings.max_subscribers) {
+        return true;
+    }
+    if (MvRelayTree_Rank(last->record.id) <
+        MvRelayTree_Rank(peer->record.id)) {
+        return false;
     }
+    mv_message_t dismissal = make_heartbeat(fanout, false);
+    send_to(fanout, last->record.id, &dismissal);
+    MvList_Remove(&last->link);
+    last->subscribed_until = now;
+    return true;
 }
 
 static void
-handle_heartbeat(mv_fanout_t *fanout, mv_time_t now, peer_t *peer,
-                 const mv_message_t *message)
+handle_subscription(mv_fanout_t *fanout, mv_time_t now, peer_t *peer,
+                    const mv_message_t *message)
 {
-    record_heartbeat(fanout, now, peer);
-    record_revision(fanout, now, message->version);
-    /* When a node reports itself as not fresh, the heartbeat timeout counts as
-     * passed: the next in rank takes over after its rank delay only. */
-    peer->fresh_at =
-        message->target
-            ? now
-            : MIN(peer->fresh_at, now - fanout->settings.heartbeat_timeout);
-    if (message->version > MvReplica_Revision(fanout->replica)) {
-        pull_changes(fanout, now, peer);
+    if (!accept_subscriber(fanout, now, peer)) {
+        return;
+    }
+    peer->subscribed_until = now + fanout->settings.subscription_time;
+    MvList_Remove(&peer->link);
+    MvList_Append(&fanout->subscribers, &peer->link);
+    /* A subscriber that searches for a source waits for the answer. */
+    if (message->target) {
+        mv_message_t answer = make_heartbeat(fanout, is_fresh(fanout, now));
+        send_to(fanout, peer->record.id, &answer);
+    }
+    if (message->version < MvReplica_Revision(fanout->replica)) {
+        send_delta(fanout, now, &peer->record.id, message->version);
     }
+    record_revision(fanout, now, peer, message->version);
 }
 
 static void
@@ -443,18 +533,19 @@
 MvFanout_HandleMessage(mv_fanout_t *fanout, mv_time_t now,
                        const mv_message_t *message)
 {
-    peer_t *peer =
-        g_hash_table_lookup(fanout->peers, GUINT_TO_POINTER(message->from));
+    peer_t *peer = find_peer(fanout, message->from);
     if (!peer) {
         return;
     }
-    const mv_node_id_t from = (mv_node_id_t)message->from;
     switch (message->kind) {
     case MV_MESSAGE_REPLICA_HEARTBEAT:
         handle_heartbeat(fanout, now, peer, message);
         break;
+    case MV_MESSAGE_REPLICA_SUBSCRIBE:
+        handle_subscription(fanout, now, peer, message);
+        break;
     case MV_MESSAGE_REPLICA_PULL:
-        send_delta(fanout, now, &from, message->version);
+        send_delta(fanout, now, &peer->record.id, message->version);
         break;
     case MV_MESSAGE_REPLICA_DELTA:
         handle_delta(fanout, now, peer, message);
@@ -464,19 +555,101 @@
     }
 }
 
+/* Role */
+
+static void
+report_lost(mv_fanout_t *fanout, mv_time_t now, mv_node_id_t id)
+{
+    peer_t *peer = id == MV_NO_NODE ? NULL : find_peer(fanout, id);
+    mv_time_t silence = peer ? now - peer->last_heartbeat : 0;
+    if (silence > fanout->settings.heartbeat_timeout && !peer->is_lost) {
+        peer->is_lost = true;
+        fanout->ops->contact_changed(fanout->context, id, false, silence);
+    }
+}
+
+static void
+subscribe_where_needed(mv_fanout_t *fanout, mv_time_t now)
+{
+    mv_node_id_t requests[MV_SOURCE_REQUESTS];
+    mv_node_id_t lost = MV_NO_NODE;
+    unsigned count = MvSource_Step(&fanout->source, now, requests, &lost);
+    report_lost(fanout, now, lost);
+    for (unsigned i = 0; i < count; i++) {
+        mv_message_t message =
+            make_message(fanout, MV_MESSAGE_REPLICA_SUBSCRIBE);
+        /* In a subscription, the target field asks for an answer at once. */
+        message.target = fanout->source.id != requests[i];
+        send_to(fanout, requests[i], &message);
+    }
+}
+
+/* The first nodes of a deployment learn the signing keys by watching; a later
+ * one is registered soon and then receives the changes from another. */
+static bool
+must_watch_unregistered(const mv_fanout_t *fanout, mv_time_t now)
+{
+    return now - fanout->started_at > fanout->settings.registration_time ||
+           !MvReplica_Value(fanout->replica, MV_SIGNING_KEYS, NULL);
+}
+
+static void
+choose_role(mv_fanout_t *fanout, mv_time_t now)
+{
+    bool is_watching = fanout->self == MV_NO_NODE
+                           ? must_watch_unregistered(fanout, now)
+                           : MvSource_MustWatch(&fanout->source, now);
+    if (is_watching != fanout->is_watching) {
+        fanout->ops->role_changed(fanout->context, is_watching,
+                                  MvRelayTree_Position(fanout->tree));
+        fanout->next_heartbeat = now;
+    }
+    fanout->is_watching = is_watching;
+    MvFollower_SetActive(fanout->follower, is_watching);
+}
+
+mv_time_t
+MvFanout_Staleness(const mv_fanout_t *fanout, mv_time_t now)
+{
+    return now -
+           MAX(MvFollower_LastContact(fanout->follower), fanout->heard_at);
+}
+
+bool
+MvFanout_IsWatching(const mv_fanout_t *fanout)
+{
+    return fanout->is_watching;
+}
+
+void
+MvFanout_HandleResume(mv_fanout_t *fanout)
+{
+    MvSource_Forget(&fanout->source);
+}
+
 mv_time_t
 MvFanout_Timer(mv_fanout_t *fanout, mv_time_t now)
 {
-    g_hash_table_foreach_remove(fanout->peers, remove_if_expired, &now);
-    report_lost_peers(fanout, now);
-    mv_time_t due = choose_role(fanout, now);
+    mv_time_t due = MV_NEVER;
+    if (fanout->started_at == 0) {
+        fanout->started_at = now;
+    }
+    update_tree(fanout, now);
+    if (fanout->self != MV_NO_NODE) {
+        subscribe_where_needed(fanout, now);
+        due = MvSource_Due(&fanout->source);
+    }
+    choose_role(fanout, now);
+    push_changes(fanout, now);
+    pull_when_due(fanout, now);
+    if (MvFanout_BehindSince(fanout) > 0) {
+        due = MIN(due, fanout->pull_at);
+    }
     if (!fanout->is_watching) {
-        fanout->pushed_revision = 0;
         return due;
     }
-    push_changes(fanout, now);
     if (now >= fanout->next_heartbeat) {
-        send_heartbeats(fanout, now);
+        send_heartbeats(fanout, now, has_recent_contact(fanout, now));
     }
-    return fanout->next_heartbeat;
+    return MIN(due, fanout->next_heartbeat);
 }
--- a/packages/replica/src/follower.c
+++ b/packages/replica/src/follower.c
@@ -19,11 +19,13 @@
     bool is_complete;
     bool is_reachable;
     bool requires_fresh_list;
-    mv_time_t now;   /* of the last timer call */
-    bool has_reply;  /* since the last timer call */
-    mv_time_t delay; /* the next timer call adds it to its time */
+    bool needs_contact; /* the next watch returns soon */
+    mv_time_t now;      /* of the last timer call */
+    bool has_reply;     /* since the last timer call */
+    mv_time_t delay;    /* the next timer call adds it to its time */
     mv_time_t next_call;
     mv_time_t last_contact;
+    mv_time_t failing_since; /* 0 while calls succeed */
     mv_time_t back_off;
     uint64_t list_revision; /* of the first page */
     char *list_after;       /* last key of the previous page */
@@ -34,6 +36,7 @@
 {
     return (mv_follower_settings_t){
         .watch_timeout = MV_SECOND,
+        .contact_timeout = 20 * MV_MILLISECOND,
         .coalesce_delay = 400 * MV_MILLISECOND,
         .back_off = 100 * MV_MILLISECOND,
         .max_back_off = MV_SECOND,
@@ -175,6 +178,18 @@
                                follower);
 }
 
+static void
+watch(mv_follower_t *follower)
+{
+    mv_time_t timeout = follower->needs_contact
+                            ? follower->settings.contact_timeout
+                            : follower->settings.watch_timeout;
+    follower->needs_contact = false;
+    follower->store->ops->watch(follower->store, WHOLE_STORE,
+                                MvReplica_Revision(follower->replica), timeout,
+                                handle_watch_reply, follower);
+}
+
 /* Callbacks of the store get no time, so replies are dated by the next timer
  * call. */
 static void
@@ -185,6 +200,12 @@
         follower->last_contact = now;
         follower->has_reply = false;
     }
+    if (follower->is_reachable) {
+        follower->failing_since = 0;
+    }
+    else if (follower->failing_since == 0) {
+        follower->failing_since = now;
+    }
     if (follower->delay > 0) {
         follower->next_call = now + follower->delay;
         follower->delay = 0;
@@ -207,10 +228,7 @@
         list_next_page(follower);
     }
     else {
-        follower->store->ops->watch(follower->store, WHOLE_STORE,
-                                    MvReplica_Revision(follower->replica),
-                                    follower->settings.watch_timeout,
-                                    handle_watch_reply, follower);
+        watch(follower);
     }
     return MV_NEVER;
 }
@@ -218,6 +236,7 @@
 void
 MvFollower_SetActive(mv_follower_t *follower, bool active)
 {
+    follower->needs_contact |= active && !follower->is_active;
     follower->is_active = active;
 }
 
@@ -233,6 +252,12 @@
     return follower->is_complete;
 }
 
+mv_time_t
+MvFollower_FailingSince(const mv_follower_t *follower)
+{
+    return follower->failing_since;
+}
+
 bool
 MvFollower_IsReachable(const mv_follower_t *follower)
 {
--- a/packages/replica/test/fanout_sim.h
+++ b/packages/replica/test/fanout_sim.h
@@ -31,7 +31,12 @@
     std::string data_centre;
     mv_node_id_t id;
     store_access access;
+    /* Until then timers stand still and messages wait. */
+    mv_time_t frozen_until;
+    /* Added to the time that a message to this node takes. */
+    mv_time_t slowness;
     uint64_t calls;
+    uint64_t bytes_sent;
     mv_replica_t *replica;
     mv_follower_t *follower;
     mv_fanout_t *fanout;
@@ -52,6 +57,7 @@
     void run(mv_time_t span);
     void start(int index);
     void stop(int index);
+    void freeze(int index, mv_time_t span);
     void write(const std::string &key, const std::string &value);
     void erase(const std::string &key);
     void compact_history();
