tags, platform: an odd entry of another writer no longer replaces a server

Cause: two keys of the store with the same id, start and service were one incarnation. The second key's address replaced the server's, and when either key was withdrawn the server was; a minute later its incarnation was freed while the other key still referred to it (use after free). Besides, one key with a NUL or with bytes that are no UTF-8 made a whole page unreadable, so that the follower stopped there.

Change: an incarnation belongs to one key; the first keeps the tag. A page that says that there is more but has no usable key is a failure, not the end of the list.

--- a/packages/replica/src/follower.c
+++ b/packages/replica/src/follower.c
@@ -122,7 +122,9 @@
 {
     mv_follower_t *follower = context;
     follower->is_calling = false;
-    if (items->outcome != MV_STORE_DONE) {
+    /* A page without a key to continue from must not pass for the last one. */
+    bool is_stuck = items->more && items->count == 0;
+    if (items->outcome != MV_STORE_DONE || is_stuck) {
         note_failure(follower);
         return;
     }
@@ -133,7 +135,7 @@
         follower->list_revision = items->revision;
     }
     apply_all(follower, items);
-    if (items->more && items->count > 0) {
+    if (items->more) {
         g_free(follower->list_after);
         follower->list_after = g_strdup(items->items[items->count - 1].key);
         return;
--- a/packages/tags/src/directory.c
+++ b/packages/tags/src/directory.c
@@ -4,9 +4,12 @@
 
 #include "table.h"
 
-/* One incarnation of a server. */
+/* One incarnation of a server, as announced under one key.  Another writer may
+ * announce the same id under a second key: that is another incarnation with
+ * the same tag, which the first one keeps (index_tag). */
 typedef struct incarnation {
     mv_list_t link;
+    char *key;
     mv_server_t server;
     uint32_t tag;
     bool is_announced;
@@ -53,28 +56,35 @@
 }
 
 static guint
-hash_incarnation(gconstpointer key)
+hash_incarnation(gconstpointer pointer)
 {
-    return MvServer_Tag(key);
+    const incarnation_t *incarnation = pointer;
+    return MvServer_Tag(&incarnation->server);
 }
 
-static gboolean
-is_same_incarnation(gconstpointer a, gconstpointer b)
+static bool
+is_same_start(const mv_server_t *left, const mv_server_t *right)
 {
-    const mv_server_t *left = a;
-    const mv_server_t *right = b;
     return left->id == right->id && left->started_at == right->started_at &&
            !strcmp(left->service, right->service);
 }
 
+static gboolean
+is_same_incarnation(gconstpointer a, gconstpointer b)
+{
+    const incarnation_t *left = a;
+    const incarnation_t *right = b;
+    return is_same_start(&left->server, &right->server) &&
+           !strcmp(left->key, right->key);
+}
+
 mv_directory_t *
 MvDirectory_Create(const mv_directory_settings_t *settings)
 {
     mv_directory_t *directory = g_new0(mv_directory_t, 1);
     directory->settings = *settings;
     directory->data_centre = MvDataCentre_Hash(settings->data_centre);
-    directory->announced =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    directory->announced = g_hash_table_new(g_str_hash, g_str_equal);
     directory->by_identity =
         g_hash_table_new(hash_incarnation, is_same_incarnation);
     MvList_Init(&directory->incarnations);
@@ -86,8 +96,9 @@
 static void
 free_incarnation(mv_directory_t *directory, incarnation_t *incarnation)
 {
-    g_hash_table_remove(directory->by_identity, &incarnation->server);
+    g_hash_table_remove(directory->by_identity, incarnation);
     MvList_Remove(&incarnation->link);
+    g_free(incarnation->key);
     g_free(incarnation);
 }
 
@@ -111,21 +122,24 @@
 /* Return: the known incarnation, or NULL.  It may be one whose announcement
  * vanished: such an incarnation may be announced again. */
 static incarnation_t *
-find_incarnation(mv_directory_t *directory, const mv_server_t *server)
+find_incarnation(const mv_directory_t *directory, const char *key,
+                 const mv_server_t *server)
 {
-    return g_hash_table_lookup(directory->by_identity, server);
+    const incarnation_t sought = {.key = (char *)key, .server = *server};
+    return g_hash_table_lookup(directory->by_identity, &sought);
 }
 
 static incarnation_t *
-add_incarnation(mv_directory_t *directory, const mv_server_t *server)
+add_incarnation(mv_directory_t *directory, const char *key,
+                const mv_server_t *server)
 {
     incarnation_t *incarnation = g_new0(incarnation_t, 1);
+    incarnation->key = g_strdup(key);
     incarnation->server = *server;
     incarnation->server.state = MV_SERVER_READY;
     incarnation->tag = MvServer_Tag(server);
     MvList_Append(&directory->incarnations, &incarnation->link);
-    g_hash_table_insert(directory->by_identity, &incarnation->server,
-                        incarnation);
+    g_hash_table_insert(directory->by_identity, incarnation, incarnation);
     return incarnation;
 }
 
@@ -157,7 +171,7 @@
 {
     incarnation_t *incarnation =
         g_hash_table_lookup(directory->announced, key);
-    if (incarnation && is_same_incarnation(&incarnation->server, server)) {
+    if (incarnation && is_same_start(&incarnation->server, server)) {
         return update(incarnation, now, server);
     }
     if (incarnation) {
@@ -165,11 +179,11 @@
         incarnation->server.state = MV_SERVER_DRAINING;
         withdraw(incarnation, now);
     }
-    incarnation = find_incarnation(directory, server);
+    incarnation = find_incarnation(directory, key, server);
     if (!incarnation) {
-        incarnation = add_incarnation(directory, server);
+        incarnation = add_incarnation(directory, key, server);
     }
-    g_hash_table_replace(directory->announced, g_strdup(key), incarnation);
+    g_hash_table_replace(directory->announced, incarnation->key, incarnation);
     return update(incarnation, now, server);
 }
 
--- a/packages/tags/test/tags_test.cc
+++ b/packages/tags/test/tags_test.cc
@@ -476,6 +476,55 @@
     }
 }
 
+/* Another writer may leave a second key with the id of a server: the server
+ * keeps its address and its flows, whichever of the keys goes first. */
+TEST(DuplicateIds, ASecondKeyDoesNotReplaceTheServer)
+{
+    struct {
+        const char *what;
+        const char *first;
+        const char *second;
+        const char *withdrawn;
+    } const cases[] = {
+        {"the later key is withdrawn", "i-7", "x-7", "x-7"},
+        {"the later key stays", "i-7", "x-7", nullptr},
+    };
+    for (const auto &c : cases) {
+        tags_world world;
+        mv_server_t good = world.server(7, "booking", "casa");
+        mv_server_t odd = good;
+        odd.address = 0x7f000001;
+        odd.port = 1;
+        MvDirectory_Announce(world.directory, world.now, c.first, &good);
+        MvDirectory_Announce(world.directory, world.now, c.second, &odd);
+        if (c.withdrawn) {
+            MvDirectory_Withdraw(world.directory, world.now, c.withdrawn);
+        }
+        world.route(1, {{443, "booking"}});
+        world.now += 30 * MV_SECOND;
+        world.publish();
+        EXPECT_EQ(world.open(1).address, good.address) << c.what;
+    }
+}
+
+/* The first key's incarnation is freed a minute after its withdrawal, while
+ * the second key is still announced. */
+TEST(DuplicateIds, TheSecondKeyOutlivesTheFirst)
+{
+    tags_world world;
+    mv_server_t server = world.server(7, "booking", "casa");
+    MvDirectory_Announce(world.directory, world.now, "i-7", &server);
+    MvDirectory_Announce(world.directory, world.now, "x-7", &server);
+    MvDirectory_Withdraw(world.directory, world.now, "i-7");
+    world.route(1, {{443, "booking"}});
+    world.now += 2 * MV_MINUTE;
+    world.publish();
+    EXPECT_EQ(MvDirectory_UsableServers(world.directory), 1u);
+    MvDirectory_Announce(world.directory, world.now, "x-7", &server);
+    world.publish();
+    EXPECT_EQ(world.open(1).server, server.id);
+}
+
 TEST(Placement, EqualServersGetEqualSharesAndWarmingUpOnesLess)
 {
     tags_world world;
