core: a claim that is granted twice no longer releases a key that may have run

Cause: when a request had ended with an unknown outcome, a second GRANTED of its claim settled the key as not run, so a repeated key ran again. Seen: with repeated messages of claims, 4 of 40 keys ran twice (Requests.AnUnknownOutcomeStaysUnknownThoughMessagesRepeat, failing first).

Change: the key is released only when this node holds no settled claim of the request. After: 0 of 40; the other tests of repeated keys pass.

--- a/packages/core/src/claims.c
+++ b/packages/core/src/claims.c
@@ -382,6 +382,24 @@
     return is_claiming ? request : NULL;
 }
 
+/* A claim that arrives after its request has ended: releases the key, unless
+ * the claim was granted before and settled then, as the request may have run.
+ */
+static void
+release_late_claim(mv_claims_t *claims, mv_time_t now,
+                   const mv_claim_record_t *record)
+{
+    const mv_key_hash_t key = {.high = record->key_high,
+                               .low = record->key_low};
+    const claim_t *claim = find_claim(claims, key);
+    bool is_settled =
+        claim && is_same_claim(claim, record) && claim->state != MV_CLAIMED;
+    if (!is_settled && !MvRequests_Find(claims->requests, record->request)) {
+        MvClaims_Settle(claims, now, key, record->request, MV_CLAIM_NOT_RUN,
+                        NULL, 0);
+    }
+}
+
 static void
 handle_granted(mv_claims_t *claims, mv_time_t now,
                const mv_claim_record_t *record)
@@ -389,14 +407,7 @@
     mv_requests_t *requests = claims->requests;
     mv_request_t *request = find_claiming(claims, record);
     if (!request) {
-        /* The request has ended: release the key, unless the claim records
-         * that it ran. */
-        if (!MvRequests_Find(requests, record->request)) {
-            mv_key_hash_t key = {.high = record->key_high,
-                                 .low = record->key_low};
-            MvClaims_Settle(claims, now, key, record->request,
-                            MV_CLAIM_NOT_RUN, NULL, 0);
-        }
+        release_late_claim(claims, now, record);
         return;
     }
     request->claimed = true;
--- a/packages/core/test/request_fleet.cc
+++ b/packages/core/test/request_fleet.cc
@@ -223,6 +223,10 @@
     arrival = std::max(arrival, last_arrival);
     last_arrival = arrival;
     schedule(arrival, [this, to, copy] { deliver(to, copy); });
+    if (copy->kind == MV_MESSAGE_CLAIMS && claims_repeated_after > 0) {
+        schedule(arrival + claims_repeated_after,
+                 [this, to, copy] { deliver(to, copy); });
+    }
 }
 
 void
--- a/packages/core/test/request_fleet.h
+++ b/packages/core/test/request_fleet.h
@@ -223,6 +223,9 @@
     /** Function that returns the encoded size of a message, in bytes. */
     size_t (*encoded_size)(const mv_message_t *) = nullptr;
 
+    /** When above 0, each message of claims arrives again after this time. */
+    mv_time_t claims_repeated_after = 0;
+
     /** When true, backend servers end a run that is cancelled. */
     bool cancel_ends_runs = false;
 
--- a/packages/core/test/requests_test.cc
+++ b/packages/core/test/requests_test.cc
@@ -67,6 +67,40 @@
     EXPECT_EQ(f.runs_by_key().size(), 40u);
 }
 
+/* A claim that is granted a second time, after its request ended without an
+ * answer, must not count as not run: the request ran. */
+TEST(Requests, AnUnknownOutcomeStaysUnknownThoughMessagesRepeat)
+{
+    request_options options;
+    options.works = kBookingClasses;
+    options.endpoints = 4;
+    request_fleet f(options);
+    f.claims_repeated_after = 3 * MV_SECOND;
+    for (int i = 0; i < 40; i++) {
+        f.submit((mv_node_id_t)(1 + i % 8), 0, "", "key-" + std::to_string(i),
+                 10 * MV_SECOND);
+    }
+    f.run_for(20 * MV_MILLISECOND);
+    for (uint16_t endpoint = 1; endpoint <= 4; endpoint++) {
+        f.break_endpoint(endpoint);
+    }
+    f.run_for(2 * MV_SECOND);
+    for (uint16_t endpoint = 1; endpoint <= 4; endpoint++) {
+        f.restore_endpoint(endpoint);
+    }
+    f.run_for(6 * MV_SECOND);
+    for (int i = 0; i < 40; i++) {
+        f.submit((mv_node_id_t)(1 + (i + 3) % 8), 0, "",
+                 "key-" + std::to_string(i), 5 * MV_SECOND);
+    }
+    f.run_for(20 * MV_SECOND);
+    for (const auto &[key, runs] : f.runs_by_key()) {
+        EXPECT_LE(runs, 1u) << key;
+    }
+    auto violations = check_history(f, true);
+    EXPECT_TRUE(violations.empty()) << first_violation(violations);
+}
+
 /* Callers repeat keys every few milliseconds, at any entry VM, while the
  * owners of keys change due to planned stops, restarts and a partition.  A new
  * owner that lacks the claim of a key would run its request again. */
