Stand-ins: a caller's flow sends its second packet after the answer to its SYN

Change: standin-backends answers a SYN to the callers directly, and a flow goes on from there, as TCP does; without an answer the SYN is repeated after 1 s. process_wind_down and process_stop use it; their checks are unchanged.

--- a/standins/src/backends.c
+++ b/standins/src/backends.c
@@ -3,8 +3,9 @@
  * flow packets and serves HTTP/2 requests, checks both, and prints its
  * counters as JSON when it ends on SIGTERM.
  *
- * standin-backends ANSWERS [SERVICE_MS]: the service times of requests are
- * exponentially distributed with mean SERVICE_MS, by default 20.
+ * standin-backends ANSWERS [SERVICE_MS [ADDRESS:PORT]]: the service times of
+ * requests are exponentially distributed with mean SERVICE_MS, by default 20.
+ * SYNs are answered to the standin-callers at ADDRESS:PORT.
  */
 #include "answers.h"
 #include "masticvane/net.h"
@@ -60,6 +61,7 @@
     mv_list_t running;
     GHashTable *runs_by_key;
     double mean_service_ms;
+    apr_sockaddr_t *callers; /* NULL when SYNs are not answered */
     GRand *random;
     uint64_t packets;
     uint64_t flows;
@@ -82,6 +84,31 @@
 
 /* Packets */
 
+/* Answers a SYN to the caller directly, not by way of an entry VM. */
+static void
+answer_syn(const backend_t *backend, const struct iphdr *ip,
+           const struct tcphdr *tcp)
+{
+    struct iphdr answer_ip = {.version = 4,
+                              .ihl = sizeof(*ip) / 4,
+                              .tot_len = htons(sizeof(*ip) + sizeof(*tcp)),
+                              .ttl = 64,
+                              .protocol = IPPROTO_TCP,
+                              .saddr = ip->daddr,
+                              .daddr = ip->saddr};
+    struct tcphdr answer_tcp = {.source = tcp->dest,
+                                .dest = tcp->source,
+                                .doff = sizeof(*tcp) / 4,
+                                .syn = 1,
+                                .ack = 1};
+    char bytes[sizeof(answer_ip) + sizeof(answer_tcp)];
+    apr_size_t length = sizeof(bytes);
+    memcpy(bytes, &answer_ip, sizeof(answer_ip));
+    memcpy(bytes + sizeof(answer_ip), &answer_tcp, sizeof(answer_tcp));
+    apr_socket_sendto(backend->packets, backend->standin->callers, 0, bytes,
+                      &length);
+}
+
 static void
 count_packet(backend_t *backend, const uint8_t *data, size_t length)
 {
@@ -109,6 +136,9 @@
         backend->last_new_flow = g_get_real_time();
         known = true;
     }
+    if (tcp.syn && standin->callers) {
+        answer_syn(backend, &ip, &tcp);
+    }
     standin->broken_flow_packets += !known;
 }
 
@@ -360,6 +390,19 @@
     json_decref(all);
 }
 
+/* @text: ADDRESS:PORT */
+static bool
+set_callers(standin_t *standin, const char *text)
+{
+    char **parts = g_strsplit(text, ":", 2);
+    bool is_valid = parts[0] && parts[1] &&
+                    apr_sockaddr_info_get(&standin->callers, parts[0],
+                                          APR_INET, (apr_port_t)atoi(parts[1]),
+                                          0, standin->pool) == APR_SUCCESS;
+    g_strfreev(parts);
+    return is_valid;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -374,8 +417,9 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     MvList_Init(&standin.running);
     standin.deployment = argc > 1 ? Standin_ReadAnswers(argv[1]) : NULL;
-    if (!standin.deployment) {
-        (void)fprintf(stderr, "standin-backends ANSWERS [SERVICE_MS]\n");
+    if (!standin.deployment || (argc > 3 && !set_callers(&standin, argv[3]))) {
+        (void)fprintf(stderr, "standin-backends ANSWERS [SERVICE_MS "
+                              "[ADDRESS:PORT]]\n");
         return 2;
     }
     for (uint16_t s = 0; s < standin.deployment->service_count; s++) {
--- a/standins/src/callers.c
+++ b/standins/src/callers.c
@@ -4,9 +4,11 @@
  * when it ends on SIGTERM or SIGINT.
  *
  * standin-callers ANSWERS NODES STORE FLOWS_PER_SECOND FLOW_SECONDS
- * REQUESTS_PER_SECOND: NODES is a file with a section [peer ID] for each entry
- * VM.  STORE is the address of the store with the platform's list of VMs.
- * FLOW_SECONDS is the mean duration of a flow.
+ * REQUESTS_PER_SECOND [ADDRESS:PORT]: NODES is a file with a section [peer ID]
+ * for each entry VM.  STORE is the address of the store with the platform's
+ * list of VMs. FLOW_SECONDS is the mean duration of a flow.  ADDRESS:PORT is
+ * where standin-backends sends the answers to SYNs; when it is given, a flow
+ * sends its second packet after its answer, like TCP.
  */
 #include "answers.h"
 #include "masticvane/net.h"
@@ -25,6 +27,8 @@
 #define MAX_DESCRIPTORS 4096
 #define MAX_NODES 64
 #define PACKET_INTERVAL (250 * MV_MILLISECOND)
+/* TCP's first retransmission of a SYN. */
+#define SYN_INTERVAL MV_SECOND
 #define VM_LIST_POLL_INTERVAL (100 * MV_MILLISECOND)
 /* Body size of a response of standin-backends. */
 #define RESPONSE_BYTES 2000
@@ -46,6 +50,7 @@
     const mv_service_t *service;
     uint32_t address;
     uint16_t port;
+    bool is_open;
     mv_time_t next_packet_at;
     mv_time_t end_time;
 } flow_t;
@@ -69,7 +74,10 @@
     node_t nodes[MAX_NODES];
     size_t node_count;
     int socket;
+    /* Answers to SYNs arrive at the socket. */
+    bool awaits_answers;
     mv_list_t flows;
+    GHashTable *opening; /* flows without an answer, by caller's address */
     uint32_t flow_number;
     unsigned request_number;
     GHashTable *requests;
@@ -183,6 +191,12 @@
            sizeof(node->packet_address));
 }
 
+static uint64_t
+flow_key(uint32_t address, uint16_t port)
+{
+    return ((uint64_t)address << 16) | port;
+}
+
 static void
 open_flow(callers_t *callers, mv_time_t now, double mean_seconds)
 {
@@ -194,14 +208,52 @@
              ->services[number % callers->deployment->service_count];
     flow->address = 0x0a640000u + number / 50000;
     flow->port = (uint16_t)(1024 + number % 50000);
-    flow->next_packet_at = now + PACKET_INTERVAL / 5;
+    flow->is_open = !callers->awaits_answers;
+    flow->next_packet_at =
+        now + (flow->is_open ? PACKET_INTERVAL / 5 : SYN_INTERVAL);
     flow->end_time =
         now + (mv_time_t)(lifetime_factor * mean_seconds * MV_SECOND);
     MvList_Append(&callers->flows, &flow->link);
     callers->flows_opened++;
+    if (!flow->is_open) {
+        uint64_t key = flow_key(flow->address, flow->port);
+        g_hash_table_insert(callers->opening, g_memdup2(&key, sizeof(key)),
+                            flow);
+    }
     send_packet(callers, flow, true, false);
 }
 
+static void
+read_answers(callers_t *callers, mv_time_t now)
+{
+    struct {
+        struct iphdr ip;
+        struct tcphdr tcp;
+    } __attribute__((packed)) answer;
+    while (callers->awaits_answers &&
+           recv(callers->socket, &answer, sizeof(answer), MSG_DONTWAIT) ==
+               (ssize_t)sizeof(answer)) {
+        uint64_t key =
+            flow_key(ntohl(answer.ip.daddr), ntohs(answer.tcp.dest));
+        flow_t *flow = g_hash_table_lookup(callers->opening, &key);
+        if (flow) {
+            g_hash_table_remove(callers->opening, &key);
+            flow->is_open = true;
+            flow->next_packet_at = now;
+        }
+    }
+}
+
+static void
+close_flow(callers_t *callers, flow_t *flow)
+{
+    uint64_t key = flow_key(flow->address, flow->port);
+    g_hash_table_remove(callers->opening, &key);
+    callers->flows_closed++;
+    MvList_Remove(&flow->link);
+    g_free(flow);
+}
+
 static void
 send_flow_packets(callers_t *callers, mv_time_t now, bool close_flows)
 {
@@ -211,13 +263,17 @@
         if (now < flow->next_packet_at && !close_flows) {
             continue;
         }
-        bool fin = now >= flow->end_time || close_flows;
-        flow->next_packet_at = now + PACKET_INTERVAL;
-        send_packet(callers, flow, false, fin);
-        if (fin) {
-            callers->flows_closed++;
-            MvList_Remove(&flow->link);
-            g_free(flow);
+        bool ends = now >= flow->end_time || close_flows;
+        if (flow->is_open) {
+            flow->next_packet_at = now + PACKET_INTERVAL;
+            send_packet(callers, flow, false, ends);
+        }
+        else if (!ends) {
+            flow->next_packet_at = now + SYN_INTERVAL;
+            send_packet(callers, flow, true, false);
+        }
+        if (ends) {
+            close_flow(callers, flow);
         }
     }
 }
@@ -449,6 +505,7 @@
         mv_time_t now = g_get_monotonic_time();
         double seconds = (double)(now - start_time) / MV_SECOND;
         poll_vm_list(callers, now);
+        read_answers(callers, now);
         while (flows_started < seconds * flow_rate && !stopping) {
             open_flow(callers, now, flow_seconds);
             flows_started++;
@@ -471,6 +528,21 @@
     callers->unanswered += g_hash_table_size(callers->requests);
 }
 
+/* @text: ADDRESS:PORT */
+static bool
+await_answers_at(callers_t *callers, const char *text)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    char **parts = g_strsplit(text, ":", 2);
+    bool is_valid = parts[0] && parts[1] &&
+                    inet_pton(AF_INET, parts[0], &address.sin_addr) == 1;
+    address.sin_port = htons(is_valid ? (uint16_t)atoi(parts[1]) : 0);
+    g_strfreev(parts);
+    callers->awaits_answers = true;
+    return is_valid && bind(callers->socket, (struct sockaddr *)&address,
+                            sizeof(address)) == 0;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -479,7 +551,7 @@
     if (argc < 7) {
         (void)fprintf(stderr,
                       "standin-callers ANSWERS NODES STORE FLOWS_PER_SECOND "
-                      "FLOW_SECONDS REQUESTS_PER_SECOND\n");
+                      "FLOW_SECONDS REQUESTS_PER_SECOND [ADDRESS:PORT]\n");
         return 2;
     }
     apr_initialize();
@@ -489,8 +561,11 @@
     callers.deployment = Standin_ReadAnswers(argv[1]);
     callers.requests =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    callers.opening =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     callers.socket = socket(AF_INET, SOCK_DGRAM, 0);
-    if (!callers.deployment || !read_nodes(&callers, argv[2])) {
+    if (!callers.deployment || !read_nodes(&callers, argv[2]) ||
+        (argc > 7 && !await_answers_at(&callers, argv[7]))) {
         (void)fprintf(stderr, "standin-callers: unreadable input\n");
         return 2;
     }
--- a/test/common.sh
+++ b/test/common.sh
@@ -14,11 +14,13 @@
 trap cleanup EXIT
 
 # prepare_deployment NET NODES: writes the key file and the settings of entry
-# VMs 1 to NODES at 127.NET.0.1 to 127.NET.0.NODES; the store is 127.NET.255.1.
+# VMs 1 to NODES at 127.NET.0.1 to 127.NET.0.NODES; the store is 127.NET.255.1,
+# the callers receive at 127.NET.254.1.
 prepare_deployment() {
     NET=$1
     NODES=$2
     STORE=127.$NET.255.1:8500
+    CALLERS_ADDRESS=127.$NET.254.1:7000
     printf '1 %064d\n' "$NET" >"$DIR/keys"
     : >"$DIR/nodes.ini"
     for i in $(seq 1 "$NODES"); do
--- a/test/stop.sh
+++ b/test/stop.sh
@@ -15,14 +15,14 @@
     curl -s -X PUT -d "[$list]" "http://$STORE/v1/kv/platform/atlas-jet/vms" >/dev/null
 }
 start_store
-"$BIN/standin-backends" "$DIR/answers.ini" 20 >"$DIR/backends.json" &
+"$BIN/standin-backends" "$DIR/answers.ini" 20 "$CALLERS_ADDRESS" >"$DIR/backends.json" &
 BACKENDS=$!
 PIDS+=($BACKENDS)
 write_vm_list 0
 for i in 1 2 3 4; do start_node $i; done
 run_masticvane confirm "$DIR/answers.ini" --wait 10 >/dev/null 2>&1
 sleep 1
-"$BIN/standin-callers" "$DIR/answers.ini" "$DIR/nodes.ini" "$STORE" 200 4 300 >"$DIR/callers.json" &
+"$BIN/standin-callers" "$DIR/answers.ini" "$DIR/nodes.ini" "$STORE" 200 4 300 "$CALLERS_ADDRESS" >"$DIR/callers.json" &
 CALLERS=$!
 PIDS+=($CALLERS)
 sleep 2
--- a/test/wind_down.sh
+++ b/test/wind_down.sh
@@ -8,12 +8,12 @@
 sed 's/address = 127\.20\./address = 127.77./; s/flow_idle_seconds = .*/flow_idle_seconds = 3/' \
     "$EXAMPLES/atlas-jet.ini" >"$DIR/answers.ini"
 start_store
-"$BIN/standin-backends" "$DIR/answers.ini" 20 >"$DIR/backends.json" &
+"$BIN/standin-backends" "$DIR/answers.ini" 20 "$CALLERS_ADDRESS" >"$DIR/backends.json" &
 BACKENDS=$!
 PIDS+=($BACKENDS)
 for i in 1 2 3; do start_node $i; done
 run_masticvane confirm "$DIR/answers.ini" --wait 10 >/dev/null 2>&1
-"$BIN/standin-callers" "$DIR/answers.ini" "$DIR/nodes.ini" "$STORE" 100 12 20 >"$DIR/callers.json" &
+"$BIN/standin-callers" "$DIR/answers.ini" "$DIR/nodes.ini" "$STORE" 100 12 20 "$CALLERS_ADDRESS" >"$DIR/callers.json" &
 CALLERS=$!
 PIDS+=($CALLERS)
 sleep 3
