core: a removed service refuses its waiting requests and drops its dispatcher

Cause: when a service left the configuration its owner kept the dispatcher, which refers to the configuration that was replaced and freed (heap use after free in MvSlots_Timer), and its waiting requests stayed until their deadlines.

Change: MvSlots_SetView ends services that are no longer configured; what waits for them is refused at once as not run.

--- a/packages/core/src/slots.c
+++ b/packages/core/src/slots.c
@@ -315,6 +315,38 @@
     }
 }
 
+/* A service that is no longer configured has no slots to wait for. */
+static void
+refuse_waiting(mv_slots_t *slots, mv_time_t now, service_t *service)
+{
+    MV_LIST_FOREACH(item, &service->waiting)
+    {
+        mv_request_t *request = MV_CONTAINER_OF(item, mv_request_t, link);
+        MvRequests_Finish(slots->requests, now, request, MV_OUTCOME_NOT_RUN,
+                          MV_REASON_NO_SERVICE);
+    }
+}
+
+/* The dispatcher refers to the configuration that is replaced. */
+static void
+end_removed_services(mv_slots_t *slots, mv_time_t now)
+{
+    const mv_deployment_t *deployment = slots->requests->deployment;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, slots->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        service_t *service = value;
+        if (deployment && MvDeployment_FindService(deployment, service->id)) {
+            continue;
+        }
+        MvDispatcher_Destroy(service->dispatcher);
+        service->dispatcher = NULL;
+        service->owner = MV_NO_NODE;
+        refuse_waiting(slots, now, service);
+    }
+}
+
 void
 MvSlots_SetView(mv_slots_t *slots, mv_time_t now)
 {
@@ -333,6 +365,7 @@
             open_when_reported(slots, now, service);
         }
     }
+    end_removed_services(slots, now);
 }
 
 /* Requests */
--- a/packages/core/test/request_fleet.cc
+++ b/packages/core/test/request_fleet.cc
@@ -438,6 +438,21 @@
     });
 }
 
+void
+request_fleet::remove_service()
+{
+    mv_deployment_t *d = g_new0(mv_deployment_t, 1);
+    std::vector<mv_deployment_t *> old;
+    d->references = 1;
+    d->version = deployments_.size() + 1;
+    old.swap(deployments_);
+    deployments_.push_back(d);
+    update_views();
+    for (auto *replaced : old) {
+        MvDeployment_Unref(replaced);
+    }
+}
+
 void
 request_fleet::drain_endpoint(uint16_t endpoint)
 {
--- a/packages/core/test/request_fleet.h
+++ b/packages/core/test/request_fleet.h
@@ -156,6 +156,8 @@
     void pause_node(mv_node_id_t node, mv_time_t duration);
     /** Configure a backend server to leave now. */
     void drain_endpoint(uint16_t endpoint);
+    /** Configure no service any more, and free the configurations before. */
+    void remove_service();
     /**
      * Make all requests to a backend server fail until restore_endpoint();
      * running ones continue, but their answers are lost.
--- a/packages/core/test/requests_test.cc
+++ b/packages/core/test/requests_test.cc
@@ -101,6 +101,33 @@
     EXPECT_TRUE(violations.empty()) << first_violation(violations);
 }
 
+/* Requests that wait for a slot of a removed service get their outcome at
+ * once; under the address sanitizer, the owner must not use the old
+ * configuration. */
+TEST(Requests, ARemovedServiceRefusesItsWaitingRequests)
+{
+    request_options options;
+    options.endpoints = 2;
+    options.mean_run_ms = 400;
+    request_fleet f(options);
+    for (int i = 0; i < 60; i++) {
+        f.submit((mv_node_id_t)(1 + i % 8), 0, "", "", 20 * MV_SECOND);
+    }
+    f.run_for(50 * MV_MILLISECOND);
+    f.remove_service();
+    const mv_time_t removed_at = f.now();
+    f.run_for(15 * MV_SECOND);
+    unsigned refused = 0;
+    for (const auto &[id, a] : f.attempts()) {
+        if (a.outcome == outcome_kind::not_run) {
+            refused++;
+            EXPECT_LE(a.ended, removed_at + MV_SECOND) << "request " << id;
+        }
+        EXPECT_NE(a.outcome, outcome_kind::none) << "request " << id;
+    }
+    EXPECT_GT(refused, 40u);
+}
+
 /* Callers repeat keys every few milliseconds, at any entry VM, while the
  * owners of keys change due to planned stops, restarts and a partition.  A new
  * owner that lacks the claim of a key would run its request again. */
