net: a connection that closes accepts no requests

Cause: MvH2_Close called closed() while MvH2_AcceptsRequests still said yes; a caller's retry went onto the connection that was being freed and was lost. Change: the connection counts as failed before its streams are reported. H2.ClosingConnectionAcceptsNoRequests failed first (1 for 0).

--- a/packages/net/src/h2.c
+++ b/packages/net/src/h2.c
@@ -352,6 +352,8 @@
 static void
 destroy(mv_h2_t *h2)
 {
+    /* closed() may send the request again, but not on this connection. */
+    h2->failed = true;
     MvLoop_Watch(h2->loop, &h2->watch, h2->socket, 0);
     MV_LIST_FOREACH(item, &h2->streams)
     {
--- a/packages/net/test/net_test.cc
+++ b/packages/net/test/net_test.cc
@@ -235,6 +235,8 @@
     size_t responses = 0;
     size_t closed = 0;
     size_t not_processed = 0;
+    /* The connection accepted requests while it reported a closed one. */
+    size_t accepting_while_closed = 0;
     size_t server_closed = 0;
     /* The server's stream was closed before the client's. */
     bool server_closed_first = false;
@@ -299,6 +301,7 @@
         auto *fixture = static_cast<h2_fixture *>(MvH2_Context(h2));
         fixture->closed++;
         fixture->not_processed += not_processed;
+        fixture->accepting_while_closed += MvH2_AcceptsRequests(h2);
         fixture->server_closed_first = fixture->server_closed > 0;
     },
     disconnected,
@@ -345,6 +348,23 @@
 
 } // namespace
 
+/* A caller that retries a closed request must not be offered the connection
+ * that closes. */
+TEST(H2, ClosingConnectionAcceptsNoRequests)
+{
+    h2_fixture fixture;
+    open_fixture(&fixture, 17796);
+    mv_h2_t *client =
+        MvH2_Connect(fixture.loop, "127.90.0.1", 17796, &kClient, &fixture);
+    ASSERT_NE(client, nullptr);
+    fixture.open->insert(client);
+    send_request(client);
+    MvH2_Close(client);
+    EXPECT_EQ(fixture.closed, 1u);
+    EXPECT_EQ(fixture.accepting_while_closed, 0u);
+    close_fixture(&fixture);
+}
+
 /* A response that does not fit into the socket of a client that reads nothing
  * must neither close its connection nor block the loop for other clients. */
 TEST(H2, SlowReaderIsNotDisconnectedAndDelaysNoOther)
