replica: an odd key among the node records removes no node

Cause: the id of a key such as masticvane/nodes/65548 was cut to 16 bits, so the deletion of that key removed node 12 from its peers. Change: a malformed key has no id. Fanout.DeletionOfAMalformedKeyRemovesNoPeer failed first (1 node left of 4).

--- a/packages/replica/src/node_record.c
+++ b/packages/replica/src/node_record.c
@@ -11,13 +11,15 @@
 parse_id(const char *key, mv_node_id_t *id)
 {
     char *end = NULL;
+    *id = MV_NO_NODE;
     if (!g_str_has_prefix(key, MV_NODE_PREFIX)) {
         return false;
     }
     const char *digits = key + strlen(MV_NODE_PREFIX);
     guint64 number = g_ascii_strtoull(digits, &end, 10);
-    *id = (mv_node_id_t)number;
-    return end != digits && !*end && number < MV_NO_NODE;
+    bool is_valid = end != digits && !*end && number < MV_NO_NODE;
+    *id = is_valid ? (mv_node_id_t)number : MV_NO_NODE;
+    return is_valid;
 }
 
 bool
--- a/packages/replica/test/fanout_test.cc
+++ b/packages/replica/test/fanout_test.cc
@@ -375,6 +375,23 @@
     }
 }
 
+/* Guards against an id beyond 16 bits that passes for another node's: 65536
+ * more than the id of a peer. */
+TEST(Fanout, DeletionOfAMalformedKeyRemovesNoPeer)
+{
+    fanout_sim sim(4);
+    sim.run(kSettleTime);
+    const int watcher = sim.watchers()[0];
+    for (auto &node : sim.nodes) {
+        const unsigned odd = node->id + 65536u;
+        const std::string key = MV_NODE_PREFIX + std::to_string(odd);
+        MvFanout_UpdateNode(sim.nodes[watcher]->fanout, sim.now, key.c_str(),
+                            nullptr);
+    }
+    sim.run(40 * MV_SECOND);
+    EXPECT_EQ(MvFanout_LocalNodes(sim.nodes[watcher]->fanout), 4u);
+}
+
 TEST(Delta, RejectsMalformed)
 {
     auto ignore = [](void *, const mv_store_item_t *) {};
