replica: a node that searches for a source pulls from one node only

Cause: a searching node asks several others, and each sent it all changes since its list. Change: the answer to a search is a heartbeat; the searcher pulls from one of those that know more.

--- a/packages/replica/src/fanout.c
+++ b/packages/replica/src/fanout.c
@@ -507,12 +507,13 @@
     peer->subscribed_until = now + fanout->settings.subscription_time;
     MvList_Remove(&peer->link);
     MvList_Append(&fanout->subscribers, &peer->link);
-    /* A subscriber that searches for a source waits for the answer. */
+    /* A subscriber that searches for a source asks several nodes: it learns
+     * the revision from the answer and pulls from one of them. */
     if (message->target) {
         mv_message_t answer = make_heartbeat(fanout, is_fresh(fanout, now));
         send_to(fanout, peer->record.id, &answer);
     }
-    if (message->version < MvReplica_Revision(fanout->replica)) {
+    else if (message->version < MvReplica_Revision(fanout->replica)) {
         send_delta(fanout, now, &peer->record.id, message->version);
     }
     record_revision(fanout, now, peer, message->version);
