--- a/packages/core/include/masticvane/core.h
+++ b/packages/core/include/masticvane/core.h
@@ -459,7 +459,8 @@
  * @MV_MESSAGE_REPLICA_PULL: request for changes of the store
  * @MV_MESSAGE_REPLICA_DELTA: changes of the store
  * @MV_MESSAGE_SERVERS: health of servers, by tag
- * @MV_MESSAGE_REPLICA_SUBSCRIBE: request for heartbeats and changes of the store
+ * @MV_MESSAGE_REPLICA_SUBSCRIBE: request for heartbeats and changes of the
+ * store
  * @MV_MESSAGE_KIND_COUNT: number that follows the last kind
  */
 typedef enum mv_message_kind {
--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -270,8 +270,8 @@
 /**
  * MvNodeRecord_Parse() - Parse the key and the value of a node record.
  * @value: NULL when the key was deleted
- * @record: overwritten; its id is %MV_NO_NODE when @key is malformed, and valid
- *          when only @value is malformed or NULL
+ * @record: overwritten; its id is %MV_NO_NODE when @key is malformed, and
+ * valid when only @value is malformed or NULL
  *
  * Return: false when the key or the value is malformed or @value is NULL.
  */
