--- a/packages/replica/src/fanout.c
+++ b/packages/replica/src/fanout.c
@@ -486,8 +486,8 @@
                                             fanout->settings.max_subscribers) {
         return true;
     }
-    if (MvRelayTree_Rank(last->record.id) <
-        MvRelayTree_Rank(peer->record.id)) {
+    if (!last || MvRelayTree_Rank(last->record.id) <
+                     MvRelayTree_Rank(peer->record.id)) {
         return false;
     }
     mv_message_t dismissal = make_heartbeat(fanout, false);
@@ -561,9 +561,12 @@
 static void
 report_lost(mv_fanout_t *fanout, mv_time_t now, mv_node_id_t id)
 {
-    peer_t *peer = id == MV_NO_NODE ? NULL : find_peer(fanout, id);
-    mv_time_t silence = peer ? now - peer->last_heartbeat : 0;
-    if (silence > fanout->settings.heartbeat_timeout && !peer->is_lost) {
+    peer_t *peer = find_peer(fanout, id);
+    if (!peer || peer->is_lost) {
+        return;
+    }
+    mv_time_t silence = now - peer->last_heartbeat;
+    if (silence > fanout->settings.heartbeat_timeout) {
         peer->is_lost = true;
         fanout->ops->contact_changed(fanout->context, id, false, silence);
     }
@@ -575,7 +578,9 @@
     mv_node_id_t requests[MV_SOURCE_REQUESTS];
     mv_node_id_t lost = MV_NO_NODE;
     unsigned count = MvSource_Step(&fanout->source, now, requests, &lost);
-    report_lost(fanout, now, lost);
+    if (lost != MV_NO_NODE) {
+        report_lost(fanout, now, lost);
+    }
     for (unsigned i = 0; i < count; i++) {
         mv_message_t message =
             make_message(fanout, MV_MESSAGE_REPLICA_SUBSCRIBE);
