--- a/packages/replica/test/relay_test.cc
+++ b/packages/replica/test/relay_test.cc
@@ -124,8 +124,6 @@
 
 /* A fault of nodes that others depend on: @ranked lists all nodes of the data
  * centre, the first one watches the store, those behind it relay. */
-void PrintTo(const struct relay_fault_t &fault, std::ostream *out);
-
 struct relay_fault_t {
     const char *name;
     std::function<void(fanout_sim &, const std::vector<int> &ranked)> begin;
