--- a/packages/net/src/links.c
+++ b/packages/net/src/links.c
@@ -29,7 +29,7 @@
     mv_node_id_t id;
     char *address;
     uint16_t port;
-    apr_sockaddr_t *datagram_address;
+    apr_sockaddr_t *udp_address;
     connection_t *connection;
     mv_time_t retry_at;
 } peer_t;
@@ -381,7 +381,7 @@
     peer->id = id;
     peer->address = g_strdup(address);
     peer->port = port;
-    apr_sockaddr_info_get(&peer->datagram_address, address, APR_INET, port, 0,
+    apr_sockaddr_info_get(&peer->udp_address, address, APR_INET, port, 0,
                           MvLoop_Pool(links->loop));
     g_hash_table_insert(links->peers, GUINT_TO_POINTER(id), peer);
 }
@@ -439,8 +439,8 @@
         count_out(links, frame.length);
         if (datagram) {
             apr_size_t length = frame.length;
-            apr_socket_sendto(links->datagram_socket, peer->datagram_address,
-                              0, (const char *)frame.data, &length);
+            apr_socket_sendto(links->datagram_socket, peer->udp_address, 0,
+                              (const char *)frame.data, &length);
         }
         else {
             queue_on_connection(links, peer, &frame);
--- a/packages/replica/src/fanout.c
+++ b/packages/replica/src/fanout.c
@@ -15,6 +15,7 @@
 #include <string.h>
 
 #include "source.h"
+#include "subscribers.h"
 
 /* A node whose record was deleted may still run, partitioned from the store,
  * so its messages are accepted for this time after the deletion. */
@@ -28,10 +29,8 @@
 #define TREE_UPDATE_INTERVAL (100 * MV_MILLISECOND)
 
 typedef struct peer {
-    mv_list_t link; /* in the list of subscribers, or in none */
     mv_node_record_t record;
-    mv_time_t removed_at;       /* 0 while the record exists */
-    mv_time_t subscribed_until; /* messages are sent to it until then */
+    mv_time_t removed_at; /* 0 while the record exists */
     mv_time_t last_pull;
     mv_time_t last_heartbeat;
     bool is_lost;
@@ -44,7 +43,7 @@
     const mv_fanout_ops_t *ops;
     void *context;
     GHashTable *peers;
-    mv_list_t subscribers;
+    mv_subscribers_t subscribers;
     mv_time_t started_at; /* first timer call */
     mv_node_id_t self;
     mv_relay_tree_t *tree;
@@ -84,14 +83,6 @@
     return settings;
 }
 
-static void
-free_peer(gpointer pointer)
-{
-    peer_t *peer = pointer;
-    MvList_Remove(&peer->link);
-    g_free(peer);
-}
-
 mv_fanout_t *
 MvFanout_Create(const mv_fanout_settings_t *settings, mv_replica_t *replica,
                 mv_follower_t *follower, const mv_fanout_ops_t *ops,
@@ -105,8 +96,9 @@
     fanout->context = context;
     fanout->self = MV_NO_NODE;
     fanout->is_watching = true;
-    fanout->peers = g_hash_table_new_full(NULL, NULL, NULL, free_peer);
-    MvList_Init(&fanout->subscribers);
+    fanout->peers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    MvSubscribers_Init(&fanout->subscribers, settings->max_subscribers,
+                       settings->subscription_time);
     fanout->tree = MvRelayTree_Create(settings->branching);
     MvSource_Init(&fanout->source, 0, &fanout->settings, fanout->tree);
     return fanout;
@@ -119,6 +111,7 @@
         return;
     }
     MvRelayTree_Destroy(fanout->tree);
+    MvSubscribers_Clear(&fanout->subscribers);
     g_hash_table_unref(fanout->peers);
     g_free(fanout);
 }
@@ -161,7 +154,6 @@
     bool is_new = !peer;
     if (is_new) {
         peer = g_new0(peer_t, 1);
-        MvList_Init(&peer->link);
         g_hash_table_insert(fanout->peers, key, peer);
     }
     bool has_new_address =
@@ -285,45 +277,19 @@
     fanout->ops->send(fanout->context, to, message);
 }
 
-/* Also ends the subscriptions that were not renewed. */
 static void
 send_to_subscribers(mv_fanout_t *fanout, mv_time_t now,
                     const mv_message_t *message)
 {
-    MV_LIST_FOREACH(item, &fanout->subscribers)
+    MvSubscribers_RemoveEnded(&fanout->subscribers, now);
+    MV_LIST_FOREACH(item, &fanout->subscribers.list)
     {
-        peer_t *peer = MV_CONTAINER_OF(item, peer_t, link);
-        if (now >= peer->subscribed_until) {
-            MvList_Remove(&peer->link);
-            continue;
-        }
-        send_to(fanout, peer->record.id, message);
+        const mv_subscriber_t *subscriber =
+            MV_CONTAINER_OF(item, mv_subscriber_t, link);
+        send_to(fanout, subscriber->id, message);
     }
 }
 
-/* @last: set to the subscriber that ranks last, NULL without subscribers */
-static unsigned
-count_subscribers(const mv_fanout_t *fanout, mv_time_t now, peer_t **last)
-{
-    unsigned count = 0;
-    uint64_t last_rank = 0;
-    *last = NULL;
-    MV_LIST_FOREACH(item, &fanout->subscribers)
-    {
-        peer_t *peer = MV_CONTAINER_OF(item, peer_t, link);
-        uint64_t rank = MvRelayTree_Rank(peer->record.id);
-        if (now >= peer->subscribed_until) {
-            continue;
-        }
-        count++;
-        if (!*last || rank > last_rank) {
-            *last = peer;
-            last_rank = rank;
-        }
-    }
-    return count;
-}
-
 /* Nodes are in the same report group when the masked bits of their ranks
  * agree. */
 static uint64_t
@@ -393,7 +359,7 @@
 {
     uint64_t revision = MvReplica_Revision(fanout->replica);
     if (revision > fanout->pushed_revision && fanout->pushed_revision > 0 &&
-        !MvList_IsEmpty(&fanout->subscribers)) {
+        !MvList_IsEmpty(&fanout->subscribers.list)) {
         send_delta(fanout, now, NULL, fanout->pushed_revision);
     }
     fanout->pushed_revision = revision;
@@ -476,37 +442,20 @@
     }
 }
 
-/* Makes room for @peer: when there are too many subscribers, the one that
- * ranks last gives way.  It is told so, as it must look for another source. */
-static bool
-accept_subscriber(mv_fanout_t *fanout, mv_time_t now, const peer_t *peer)
-{
-    peer_t *last = NULL;
-    if (now < peer->subscribed_until || count_subscribers(fanout, now, &last) <
-                                            fanout->settings.max_subscribers) {
-        return true;
-    }
-    if (!last || MvRelayTree_Rank(last->record.id) <
-                     MvRelayTree_Rank(peer->record.id)) {
-        return false;
-    }
-    mv_message_t dismissal = make_heartbeat(fanout, false);
-    send_to(fanout, last->record.id, &dismissal);
-    MvList_Remove(&last->link);
-    last->subscribed_until = now;
-    return true;
-}
-
 static void
 handle_subscription(mv_fanout_t *fanout, mv_time_t now, peer_t *peer,
                     const mv_message_t *message)
 {
-    if (!accept_subscriber(fanout, now, peer)) {
+    mv_node_id_t dismissed = MV_NO_NODE;
+    if (!MvSubscribers_Renew(&fanout->subscribers, now, peer->record.id,
+                             &dismissed)) {
         return;
     }
-    peer->subscribed_until = now + fanout->settings.subscription_time;
-    MvList_Remove(&peer->link);
-    MvList_Append(&fanout->subscribers, &peer->link);
+    /* A subscriber that gave way must look for another source. */
+    if (dismissed != MV_NO_NODE) {
+        mv_message_t dismissal = make_heartbeat(fanout, false);
+        send_to(fanout, dismissed, &dismissal);
+    }
     /* A subscriber that searches for a source asks several nodes: it learns
      * the revision from the answer and pulls from one of them. */
     if (message->target) {
