--- a/packages/replica/test/relay_test.cc
+++ b/packages/replica/test/relay_test.cc
@@ -7,6 +7,10 @@
 #include "fanout_sim.h"
 #include "relay_tree.h"
 
+extern "C" {
+#include "subscribers.h"
+}
+
 namespace {
 
 /* Changes must be in force within 3 s of the store's reply; this limit leaves
@@ -94,6 +98,53 @@
     }
 }
 
+/* At most 8 subscriptions of 10 s; ids in the order in which they rank. */
+TEST(Subscribers, TheLastInRankGivesWay)
+{
+    std::vector<mv_node_id_t> ids;
+    for (mv_node_id_t id = 0; id < 20; id++) {
+        ids.push_back(id);
+    }
+    std::sort(ids.begin(), ids.end(), [](mv_node_id_t a, mv_node_id_t b) {
+        return MvRelayTree_Rank(a) < MvRelayTree_Rank(b);
+    });
+    struct {
+        const char *what;
+        std::vector<int> first;
+        mv_time_t pause;
+        int next;
+        bool is_accepted;
+        int dismissed; /* -1 for none */
+    } const cases[] = {
+        {"there is room", {1, 2, 3}, 0, 19, true, -1},
+        {"it ranks before the last", {1, 2, 3, 4, 5, 6, 7, 8}, 0, 0, true, 8},
+        {"it ranks last", {1, 2, 3, 4, 5, 6, 7, 8}, 0, 9, false, -1},
+        {"it renews", {1, 2, 3, 4, 5, 6, 7, 8}, 0, 8, true, -1},
+        {"the others have ended",
+         {1, 2, 3, 4, 5, 6, 7, 8},
+         10 * MV_SECOND,
+         9,
+         true,
+         -1},
+    };
+    for (const auto &c : cases) {
+        mv_subscribers_t subscribers;
+        mv_node_id_t dismissed = MV_NO_NODE;
+        MvSubscribers_Init(&subscribers, kBranching, 10 * MV_SECOND);
+        for (int i : c.first) {
+            EXPECT_TRUE(MvSubscribers_Renew(&subscribers, MV_SECOND, ids[i],
+                                            &dismissed));
+        }
+        EXPECT_EQ(MvSubscribers_Renew(&subscribers, MV_SECOND + c.pause,
+                                      ids[c.next], &dismissed),
+                  c.is_accepted)
+            << c.what;
+        EXPECT_EQ(dismissed, c.dismissed < 0 ? MV_NO_NODE : ids[c.dismissed])
+            << c.what;
+        MvSubscribers_Clear(&subscribers);
+    }
+}
+
 /* The store's calls must not grow with the nodes, nor may the busiest node
  * send more than its share. */
 TEST(Relay, OneWatcherAndAnEvenLoadAtAnySize)
