--- a/review/standins/sim.py
+++ b/review/standins/sim.py
@@ -274,7 +274,8 @@
         self.world.record.add(f"{self.key} has left: revision {revision}")
 
     def send(self, packet):
-        self.transport.sendto(packet.pack(), (packet.dst, self.world.ports["packets"]))
+        if not self.transport.is_closing():
+            self.transport.sendto(packet.pack(), (packet.dst, self.world.ports["packets"]))
 
     def answer(self, to, flags, seq, ack, data=b""):
         return Packet(flags, seq, ack, to.dst, to.dport, to.src, to.sport, to.echo, data)
