--- a/review/standins/sim.py
+++ b/review/standins/sim.py
@@ -378,7 +378,7 @@
 
     def send(self, flags, seq, data=b""):
         packet = Packet(flags, seq, self.ack, self.client.address, self.port, self.host,
-                        self.route_port, self.echo, data)
+                        self.route_port, 0 if flags & SYN else self.echo, data)
         node = self.world.fabric.send(packet)
         self.sent.append((now(), node, packet))
         return node
@@ -423,7 +423,6 @@
                 copies.pop(0)
                 copy += 1
                 self.ack = copy
-                self.echo = 0
                 self.send(SYN, self.seq)
                 self.ack = 0
         self.state = "not opened"
