--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+cd "$(dirname "$0")" || exit 2
+PYTHONDONTWRITEBYTECODE=1 exec python3 play.py
