--- a/review/3/play.py
+++ b/review/3/play.py
@@ -15,7 +15,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins"))
 from sim import Flow, World, main, now, with_trouble  # noqa: E402
 
-HOST, PORT, ZONE, SERVICE, OTHER = "198.18.0.1", 8443, "casa", "booking", "docs"
+HOST, PORT, ZONE, SERVICE, OTHER = "127.99.0.1", 8443, "casa", "booking", "docs"
 DRAIN_S, CONTACT_S = 3.0, 4.0
 LAG_S = 2.5
 WORK_S = 0.072
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -12,7 +12,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins"))
 from sim import SYN, Flow, World, main, now, with_trouble  # noqa: E402
 
-HOST, PORT, ZONE, SERVICE = "198.18.0.1", 8443, "casa", "booking"
+HOST, PORT, ZONE, SERVICE = "127.99.0.1", 8443, "casa", "booking"
 DRAIN_S, CONTACT_S, BEAT_S = 3.0, 4.0, 1.2
 ENDPOINTS, IN_RACK = 14, 6
 WORK_S = 0.03
--- a/review/standins/sim.py
+++ b/review/standins/sim.py
@@ -584,7 +584,7 @@
         self.record = Record(os.path.join(folder_of_case, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="masticvane-review-")
         self.daemon = os.path.join(root(), "target", "bin", "masticvaned")
-        self.net = self.find_net()
+        self.net = random.SystemRandom().randint(100, 250)  # 127.net.0.0
         self.ports = self.find_ports()
         self.store_ip = self.ip(255, 1)
         self.store = Store(self.record, page_items)
@@ -597,17 +597,13 @@
     def ip(self, group, index):
         return f"127.{self.net}.{group}.{index}"
 
-    @staticmethod
-    def find_net():
-        return random.SystemRandom().randint(60, 250)
-
     def find_ports(self):
         """Free ports, the same on all machines."""
         names = ["packets", "ready", "peers", "metrics", "control", "store", "servers"]
         ports = {}
         for name in names:
             with socket.socket() as probe:
-                probe.bind(("0.0.0.0", 0))
+                probe.bind((self.ip(0, 1), 0))
                 ports[name] = probe.getsockname()[1]
         return ports
 
