--- a/review/3/play.py
+++ b/review/3/play.py
@@ -19,7 +19,7 @@
 DRAIN_S, CONTACT_S = 3.0, 4.0
 LAG_S = 2.5
 WORK_S = 0.072
-# 480 + 120 endpoints, as in the large deployment; those of "docs" exist as
+# Nearly the 600 endpoints of the large deployment; those of "docs" exist as
 # entries only, as no client calls that service here.
 OTHER_ENDPOINTS = 560
 # The draining endpoint serves on for this long after the ack: drain_ms "and a
