tags: a flow is offered to one server only

Cause: a SYN that was not answered within 25 to 150 ms was sent to a second server. A server that was sent a SYN repeats its answer for some 9 s, and the caller repeats the tag of the last answer. This node's entry overruled that tag; a node without an entry had only the tag and sent the open flow to the other server. Ruled out: a later node can tell by the packet (the sequence numbers of servers are not known to nodes), or make the other server stop (no packet may be written in a caller's name).

Change: a SYN goes to one server, and again to the same one when it is not answered; the caller's own retransmission is refused with a reset when the server left two SYNs unanswered and another one takes new flows: the retransmission shows that the flow had not opened. A SYN is not repeated to a server that leaves. While the fabric redistributes flows, a retransmission without an entry is held for the usual time of an opening, as another node may have sent the first one. The log names the SYNs sent and unanswered in place of the second server.

--- a/packages/masticvaned/src/tags_packets.c
+++ b/packages/masticvaned/src/tags_packets.c
@@ -127,14 +127,14 @@
     char name[64];
     format_flow_name(&decision->name, name, sizeof(name));
     MvLog_Write(packets->daemon->log, decision->event,
-                "flow=%s server=%" PRIx64 " instead_of=%" PRIx64
-                " why=%s version=%" PRIu64 " candidates=%u outstanding=%u"
-                " offers=%u held_us=%" PRId64 " took_us=%" PRId64
-                " revision=%" PRIu64 " age_ms=%" PRId64,
-                name, decision->server, decision->instead_of,
-                MvCounters_Name(decision->reason), decision->version,
-                decision->candidates, decision->outstanding, decision->offers,
-                decision->queue_time, decision->took, decision->revision,
+                "flow=%s server=%" PRIx64 " why=%s version=%" PRIu64
+                " candidates=%u outstanding=%u syns=%u unanswered=%u"
+                " held_us=%" PRId64 " took_us=%" PRId64 " revision=%" PRIu64
+                " age_ms=%" PRId64,
+                name, decision->server, MvCounters_Name(decision->reason),
+                decision->version, decision->candidates, decision->outstanding,
+                decision->syns, decision->unanswered, decision->queue_time,
+                decision->took, decision->revision,
                 staleness(packets->daemon) / MV_MILLISECOND);
 }
 
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -343,11 +343,11 @@
  * @name: the flow
  * @is_rare: to be logged whether or not the flow is in the sample
  * @server: id of the server, 0 when none
- * @instead_of: id of the server that did not answer the SYN, 0 when none
  * @reason: counter of the cause
  * @candidates: servers of the service that are not draining, even if vanished
  * @outstanding: flows sent to the server by this node that have not ended
- * @offers: number of SYNs sent to servers so far; 4 stands for 4 or more
+ * @syns: number of SYNs sent to the server so far
+ * @unanswered: number of those that it did not answer in time
  * @version: version of the configuration
  * @revision: revision of the store that the table holds
  * @queue_time: time for which the flow was queued until a slot was free
@@ -358,11 +358,11 @@
     mv_flow_name_t name;
     bool is_rare;
     uint64_t server;
-    uint64_t instead_of;
     mv_counter_id_t reason;
     unsigned candidates;
     unsigned outstanding;
-    unsigned offers;
+    unsigned syns;
+    unsigned unanswered;
     uint64_t version;
     uint64_t revision;
     mv_time_t queue_time;
@@ -447,7 +447,7 @@
                                            size_t length);
 
 /**
- * MvForwarder_Timer() - Send queued SYNs, retry unanswered ones, send reports
+ * MvForwarder_Timer() - Send queued SYNs, repeat unanswered ones, send reports
  * and drop old flow entries.
  *
  * Return: latest time of the next call.
--- a/packages/tags/src/flow_queue.c
+++ b/packages/tags/src/flow_queue.c
@@ -169,7 +169,7 @@
     flow->queue_time = now - flow->began_at;
     flow->began_at = now;
     MvFlow_SetPhase(forwarder, flow, MV_FLOW_SYN_SENT);
-    if (!MvFlow_SendStoredSyn(forwarder, flow, now)) {
+    if (!MvFlow_SendQueuedSyn(forwarder, flow, now)) {
         MvFlow_Remove(forwarder, flow);
     }
 }
--- a/packages/tags/src/flows.c
+++ b/packages/tags/src/flows.c
@@ -52,10 +52,12 @@
                 mv_flow_phase_t phase)
 {
     mv_list_t *lists[] = {
+        [MV_FLOW_HELD] = &forwarder->held,
         [MV_FLOW_QUEUED] = &forwarder->queued,
         [MV_FLOW_SYN_SENT] = &forwarder->syn_sent,
         [MV_FLOW_OPEN] = &forwarder->open,
         [MV_FLOW_CLOSED] = &forwarder->closed,
+        [MV_FLOW_REFUSED] = &forwarder->closed,
     };
     flow->phase = phase;
     MvList_Remove(&flow->link);
@@ -106,12 +108,8 @@
                unsigned position)
 {
     mv_server_health_t *health = forwarder->health_by_position[position];
-    if (flow->syn_count == MV_MAX_TRIED_SERVERS) {
-        memmove(flow->tried_tags, flow->tried_tags + 1,
-                (MV_MAX_TRIED_SERVERS - 1) * sizeof(flow->tried_tags[0]));
-        flow->syn_count--;
-    }
-    flow->tried_tags[flow->syn_count++] = health->tag;
+    flow->tag = health->tag;
+    flow->syn_count++;
     flow->syn_sent_at = now;
     flow->syn_timeout = MvDataCentreHealth_SynTimeout(health->dc_health);
     forwarder->due_at = MIN(forwarder->due_at, now + flow->syn_timeout);
@@ -133,20 +131,6 @@
                        MvFlowName_Hash(name) % forwarder->log_sample == 0);
 }
 
-/* Return: id of the server that was sent the last SYN but one, or 0 when there
- * was none or the flow is open at that server. */
-static uint64_t
-unanswered_before(const mv_forwarder_t *forwarder, const mv_flow_t *flow)
-{
-    if (flow->syn_count < 2 ||
-        flow->tried_tags[flow->syn_count - 2] == flow->tag) {
-        return 0;
-    }
-    const mv_server_health_t *health =
-        MvServerHealth_Find(forwarder, flow->tried_tags[flow->syn_count - 2]);
-    return health ? health->server : 0;
-}
-
 void
 MvFlow_LogDecision(const mv_forwarder_t *forwarder, const mv_flow_t *flow,
                    mv_time_t now, mv_log_event_t event, bool is_rare)
@@ -154,17 +138,17 @@
     if (!MvFlowName_IsLogged(forwarder, &flow->name, is_rare)) {
         return;
     }
-    uint32_t tag =
-        flow->tag ? flow->tag : flow->tried_tags[flow->syn_count - 1];
-    const mv_server_health_t *health = MvServerHealth_Find(forwarder, tag);
-    int position = MvTable_Server(forwarder->table, tag);
+    const mv_server_health_t *health =
+        MvServerHealth_Find(forwarder, flow->tag);
+    int position = MvTable_Server(forwarder->table, flow->tag);
     const mv_flow_decision_t decision = {
         .event = event,
         .name = flow->name,
         .is_rare = is_rare,
         .server = health ? health->server : 0,
-        .instead_of = unanswered_before(forwarder, flow),
-        .reason = MV_COUNTER_PACKETS_FORWARDED,
+        .reason = flow->phase == MV_FLOW_REFUSED
+                      ? MV_COUNTER_FLOWS_UNANSWERED
+                      : MV_COUNTER_PACKETS_FORWARDED,
         .candidates =
             position < 0
                 ? 0
@@ -172,7 +156,8 @@
                       ->services[forwarder->table->servers[position].service]
                       .count,
         .outstanding = health ? health->outstanding : 0,
-        .offers = flow->syn_count,
+        .syns = flow->syn_count,
+        .unanswered = flow->syn_timeouts,
         .version = forwarder->table->version,
         .revision = forwarder->table->revision,
         .queue_time = flow->queue_time,
--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -41,6 +41,7 @@
     forwarder->profiles = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     forwarder->due_at = MV_NEVER;
     MvList_Init(&forwarder->awaiting_answer);
+    MvList_Init(&forwarder->held);
     MvList_Init(&forwarder->queued);
     MvList_Init(&forwarder->syn_sent);
     MvList_Init(&forwarder->open);
@@ -98,13 +99,15 @@
 }
 
 /* Logs a packet that was dropped or refused.  Queued SYNs and late
- * retransmissions are normal and are not logged. */
+ * retransmissions are normal and are not logged; a flow whose server did not
+ * answer has been logged with its entry. */
 static void
 log_refusal(const mv_forwarder_t *forwarder, const mv_flow_name_t *name,
             const mv_flow_verdict_t *verdict)
 {
     if (verdict->kind == MV_FLOW_FORWARD ||
         verdict->reason == MV_COUNTER_SYNS_QUEUED ||
+        verdict->reason == MV_COUNTER_FLOWS_UNANSWERED ||
         verdict->reason == MV_COUNTER_PACKETS_LATE_SYN) {
         return;
     }
@@ -181,34 +184,38 @@
            now - forwarder->foreign_flow_at > FABRIC_SETTLING_TIME;
 }
 
-static void
-check_retransmission(mv_forwarder_t *forwarder, const mv_flow_t *flow,
-                     mv_time_t now)
-{
-    if (flow->syn_count == 0 || !MvForwarder_IsFabricStable(forwarder, now)) {
-        return;
-    }
-    mv_server_health_t *health =
-        MvServerHealth_Find(forwarder, flow->tried_tags[flow->syn_count - 1]);
-    if (health && now - flow->syn_sent_at >=
-                      MvDataCentreHealth_SynTimeout(health->dc_health)) {
-        MvServerHealth_NoteTimeout(forwarder, health, now, flow->syn_sent_at);
-    }
-}
-
+/* Stores a SYN to send it later, from the phase @phase. */
 static mv_flow_verdict_t
-queue_flow(mv_forwarder_t *forwarder, mv_time_t now,
+store_flow(mv_forwarder_t *forwarder, mv_time_t now,
            const mv_table_route_t *route, const mv_flow_packet_t *packet,
-           const mv_flow_name_t *name, const uint8_t *bytes, size_t length)
+           const mv_flow_name_t *name, const uint8_t *bytes, size_t length,
+           mv_flow_phase_t phase)
 {
     mv_flow_t *flow = add_syn(forwarder, name, now, bytes, length);
     flow->first_syn_at = now - packet->since_first_syn;
     flow->urgency = route->route.urgency;
-    MvFlow_SetPhase(forwarder, flow, MV_FLOW_QUEUED);
-    MvFlowQueue_NoteAdded(forwarder, now);
+    if (phase == MV_FLOW_HELD) {
+        MvHeldSyns_Add(forwarder, flow, now);
+    }
+    else {
+        MvFlow_SetPhase(forwarder, flow, MV_FLOW_QUEUED);
+        MvFlowQueue_NoteAdded(forwarder, now);
+    }
     return (mv_flow_verdict_t){.reason = MV_COUNTER_SYNS_QUEUED};
 }
 
+/* Verdict about a retransmitted SYN of a flow that was refused or has opened
+ * by the answer to another transmission. */
+static mv_flow_verdict_t
+repeat_refusal(const mv_flow_t *flow)
+{
+    if (flow->phase == MV_FLOW_REFUSED) {
+        return (mv_flow_verdict_t){.kind = MV_FLOW_RESET,
+                                   .reason = MV_COUNTER_FLOWS_UNANSWERED};
+    }
+    return (mv_flow_verdict_t){.reason = MV_COUNTER_PACKETS_LATE_SYN};
+}
+
 static mv_flow_verdict_t
 open_flow(mv_forwarder_t *forwarder, mv_time_t now,
           const mv_table_route_t *route, const mv_flow_packet_t *packet,
@@ -225,37 +232,36 @@
     if (!flow && packet->retransmission > 0) {
         MvAdmission_NoteRetransmission(forwarder, service);
     }
-    if (flow && flow->phase == MV_FLOW_QUEUED) {
+    if (flow &&
+        (flow->phase == MV_FLOW_HELD || flow->phase == MV_FLOW_QUEUED)) {
         return (mv_flow_verdict_t){.reason = MV_COUNTER_SYNS_QUEUED};
     }
-    if (flow && flow->phase != MV_FLOW_SYN_SENT) {
-        if (packet->retransmission > 0) {
-            /* The answer to another transmission of the SYN has opened it. */
-            return (mv_flow_verdict_t){.reason = MV_COUNTER_PACKETS_LATE_SYN};
-        }
-        MvFlow_Remove(forwarder, flow);
-        flow = NULL;
+    if (flow && flow->phase == MV_FLOW_SYN_SENT) {
+        return MvFlow_RepeatSyn(forwarder, flow, now, service);
+    }
+    if (flow && packet->retransmission > 0) {
+        return repeat_refusal(flow);
     }
     if (flow) {
-        check_retransmission(forwarder, flow, now);
+        MvFlow_Remove(forwarder, flow);
+    }
+    if (MvHeldSyns_MustHold(forwarder, now, packet)) {
+        return store_flow(forwarder, now, route, packet, name, bytes, length,
+                          MV_FLOW_HELD);
     }
-    else if (MvFlowQueue_MustWait(forwarder, now, route, service,
-                                  now - packet->since_first_syn, 0)) {
-        return queue_flow(forwarder, now, route, packet, name, bytes, length);
+    if (MvFlowQueue_MustWait(forwarder, now, route, service,
+                             now - packet->since_first_syn, 0)) {
+        return store_flow(forwarder, now, route, packet, name, bytes, length,
+                          MV_FLOW_QUEUED);
     }
-    int position = MvPlacement_Choose(forwarder, now, service, flow);
+    int position = MvPlacement_Choose(forwarder, now, service);
     if (position < 0) {
         return refuse(packet, MV_COUNTER_PACKETS_NO_ENDPOINT);
     }
-    if (!flow) {
-        flow = add_syn(forwarder, name, now, bytes, length);
-    }
+    flow = add_syn(forwarder, name, now, bytes, length);
     mv_flow_verdict_t verdict =
         MvFlow_SendSyn(forwarder, flow, now, (unsigned)position);
-    bool is_retry = flow->syn_count > 1;
-    MvFlow_LogDecision(
-        forwarder, flow, now,
-        is_retry ? MV_EVENT_FLOW_SYN_RETRIED : MV_EVENT_FLOW_PLACED, is_retry);
+    MvFlow_LogDecision(forwarder, flow, now, MV_EVENT_FLOW_PLACED, false);
     return verdict;
 }
 
@@ -266,10 +272,11 @@
           unsigned position)
 {
     mv_server_health_t *health = forwarder->health_by_position[position];
-    bool is_last_tried = flow->tried_tags[flow->syn_count - 1] == health->tag;
+    /* Another node may have offered it to another server before. */
+    bool is_own_offer = flow->tag == health->tag;
     flow->tag = health->tag;
     MvServerHealth_NoteAnswer(forwarder, health, now,
-                              is_last_tried ? flow->syn_sent_at : 0);
+                              is_own_offer ? flow->syn_sent_at : 0);
     if (flow->counted_by != health) {
         MvFlow_Release(flow);
         flow->counted_by = health;
@@ -304,7 +311,7 @@
     if (flow->phase == MV_FLOW_SYN_SENT) {
         note_open(forwarder, flow, now, position);
     }
-    if (flow->phase == MV_FLOW_QUEUED) {
+    if (flow->phase == MV_FLOW_HELD || flow->phase == MV_FLOW_QUEUED) {
         /* It was opened through another node in the meantime. */
         flow->tag = forwarder->table->servers[position].tag;
         MvFlow_SetPhase(forwarder, flow, MV_FLOW_OPEN);
@@ -328,10 +335,11 @@
               const mv_flow_name_t *name)
 {
     mv_flow_t *flow = g_hash_table_lookup(forwarder->flows, name);
+    if (flow && flow->phase == MV_FLOW_REFUSED) {
+        return repeat_refusal(flow);
+    }
     bool is_open =
         flow && (flow->phase == MV_FLOW_OPEN || flow->phase == MV_FLOW_CLOSED);
-    /* When two servers answered the SYN, the flow is open at the one that
-     * answered first. */
     uint32_t tag = is_open ? flow->tag : packet->tag;
     int position = MvTable_Server(forwarder->table, tag);
     if (position < 0) {
@@ -423,7 +431,8 @@
         return now + SWEEP_INTERVAL;
     }
     forwarder->due_at = MV_NEVER;
-    mv_time_t next = MvFlowQueue_Run(forwarder, now);
+    mv_time_t next = MvHeldSyns_Run(forwarder, now);
+    next = MIN(next, MvFlowQueue_Run(forwarder, now));
     next = MIN(next, MvSynRetries_Run(forwarder, now));
     next = MIN(next, MvExchanges_CheckTimeouts(forwarder, now));
     next = MIN(next, MvFailing_Report(forwarder, now));
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -3,7 +3,8 @@
  *
  * forwarder.c    handling of packets, timer, state dump
  * flows.c        flow entries: states, SYNs sent, log records
- * syn_retries.c  SYN timeouts and retries at another server
+ * syn_retries.c  SYN timeouts and repeated SYNs
+ * held_syns.c    SYNs that another node may have sent to a server
  * placement.c    choice of the server for a new flow
  * flow_queue.c   queue of late flows that wait for a free slot
  * health.c       detection of servers and data centres that do not answer
@@ -17,9 +18,6 @@
 
 #include "table.h"
 
-/** Maximum number of entries in @tried_tags of &struct mv_flow. */
-#define MV_MAX_TRIED_SERVERS 4
-
 /**
  * struct mv_data_centre_health - Health record of one data centre.
  * @data_centre: hash of its name
@@ -114,17 +112,23 @@
 
 /**
  * enum mv_flow_phase - State of a flow entry.
+ * @MV_FLOW_HELD: its SYN is stored for a moment, as another node may have sent
+ *                it to a server that has yet to answer
  * @MV_FLOW_QUEUED: its SYN is stored until a slot is free
  * @MV_FLOW_SYN_SENT: its SYN was sent to a server, the caller's next packet
  *                    has not arrived
  * @MV_FLOW_OPEN: the caller has answered the server
  * @MV_FLOW_CLOSED: the caller has closed or reset it
+ * @MV_FLOW_REFUSED: it was reset before it opened, as its server did not
+ *                   answer
  */
 typedef enum mv_flow_phase {
+    MV_FLOW_HELD,
     MV_FLOW_QUEUED,
     MV_FLOW_SYN_SENT,
     MV_FLOW_OPEN,
     MV_FLOW_CLOSED,
+    MV_FLOW_REFUSED,
 } mv_flow_phase_t;
 
 typedef struct mv_service_load mv_service_load_t;
@@ -165,6 +169,15 @@
 
 /**
  * struct mv_flow - Entry of a flow that this node has seen.
+ *
+ * Invariant: a flow is offered to one server only.  A server that was offered
+ * a flow answers for seconds, also when the flow opened elsewhere, and the
+ * caller repeats the tag of the last answer.  A node without an entry for the
+ * flow has only that tag: with two offers it could not tell at which server
+ * the flow is open.  A node keeps to it by sending a SYN to one server only,
+ * and, as far as it can tell, by holding a SYN that another node may have sent
+ * (held_syns.c).
+ *
  * @link: in the list of its phase
  * @name: its identity
  * @phase: &enum mv_flow_phase
@@ -179,13 +192,15 @@
  * @syn_sent_at: time at which a SYN was last sent to a server
  * @last_seen_at: arrival of its last packet other than a retransmitted SYN, or
  *                time at which @syn was sent from this entry, if that is later
- * @syn_count: entries in @tried_tags, at least one in MV_FLOW_SYN_SENT
- * @tried_tags: tags of the servers that were sent a SYN, newest last
- * @tag: tag of the server at which it is open
+ * @syn_count: number of SYNs sent to its server, 0 when another node sent them
+ * @syn_timeouts: number of those that were not answered in time
+ * @tag: tag of the server that it was offered to; in MV_FLOW_OPEN, of the
+ *       server at which it is open
  * @counted_by: health record that counts it as outstanding, or NULL
  * @pending_service: service that counts it as pending, or NULL
  * @syn_timeout: time from @syn_sent_at until the SYN counts as unanswered,
- *               MV_NEVER when it is not to be retried
+ *               MV_NEVER when it is not to be sent again
+ * @held_until: time at which its SYN is sent when it is in MV_FLOW_HELD
  * @exchange: its current request, once it is open
  * @syn_length: bytes in @syn
  * @syn: the caller's SYN
@@ -204,11 +219,12 @@
     mv_time_t syn_sent_at;
     mv_time_t last_seen_at;
     unsigned syn_count;
-    uint32_t tried_tags[MV_MAX_TRIED_SERVERS];
+    unsigned syn_timeouts;
     uint32_t tag;
     mv_server_health_t *counted_by;
     mv_service_load_t *pending_service;
     mv_time_t syn_timeout;
+    mv_time_t held_until;
     mv_exchange_t exchange;
     uint8_t syn_length;
     uint8_t syn[MV_SYN_MAX];
@@ -239,10 +255,11 @@
  * @services: &struct mv_service_load by name of the service
  * @profiles: &struct mv_answer_profile by address and port
  * @awaiting_answer: open flows whose request has no answer yet, oldest first
+ * @held: flows in MV_FLOW_HELD, oldest first
  * @queued: flows in MV_FLOW_QUEUED
  * @syn_sent: flows in MV_FLOW_SYN_SENT
  * @open: flows in MV_FLOW_OPEN, longest idle first
- * @closed: flows in MV_FLOW_CLOSED, oldest first
+ * @closed: flows in MV_FLOW_CLOSED and MV_FLOW_REFUSED, oldest first
  */
 struct mv_forwarder {
     const mv_forwarder_ops_t *ops;
@@ -265,6 +282,7 @@
     GHashTable *services;
     GHashTable *profiles;
     mv_list_t awaiting_answer;
+    mv_list_t held;
     mv_list_t queued;
     mv_list_t syn_sent;
     mv_list_t open;
@@ -374,12 +392,11 @@
 
 /**
  * MvPlacement_Choose() - Choose the server for a new flow.
- * @avoid: flow whose tried servers are avoided, or NULL
  *
  * Return: position in the table, or -1 when the service has no usable server.
  */
 int MvPlacement_Choose(mv_forwarder_t *forwarder, mv_time_t now,
-                       unsigned service, const mv_flow_t *avoid);
+                       unsigned service);
 
 /** MvFlowName_Hash() - Hash of a &struct mv_flow_name, for GHashTable. */
 guint MvFlowName_Hash(gconstpointer key);
@@ -399,7 +416,7 @@
 
 /**
  * MvFlow_SendSyn() - Record that the flow's SYN goes to the server at
- * @position.
+ * @position, the same one each time.
  *
  * Return: verdict that forwards the SYN.
  */
@@ -564,13 +581,45 @@
 mv_time_t MvFlowQueue_Run(mv_forwarder_t *forwarder, mv_time_t now);
 
 /**
- * MvFlow_SendStoredSyn() - Choose a server and send it the stored SYN.
+ * MvFlow_SendQueuedSyn() - Choose a server and send it the SYN of a held or
+ * queued flow.
  *
  * Return: false when the route or a usable server is missing.
  */
-bool MvFlow_SendStoredSyn(mv_forwarder_t *forwarder, mv_flow_t *flow,
+bool MvFlow_SendQueuedSyn(mv_forwarder_t *forwarder, mv_flow_t *flow,
                           mv_time_t now);
 
+/**
+ * MvFlow_RepeatSyn() - Decide about a caller's retransmission of a SYN that
+ * was sent to a server.
+ *
+ * It goes to the same server.  When that one has not answered, or takes no new
+ * flows any more, and a new flow would go to another one, the flow is refused:
+ * its caller may open a new flow.  It has not opened this one, or it would not
+ * have retransmitted the SYN.
+ *
+ * Return: verdict about the SYN.
+ */
+mv_flow_verdict_t MvFlow_RepeatSyn(mv_forwarder_t *forwarder, mv_flow_t *flow,
+                                   mv_time_t now, unsigned service);
+
+/**
+ * MvHeldSyns_MustHold() - A SYN without an entry may have been sent to a
+ * server by another node.
+ */
+bool MvHeldSyns_MustHold(const mv_forwarder_t *forwarder, mv_time_t now,
+                         const mv_flow_packet_t *packet);
+
+/** MvHeldSyns_Add() - Hold the SYN of a new entry. */
+void MvHeldSyns_Add(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now);
+
+/**
+ * MvHeldSyns_Run() - Send or queue the SYNs that have been held long enough.
+ *
+ * Return: time of the next call, or MV_NEVER.
+ */
+mv_time_t MvHeldSyns_Run(mv_forwarder_t *forwarder, mv_time_t now);
+
 /** MvFlow_SetPhase() - Move the flow to the end of the list of @phase. */
 void MvFlow_SetPhase(mv_forwarder_t *forwarder, mv_flow_t *flow,
                      mv_flow_phase_t phase);
--- a/packages/tags/src/placement.c
+++ b/packages/tags/src/placement.c
@@ -43,17 +43,6 @@
     return result;
 }
 
-static bool
-was_tried(const mv_flow_t *flow, uint32_t tag)
-{
-    for (unsigned i = 0; flow && i < flow->syn_count; i++) {
-        if (flow->tried_tags[i] == tag) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static double
 cost_of(const mv_table_server_t *server, const mv_server_health_t *health,
         mv_time_t now)
@@ -66,55 +55,41 @@
     return server->is_local ? cost : cost + REMOTE_COST;
 }
 
-/* A server of a lower rank is always preferred: 0 for a server that is neither
- * avoided nor was tried before, 1 for a tried one, 2 for an avoided one, 3 for
- * one that is both. */
-static int
-rank_of(const mv_forwarder_t *forwarder, unsigned position,
-        const mv_flow_t *avoid, mv_time_t now)
-{
-    const mv_server_health_t *health = forwarder->health_by_position[position];
-    int rank = MvServerHealth_IsAvoided(health, now) ? 2 : 0;
-    return rank + (was_tried(avoid, health->tag) ? 1 : 0);
-}
-
 /**
  * struct choice - Best server so far.
  * @position: its position in the table, -1 for none
- * @rank: its rank
+ * @is_avoided: it is avoided; any server that is not is preferred
  * @cost: its cost
- * @equals: number of servers of the same rank and cost so far
+ * @equals: number of servers as good as this one so far
  */
 typedef struct choice {
     int position;
-    int rank;
+    bool is_avoided;
     double cost;
     unsigned equals;
 } choice_t;
 
 static void
 update_choice(const mv_forwarder_t *forwarder, choice_t *best,
-              unsigned position, int rank, double cost)
+              unsigned position, bool is_avoided, double cost)
 {
-    if (best->position >= 0 &&
-        (rank > best->rank ||
-         (rank == best->rank && cost > best->cost + COST_TOLERANCE))) {
+    bool is_comparable = best->position >= 0 && is_avoided == best->is_avoided;
+    if ((best->position >= 0 && is_avoided && !best->is_avoided) ||
+        (is_comparable && cost > best->cost + COST_TOLERANCE)) {
         return;
     }
-    bool is_equal = best->position >= 0 && rank == best->rank &&
-                    cost > best->cost - COST_TOLERANCE;
+    bool is_equal = is_comparable && cost > best->cost - COST_TOLERANCE;
     unsigned equals = is_equal ? best->equals + 1 : 1;
     if (is_equal &&
         g_rand_int_range(forwarder->random, 0, (gint32)equals) != 0) {
         best->equals = equals;
         return;
     }
-    *best = (choice_t){(int)position, rank, cost, equals};
+    *best = (choice_t){(int)position, is_avoided, cost, equals};
 }
 
 int
-MvPlacement_Choose(mv_forwarder_t *forwarder, mv_time_t now, unsigned service,
-                   const mv_flow_t *avoid)
+MvPlacement_Choose(mv_forwarder_t *forwarder, mv_time_t now, unsigned service)
 {
     const mv_table_service_t *entry = &forwarder->table->services[service];
     candidates_t count = count_candidates(forwarder, entry, now);
@@ -133,7 +108,7 @@
             continue;
         }
         update_choice(forwarder, &best, position,
-                      rank_of(forwarder, position, avoid, now),
+                      MvServerHealth_IsAvoided(health, now),
                       cost_of(server, health, now));
     }
     return best.position;
--- a/packages/tags/src/syn_retries.c
+++ b/packages/tags/src/syn_retries.c
@@ -1,24 +1,60 @@
-/* Retries of SYNs that were not answered, at another server. */
+/* SYNs that were not answered in time: they are sent again to the same server,
+ * and their flow is refused when that does not help.
+ *
+ * A lost packet is the usual cause, and the repeated SYN makes the server
+ * answer again at once.  A flow is never offered to a second server (see
+ * &struct mv_flow). */
 #include "forwarder_private.h"
 
 /* Callers have given up a flow that has not opened this long after its SYN. */
 #define MAX_OPENING_TIME (1500 * MV_MILLISECOND)
-/* A SYN is not retried any more after this many further transmissions, by this
- * node or by the caller. */
-#define MAX_RETRIES 2
+/* This node sends a SYN again this many times at most. */
+#define MAX_REPEATS 2
+/* A server that has not answered this many SYNs of a flow in time does not
+ * answer it because of one lost packet. */
+#define UNRESPONSIVE_AFTER_TIMEOUTS 2
 
 static void
-note_timeout(mv_forwarder_t *forwarder, const mv_flow_t *flow, mv_time_t now)
+note_timeout(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now)
 {
-    uint32_t tag = flow->tried_tags[flow->syn_count - 1];
-    mv_server_health_t *health = MvServerHealth_Find(forwarder, tag);
-    if (health) {
+    mv_server_health_t *health = MvServerHealth_Find(forwarder, flow->tag);
+    flow->syn_timeouts++;
+    if (health && MvForwarder_IsFabricStable(forwarder, now)) {
         MvServerHealth_NoteTimeout(forwarder, health, now, flow->syn_sent_at);
     }
 }
 
+/* Whether a SYN may still go to the server: it neither leaves nor is gone. */
+static bool
+takes_syns(const mv_forwarder_t *forwarder, int position, mv_time_t now)
+{
+    if (position < 0) {
+        return false;
+    }
+    const mv_table_server_t *server = &forwarder->table->servers[position];
+    return server->takes_new && now < server->usable_until;
+}
+
+static mv_flow_verdict_t
+send_again(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now,
+           unsigned position)
+{
+    mv_flow_verdict_t verdict = MvFlow_SendSyn(forwarder, flow, now, position);
+    MvFlow_LogDecision(forwarder, flow, now, MV_EVENT_FLOW_SYN_RETRIED, true);
+    return verdict;
+}
+
+static void
+send_stored_syn(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now,
+                const mv_flow_verdict_t *verdict)
+{
+    flow->last_seen_at = now;
+    forwarder->ops->send(forwarder->context, verdict, flow->syn,
+                         flow->syn_length);
+}
+
 bool
-MvFlow_SendStoredSyn(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now)
+MvFlow_SendQueuedSyn(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now)
 {
     const mv_table_route_t *route =
         MvTable_Route(forwarder->table, flow->name.address, flow->name.port);
@@ -26,23 +62,60 @@
         return false;
     }
     int position = MvPlacement_Choose(
-        forwarder, now, MvFlow_ChooseService(route, &flow->name), flow);
+        forwarder, now, MvFlow_ChooseService(route, &flow->name));
     if (position < 0) {
         return false;
     }
     mv_flow_verdict_t verdict =
         MvFlow_SendSyn(forwarder, flow, now, (unsigned)position);
-    if (flow->syn_count > 1) {
-        MvCounters_Add(forwarder->counters, MV_COUNTER_SYNS_RETRIED, 1);
+    MvFlow_LogDecision(forwarder, flow, now, MV_EVENT_FLOW_PLACED, true);
+    send_stored_syn(forwarder, flow, now, &verdict);
+    return true;
+}
+
+/* Whether a new flow would go to another server that is expected to answer. */
+static bool
+has_alternative(mv_forwarder_t *forwarder, const mv_flow_t *flow,
+                mv_time_t now, unsigned service)
+{
+    int position = MvPlacement_Choose(forwarder, now, service);
+    if (position < 0) {
+        return false;
     }
-    MvFlow_LogDecision(forwarder, flow, now,
-                       flow->syn_count > 1 ? MV_EVENT_FLOW_SYN_RETRIED
-                                           : MV_EVENT_FLOW_PLACED,
-                       true);
+    const mv_server_health_t *health = forwarder->health_by_position[position];
+    return health->tag != flow->tag && !MvServerHealth_IsAvoided(health, now);
+}
+
+static mv_flow_verdict_t
+refuse(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now)
+{
+    MvFlow_Release(flow);
+    MvFlow_SetPhase(forwarder, flow, MV_FLOW_REFUSED);
+    MvFlow_LogDecision(forwarder, flow, now, MV_EVENT_FLOW_REFUSED, true);
     flow->last_seen_at = now;
-    forwarder->ops->send(forwarder->context, &verdict, flow->syn,
-                         flow->syn_length);
-    return true;
+    return (mv_flow_verdict_t){.kind = MV_FLOW_RESET,
+                               .reason = MV_COUNTER_FLOWS_UNANSWERED};
+}
+
+mv_flow_verdict_t
+MvFlow_RepeatSyn(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now,
+                 unsigned service)
+{
+    int position = MvTable_Server(forwarder->table, flow->tag);
+    if (flow->syn_timeout != MV_NEVER &&
+        now >= flow->syn_sent_at + flow->syn_timeout) {
+        note_timeout(forwarder, flow, now);
+    }
+    bool takes = takes_syns(forwarder, position, now);
+    bool is_unresponsive =
+        !takes || flow->syn_timeouts >= UNRESPONSIVE_AFTER_TIMEOUTS;
+    if (is_unresponsive && has_alternative(forwarder, flow, now, service)) {
+        return refuse(forwarder, flow, now);
+    }
+    if (!takes) {
+        return (mv_flow_verdict_t){.reason = MV_COUNTER_PACKETS_NO_ENDPOINT};
+    }
+    return send_again(forwarder, flow, now, (unsigned)position);
 }
 
 /* Return: time of the next check, MV_NEVER when the entry was removed. */
@@ -61,19 +134,22 @@
     if (now < flow->syn_sent_at + flow->syn_timeout) {
         return flow->syn_sent_at + flow->syn_timeout;
     }
-    bool is_stable = MvForwarder_IsFabricStable(forwarder, now);
-    if (is_stable) {
-        note_timeout(forwarder, flow, now);
-    }
-    if (flow->syn_count > MAX_RETRIES || !is_stable) {
-        /* It may be open through another node, or it is not retried any more:
-         * it does not count as outstanding here. */
+    note_timeout(forwarder, flow, now);
+    int position = MvTable_Server(forwarder->table, flow->tag);
+    if (flow->syn_count > MAX_REPEATS ||
+        !takes_syns(forwarder, position, now) ||
+        !MvForwarder_IsFabricStable(forwarder, now)) {
+        /* It may be open through another node, or it is not sent any more: it
+         * does not count as outstanding here. */
         MvFlow_Release(flow);
         flow->syn_timeout = MV_NEVER;
         return flow->began_at + MAX_OPENING_TIME;
     }
     mv_time_t timeout = flow->syn_timeout;
-    MvFlow_SendStoredSyn(forwarder, flow, now);
+    mv_flow_verdict_t verdict =
+        send_again(forwarder, flow, now, (unsigned)position);
+    MvCounters_Add(forwarder->counters, MV_COUNTER_SYNS_RETRIED, 1);
+    send_stored_syn(forwarder, flow, now, &verdict);
     flow->syn_timeout = MAX(flow->syn_timeout, 2 * timeout);
     return now + flow->syn_timeout;
 }
--- a/packages/tags/test/tags_world.h
+++ b/packages/tags/test/tags_world.h
@@ -14,6 +14,9 @@
 
 /* A stored SYN that the forwarder sent: a retry, or a SYN that was queued. */
 struct sent_t {
+    /* The caller's port. */
+    uint16_t port() const;
+
     mv_flow_verdict_t verdict;
     std::string bytes;
 };
