replica: a list is complete up to its oldest page

Cause: the first list is read with stale reads, whose pages may come from replicas of the store of unequal age. The follower took the revision of the first page for that of the list. A later page that was staler lacked the changes between the two; the watch began after them, so that nobody sent them again. Ruled out: the watch (it repeats nothing it need not), peers (they send only what is newer than the node's revision).

Change: the list is an object of its own, complete up to the least revision of its pages.

Tests, red on the code before: WatchStartsAtRevisionOfOldestPage, AnOldChangeBesideAListDoesNotKeepADeletedKey, ASnapshotBesideAListDeletesNoListedKey.

--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -5,8 +5,9 @@
  * carries the revision of its last change.  An update with an older revision
  * is ignored, whether it comes from the store or from another node, so that a
  * configuration never reverts.  The replica is complete up to a revision: it
- * contains all changes of the store up to that revision, and possibly some
- * later ones.
+ * lacks no change of the store up to that revision, deletions included, and
+ * contains possibly some later ones.  What it passes on to other nodes is
+ * complete in the same sense.
  *
  * The follower updates the replica by lists and watches of the store.  The
  * change distribution (fanout) lets one node of a data centre follow the store
@@ -87,21 +88,51 @@
 void MvReplica_Advance(mv_replica_t *replica, uint64_t revision);
 
 /**
- * MvReplica_BeginList() - Start to apply a full list of the store.
+ * typedef mv_replica_list_t - A full list of the store that is being applied.
  *
- * To be followed by MvReplica_Apply() for each item and MvReplica_EndList().
+ * Its pages may show different states of the store, each later or earlier than
+ * the one before.  Other changes may be applied to the replica meanwhile, also
+ * another list.
  */
-void MvReplica_BeginList(mv_replica_t *replica);
+typedef struct mv_replica_list mv_replica_list_t;
 
 /**
- * MvReplica_EndList() - Finish a full list.
- * @revision: revision of the store at the list's first page
+ * MvReplicaList_Create() - Start to apply a full list.
+ * @replica: must outlive the list
  *
- * Deletes the keys that are absent from the list and older than @revision,
- * marks the replica as complete up to @revision and purges old tombstones.
+ * To be followed for each page by MvReplicaList_AddPage() and by
+ * MvReplicaList_Apply() for its items.
+ *
+ * Return: the list, to be freed with MvReplicaList_Finish(), or with
+ * MvReplicaList_Destroy() when it is incomplete.
+ */
+mv_replica_list_t *MvReplicaList_Create(mv_replica_t *replica);
+
+/**
+ * MvReplicaList_Destroy() - Abandon an incomplete list; NULL is accepted.
+ *
+ * The items that have been applied stay.
+ */
+void MvReplicaList_Destroy(mv_replica_list_t *list);
+
+/**
+ * MvReplicaList_AddPage() - Record that a page was read.
+ * @revision: revision of the store that the page shows
+ */
+void MvReplicaList_AddPage(mv_replica_list_t *list, uint64_t revision);
+
+/** MvReplicaList_Apply() - Apply an item of the list: MvReplica_Apply(). */
+void MvReplicaList_Apply(mv_replica_list_t *list, mv_time_t now,
+                         const mv_store_item_t *item);
+
+/**
+ * MvReplicaList_Finish() - Finish a list that has at least one page; frees it.
+ *
+ * Deletes the keys that are absent from the list and not newer than its oldest
+ * page, marks the replica as complete up to the revision of that page and
+ * purges old tombstones.
  */
-void MvReplica_EndList(mv_replica_t *replica, mv_time_t now,
-                       uint64_t revision);
+void MvReplicaList_Finish(mv_replica_list_t *list, mv_time_t now);
 
 /**
  * MvReplica_Value() - Value of @key, or NULL when it does not exist.
--- a/packages/replica/src/delta.c
+++ b/packages/replica/src/delta.c
@@ -204,8 +204,10 @@
     return bytes;
 }
 
+/* @list: the snapshot that is being applied, or NULL */
 static bool
-apply_entry(mv_replica_t *replica, mv_time_t now, const msgpack_object *object)
+apply_entry(mv_replica_t *replica, mv_replica_list_t *list, mv_time_t now,
+            const msgpack_object *object)
 {
     if (object->type != MSGPACK_OBJECT_ARRAY ||
         object->via.array.size != ITEM_FIELDS) {
@@ -223,7 +225,12 @@
     char *value = item.deleted ? NULL : copy_bytes(&field[2], &item.length);
     item.key = key;
     item.value = value;
-    MvReplica_Apply(replica, now, &item);
+    if (list) {
+        MvReplicaList_Apply(list, now, &item);
+    }
+    else {
+        MvReplica_Apply(replica, now, &item);
+    }
     g_free(key);
     g_free(value);
     return true;
@@ -235,16 +242,19 @@
     bool is_contiguous =
         delta->is_snapshot || delta->from <= replica->revision;
     bool is_old = delta->to <= replica->revision;
+    mv_replica_list_t *list = NULL;
     if (delta->is_snapshot && !is_old) {
-        MvReplica_BeginList(replica);
+        list = MvReplicaList_Create(replica);
+        MvReplicaList_AddPage(list, delta->to);
     }
     for (uint32_t i = 0; i < delta->items->size; i++) {
-        if (!apply_entry(replica, now, &delta->items->ptr[i])) {
+        if (!apply_entry(replica, list, now, &delta->items->ptr[i])) {
+            MvReplicaList_Destroy(list);
             return MV_MERGE_MALFORMED;
         }
     }
-    if (delta->is_snapshot && !is_old) {
-        MvReplica_EndList(replica, now, delta->to);
+    if (list) {
+        MvReplicaList_Finish(list, now);
     }
     else if (is_contiguous) {
         MvReplica_Advance(replica, delta->to);
--- a/packages/replica/src/follower.c
+++ b/packages/replica/src/follower.c
@@ -27,8 +27,8 @@
     mv_time_t last_contact;
     mv_time_t failing_since; /* 0 while calls succeed */
     mv_time_t back_off;
-    uint64_t list_revision; /* of the first page */
-    char *list_after;       /* last key of the previous page */
+    mv_replica_list_t *list; /* NULL before the first page */
+    char *list_after;        /* last key of the previous page */
 };
 
 mv_follower_settings_t
@@ -63,6 +63,7 @@
     if (!follower) {
         return;
     }
+    MvReplicaList_Destroy(follower->list);
     g_free(follower->list_after);
     g_free(follower);
 }
@@ -72,6 +73,7 @@
 {
     follower->phase = PHASE_LIST;
     follower->requires_fresh_list = requires_fresh_list;
+    g_clear_pointer(&follower->list, MvReplicaList_Destroy);
     g_clear_pointer(&follower->list_after, g_free);
 }
 
@@ -98,20 +100,11 @@
     }
 }
 
-static void
-apply_all(mv_follower_t *follower, const mv_store_items_t *items)
-{
-    for (size_t i = 0; i < items->count; i++) {
-        MvReplica_Apply(follower->replica, follower->now, &items->items[i]);
-    }
-}
-
 static void
 end_list(mv_follower_t *follower)
 {
     g_clear_pointer(&follower->list_after, g_free);
-    MvReplica_EndList(follower->replica, follower->now,
-                      follower->list_revision);
+    MvReplicaList_Finish(g_steal_pointer(&follower->list), follower->now);
     follower->phase = PHASE_WATCH;
     follower->is_complete = true;
     follower->requires_fresh_list = false;
@@ -129,12 +122,10 @@
         return;
     }
     note_success(follower);
-    if (!follower->list_after) {
-        /* A page may show a later state than the one before, so the watch
-         * starts at the revision of the first page. */
-        follower->list_revision = items->revision;
+    MvReplicaList_AddPage(follower->list, items->revision);
+    for (size_t i = 0; i < items->count; i++) {
+        MvReplicaList_Apply(follower->list, follower->now, &items->items[i]);
     }
-    apply_all(follower, items);
     if (items->more) {
         g_free(follower->list_after);
         follower->list_after = g_strdup(items->items[items->count - 1].key);
@@ -160,7 +151,9 @@
         return;
     }
     note_success(follower);
-    apply_all(follower, items);
+    for (size_t i = 0; i < items->count; i++) {
+        MvReplica_Apply(follower->replica, follower->now, &items->items[i]);
+    }
     MvReplica_Advance(follower->replica, items->revision);
     if (items->count > 0) {
         follower->delay = follower->settings.coalesce_delay;
@@ -170,10 +163,11 @@
 static void
 list_next_page(mv_follower_t *follower)
 {
-    if (!follower->list_after) {
-        MvReplica_BeginList(follower->replica);
+    if (!follower->list) {
+        follower->list = MvReplicaList_Create(follower->replica);
     }
-    /* The first list may be stale: the watch returns the changes since. */
+    /* The first list may be stale: the watch returns the changes since its
+     * oldest page. */
     bool stale = !follower->is_complete && !follower->requires_fresh_list;
     follower->store->ops->list(follower->store, WHOLE_STORE,
                                follower->list_after, stale, handle_list_reply,
--- a/packages/replica/src/replica.c
+++ b/packages/replica/src/replica.c
@@ -162,7 +162,6 @@
         return false;
     }
     mv_replica_entry_t *entry = find_or_add(replica, item->key);
-    entry->listed = true;
     if (item->revision <= entry->revision) {
         return false;
     }
@@ -183,40 +182,6 @@
     replica->revision = MAX(replica->revision, revision);
 }
 
-void
-MvReplica_BeginList(mv_replica_t *replica)
-{
-    GHashTableIter iter;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iter, replica->entries);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        mv_replica_entry_t *entry = value;
-        entry->listed = false;
-    }
-}
-
-void
-MvReplica_EndList(mv_replica_t *replica, mv_time_t now, uint64_t revision)
-{
-    GHashTableIter iter;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iter, replica->entries);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const mv_replica_entry_t *entry = value;
-        if (entry->listed || entry->deleted || entry->revision > revision) {
-            continue;
-        }
-        /* Deleted at an unknown revision up to that of the list. */
-        const mv_store_item_t tombstone = {
-            .key = entry->key, .revision = revision, .deleted = true};
-        if (entry->revision < revision) {
-            MvReplica_Apply(replica, now, &tombstone);
-        }
-    }
-    MvReplica_Advance(replica, revision);
-    MvReplica_PurgeTombstones(replica, now);
-}
-
 const char *
 MvReplica_Value(const mv_replica_t *replica, const char *key, size_t *length)
 {
--- a/packages/replica/src/replica_private.h
+++ b/packages/replica/src/replica_private.h
@@ -14,7 +14,6 @@
  * @length: length of @value in bytes
  * @revision: revision of its last change, 0 before the first one
  * @deleted: the entry is a tombstone or has never had a value
- * @listed: contained in the list that is being applied
  * @changed_at: time at which this node applied the last change
  */
 typedef struct mv_replica_entry {
@@ -24,7 +23,6 @@
     size_t length;
     uint64_t revision;
     bool deleted;
-    bool listed;
     mv_time_t changed_at;
 } mv_replica_entry_t;
 
--- a/packages/replica/test/replica_test.cc
+++ b/packages/replica/test/replica_test.cc
@@ -187,6 +187,57 @@
     expect_call("watch", false, 20);
 }
 
+/* Guards against review/3: the second page was staler than the first, so that
+ * the changes between the two were neither in the list nor in the watch. */
+TEST_F(Replica, WatchStartsAtRevisionOfOldestPage)
+{
+    expect_call("list", true, 0);
+    store.reply(MV_STORE_DONE, 30, {make_item("a", "1", 3)}, true);
+    expect_call("list", true, 0);
+    store.reply(MV_STORE_DONE, 20, {make_item("b", "1", 4)}, true);
+    expect_call("list", true, 0);
+    store.reply(MV_STORE_DONE, 25, {make_item("c", "1", 5)});
+    EXPECT_EQ(MvReplica_Revision(replica), 20u);
+    expect_call("watch", false, 20);
+    store.reply(MV_STORE_DONE, 31, {make_item("b", nullptr, 22)});
+    EXPECT_FALSE(values.count("b"));
+}
+
+/* Guards against keys that were deleted before a list and stay for good, as
+ * another node's old change of them arrives while the list is read. */
+TEST_F(Replica, AnOldChangeBesideAListDoesNotKeepADeletedKey)
+{
+    expect_call("list", true, 0);
+    store.reply(MV_STORE_DONE, 20, {make_item("b", "1", 4)}, true);
+    expect_call("list", true, 0);
+    mv_store_item_t old = make_item("a", "1", 3);
+    MvReplica_Apply(replica, now, &old);
+    store.reply(MV_STORE_DONE, 20, {make_item("c", "1", 5)});
+    EXPECT_EQ(MvReplica_Revision(replica), 20u);
+    EXPECT_FALSE(values.count("a"));
+    EXPECT_EQ(values.size(), 2u);
+}
+
+/* Guards against keys of a list that are deleted as another node's older
+ * snapshot, which lacks them, arrives while the list is read. */
+TEST_F(Replica, ASnapshotBesideAListDeletesNoListedKey)
+{
+    mv_replica_t *peer = MvReplica_Create(changed, this);
+    mv_buffer_t snapshot = {};
+    MvReplica_Advance(peer, 10);
+    MvReplica_EncodeSince(peer, 0, &snapshot);
+    MvReplica_Destroy(peer);
+    expect_call("list", true, 0);
+    store.reply(MV_STORE_DONE, 20, {make_item("b", "1", 15)}, true);
+    expect_call("list", true, 0);
+    EXPECT_EQ(
+        MvReplica_Merge(replica, now, (char *)snapshot.data, snapshot.length),
+        MV_MERGE_DONE);
+    MvBuffer_Clear(&snapshot);
+    store.reply(MV_STORE_DONE, 20, {make_item("c", "1", 16)});
+    EXPECT_EQ(values.size(), 2u);
+}
+
 TEST_F(Replica, FreshListAfterCompactionDeletesMissingKeys)
 {
     expect_call("list", true, 0);
@@ -307,13 +358,16 @@
     for (int round = 0; round < 3; round++) {
         replica_fixture fixture;
         const clock_t start = clock();
-        MvReplica_BeginList(fixture.replica);
+        mv_replica_list_t *list = MvReplicaList_Create(fixture.replica);
+        MvReplicaList_AddPage(list, (uint64_t)keys);
         for (int i = 0; i < keys; i++) {
             /* The keys are not listed in the order of their revisions. */
             uint64_t revision = (uint64_t)i * 7919 % (uint64_t)keys + 1;
-            fixture.apply(std::to_string(i).c_str(), "x", revision);
+            const std::string key = std::to_string(i);
+            mv_store_item_t item = make_item(key.c_str(), "x", revision);
+            MvReplicaList_Apply(list, fixture.now, &item);
         }
-        MvReplica_EndList(fixture.replica, fixture.now, (uint64_t)keys);
+        MvReplicaList_Finish(list, fixture.now);
         EXPECT_EQ(fixture.changes, keys);
         best = MIN(best, (double)(clock() - start) / CLOCKS_PER_SEC);
     }
