replica: what a list replaced is not passed on as a delta, and does not come back

Cause: a restarted node fills its replica by a list at revision R. Which keys were deleted before R it cannot know, but it encoded the changes since an earlier revision S as a delta that claims to be complete up to R. The receiver advanced to R and kept what had been deleted between S and R. Ruled out: a lost message (the receiver had advanced), the watch of the receiver (it does not watch while it has a source).

The same bound now also guards keys whose tombstone is known but older than the deletion that the list implies: a late delta with a change from before the list restored them.

--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -147,8 +147,8 @@
  * MvReplica_EncodeSince() - Encode the changes after revision @since.
  * @out: the encoded delta is appended
  *
- * Encodes a full snapshot when @since is 0 or tombstones after @since have
- * been purged.
+ * Encodes a full snapshot when @since is 0 or this replica may lack tombstones
+ * after @since: they have been purged, or a list has replaced the changes.
  *
  * Return: false when out of memory.
  */
--- a/packages/replica/src/replica.c
+++ b/packages/replica/src/replica.c
@@ -145,20 +145,20 @@
     entry->deleted = item->deleted;
 }
 
-/* The replica has contained all keys up to the purged revision: a key that is
- * missing has been deleted and its tombstone purged. */
 static bool
-is_purged(const mv_replica_t *replica, const mv_store_item_t *item)
+was_deleted_later(const mv_replica_t *replica, const mv_store_item_t *item)
 {
+    const mv_replica_entry_t *entry =
+        g_hash_table_lookup(replica->entries, item->key);
     return item->revision <= replica->purged_revision &&
-           !g_hash_table_contains(replica->entries, item->key);
+           (!entry || entry->deleted);
 }
 
 bool
 MvReplica_Apply(mv_replica_t *replica, mv_time_t now,
                 const mv_store_item_t *item)
 {
-    if (is_purged(replica, item)) {
+    if (was_deleted_later(replica, item)) {
         return false;
     }
     mv_replica_entry_t *entry = find_or_add(replica, item->key);
--- a/packages/replica/src/replica_list.c
+++ b/packages/replica/src/replica_list.c
@@ -77,7 +77,10 @@
 {
     mv_replica_t *replica = list->replica;
     delete_absent_keys(list, now);
-    MvReplica_Advance(replica, list->revision);
+    if (replica->revision < list->revision) {
+        replica->revision = list->revision;
+        replica->purged_revision = list->revision;
+    }
     MvReplica_PurgeTombstones(replica, now);
     MvReplicaList_Destroy(list);
 }
--- a/packages/replica/src/replica_private.h
+++ b/packages/replica/src/replica_private.h
@@ -32,7 +32,10 @@
  * @by_revision: all entries that have a revision, the newest last
  * @count: number of entries that are not tombstones
  * @revision: revision up to which the replica is complete
- * @purged_revision: tombstones up to this revision may have been purged
+ * @purged_revision: tombstones up to this revision may be missing or older
+ *                   than the deletion.  All keys of that time were known: when
+ *                   a key has no value, a change up to this revision was
+ *                   followed by a deletion
  * @changed: called for each key that changed
  * @context: first argument of @changed
  */
--- a/packages/replica/test/replica_test.cc
+++ b/packages/replica/test/replica_test.cc
@@ -402,6 +402,51 @@
     EXPECT_EQ(MvReplica_Count(fixture.replica), 2u);
 }
 
+/* Guards against review/5: a node that had restarted sent the changes since a
+ * revision before its list, without the deletions between, and the receiver
+ * kept what was deleted for good. */
+TEST(Tombstones, ADeltaFromBeforeAListContainsItsDeletions)
+{
+    replica_fixture restarted;
+    replica_fixture undisturbed;
+    undisturbed.apply("gone", "x", 2);
+    undisturbed.apply("kept", "x", 3);
+    MvReplica_Advance(undisturbed.replica, 3);
+
+    mv_replica_list_t *list = MvReplicaList_Create(restarted.replica);
+    mv_store_item_t kept = make_item("kept", "x", 3);
+    MvReplicaList_AddPage(list, 5);
+    MvReplicaList_Apply(list, restarted.now, &kept);
+    MvReplicaList_Finish(list, restarted.now);
+
+    mv_buffer_t bytes = {};
+    MvReplica_EncodeSince(restarted.replica,
+                          MvReplica_Revision(undisturbed.replica), &bytes);
+    MvReplica_Merge(undisturbed.replica, undisturbed.now, (char *)bytes.data,
+                    bytes.length);
+    MvBuffer_Clear(&bytes);
+    EXPECT_EQ(MvReplica_Revision(undisturbed.replica), 5u);
+    EXPECT_FALSE(MvReplica_Value(undisturbed.replica, "gone", nullptr));
+    EXPECT_EQ(MvReplica_Count(undisturbed.replica), 1u);
+}
+
+/* After a list nothing that is older comes back, also of a key whose earlier
+ * deletion is known. */
+TEST(Tombstones, NoChangeFromBeforeAListIsApplied)
+{
+    replica_fixture fixture;
+    fixture.apply("known", "x", 1);
+    fixture.apply("known", nullptr, 2);
+    MvReplica_Advance(fixture.replica, 2);
+    mv_replica_list_t *list = MvReplicaList_Create(fixture.replica);
+    MvReplicaList_AddPage(list, 9);
+    MvReplicaList_Finish(list, fixture.now);
+    EXPECT_FALSE(fixture.apply("known", "y", 4));
+    EXPECT_FALSE(fixture.apply("unknown", "y", 5));
+    EXPECT_EQ(MvReplica_Count(fixture.replica), 0u);
+    EXPECT_TRUE(fixture.apply("known", "z", 10));
+}
+
 TEST(Tombstones, KeptUntilReplicaIsComplete)
 {
     replica_fixture fixture;
