tags: nodes tell each other the server of a flow that opens late

Change: a node tells the nodes of its report group a flow that has not opened after 75 ms, and again every 75 ms; a retransmission that reaches one of them goes to the same server. The control thread is woken for it, since the retransmission comes at 200 ms. At most 128 offers a second from each node. Openings that are answered soon cost no message.

What is left was traced: a node that is in rotation some ms after its start has been told nothing, and a doubled first SYN.

--- a/packages/core/include/masticvane/core.h
+++ b/packages/core/include/masticvane/core.h
@@ -461,6 +461,7 @@
  * @MV_MESSAGE_SERVERS: health of servers, by tag
  * @MV_MESSAGE_REPLICA_SUBSCRIBE: request for heartbeats and changes of the
  * store
+ * @MV_MESSAGE_OFFERS: servers of flows that have not opened yet
  * @MV_MESSAGE_KIND_COUNT: number that follows the last kind
  */
 typedef enum mv_message_kind {
@@ -487,6 +488,7 @@
     MV_MESSAGE_REPLICA_DELTA,
     MV_MESSAGE_SERVERS,
     MV_MESSAGE_REPLICA_SUBSCRIBE,
+    MV_MESSAGE_OFFERS,
     MV_MESSAGE_KIND_COUNT,
 } mv_message_kind_t;
 
@@ -518,8 +520,8 @@
  * @slots: slot records
  * @claim_count: entries in @claims
  * @claims: claim records
- * @blob: encoded configuration (CONFIG), digests (DIGESTS) or encoded changes
- *        of the store (REPLICA_DELTA)
+ * @blob: encoded configuration (CONFIG), digests (DIGESTS), encoded changes of
+ *        the store (REPLICA_DELTA) or encoded offers (OFFERS)
  * @blob_length: bytes in @blob
  */
 typedef struct mv_message {
--- a/packages/masticvaned/src/tags_cluster.c
+++ b/packages/masticvaned/src/tags_cluster.c
@@ -148,29 +148,79 @@
     .contact_changed = log_heartbeats,
 };
 
+static void
+send_offers(mv_tags_control_t *control, const mv_report_t *report)
+{
+    mv_buffer_t bytes = {.data = NULL};
+    if (MvFlowOffers_Encode(report->offers, report->offer_count, &bytes)) {
+        mv_message_t message = {.kind = MV_MESSAGE_OFFERS,
+                                .blob = (char *)bytes.data,
+                                .blob_length = bytes.length};
+        MvFanout_Broadcast(control->fanout, &message);
+    }
+    MvBuffer_Clear(&bytes);
+}
+
+static void
+send_records(mv_tags_control_t *control, const mv_report_t *report)
+{
+    mv_message_t message = {.kind = MV_MESSAGE_SERVERS,
+                            .loads = report->records,
+                            .load_count = report->record_count};
+    MvFanout_Broadcast(control->fanout, &message);
+}
+
 void
 MvTagsCluster_SendReports(mv_tags_control_t *control)
 {
     mv_report_t *report = MvReports_TakeAll(&control->daemon.reports_out);
     while (report) {
-        mv_message_t message = {.kind = MV_MESSAGE_SERVERS,
-                                .loads = report->records,
-                                .load_count = report->count};
-        MvFanout_Broadcast(control->fanout, &message);
+        if (report->offer_count > 0) {
+            send_offers(control, report);
+        }
+        if (report->record_count > 0) {
+            send_records(control, report);
+        }
         report = MvReports_Free(report);
     }
 }
 
+static void
+receive_offers(mv_tags_control_t *control, const mv_message_t *message)
+{
+    mv_flow_offer_t offers[MV_MAX_OFFERS];
+    const mv_report_t report = {
+        .from = message->from,
+        .offer_count =
+            MvFlowOffers_Decode(message->blob, message->blob_length, offers),
+        .offers = offers};
+    MvReports_Push(&control->daemon.reports_in, &report);
+}
+
+static void
+receive_records(mv_tags_control_t *control, const mv_message_t *message)
+{
+    const mv_report_t report = {.from = message->from,
+                                .record_count = message->load_count,
+                                .records = message->loads};
+    MvReports_Push(&control->daemon.reports_in, &report);
+}
+
 static void
 handle_message(void *context, const mv_message_t *message)
 {
     mv_tags_control_t *control = context;
-    if (message->kind == MV_MESSAGE_SERVERS) {
-        MvReports_Push(&control->daemon.reports_in, message->from,
-                       message->loads, message->load_count);
-        return;
+    switch (message->kind) {
+    case MV_MESSAGE_OFFERS:
+        receive_offers(control, message);
+        break;
+    case MV_MESSAGE_SERVERS:
+        receive_records(control, message);
+        break;
+    default:
+        MvFanout_HandleMessage(control->fanout, g_get_monotonic_time(),
+                               message);
     }
-    MvFanout_HandleMessage(control->fanout, g_get_monotonic_time(), message);
 }
 
 static void
--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -374,6 +374,7 @@
     pthread_mutex_init(&control.daemon.dump_lock, NULL);
     apr_pool_create(&control.pool, NULL);
     control.loop = MvLoop_Create(control.pool, MAX_DESCRIPTORS);
+    control.daemon.control_loop = control.loop;
     signal(SIGTERM, on_signal);
     signal(SIGINT, on_signal);
     signal(SIGUSR1, on_signal);
--- a/packages/masticvaned/src/tags_mode.h
+++ b/packages/masticvaned/src/tags_mode.h
@@ -3,13 +3,14 @@
  *
  * tags_control.c  control thread, see tags_control.h
  * tags_packets.c  traffic thread: packets and the forwarder
- * tags_reports.c  server reports passed between the two threads
+ * tags_reports.c  reports passed between the two threads
  */
 #ifndef MASTICVANED_TAGS_MODE_H
 #define MASTICVANED_TAGS_MODE_H
 
 #include <pthread.h>
 
+#include "masticvane/net.h"
 #include "masticvane/replica.h"
 #include "masticvane/tags.h"
 #include "settings.h"
@@ -24,9 +25,9 @@
  * @next_table: newest table for the traffic thread, taken by atomic exchange
  * @replaced_table: table that the traffic thread has replaced, for the control
  *                  thread to free, taken by atomic exchange
- * @reports_out: this node's server reports, for the other nodes of the data
- *               centre
- * @reports_in: server reports of those nodes
+ * @control_loop: loop of the control thread
+ * @reports_out: this node's reports, for the other nodes of the data centre
+ * @reports_in: reports of those nodes
  * @flow_sample: log the decisions about one flow in this many, 0 to log only
  *               rare decisions; a reload of the settings changes it here, but
  *               not in @settings
@@ -46,6 +47,7 @@
     const mv_fabric_ops_t *fabric;
     mv_table_t *next_table;
     mv_table_t *replaced_table;
+    mv_loop_t *control_loop;
     mv_report_t *reports_out;
     mv_report_t *reports_in;
     unsigned flow_sample;
--- a/packages/masticvaned/src/tags_packets.c
+++ b/packages/masticvaned/src/tags_packets.c
@@ -142,7 +142,23 @@
 push_report(void *context, const mv_load_record_t *records, size_t count)
 {
     const mv_tags_packets_t *packets = context;
-    MvReports_Push(&packets->daemon->reports_out, MV_NO_NODE, records, count);
+    const mv_report_t report = {.from = MV_NO_NODE,
+                                .record_count = count,
+                                .records = (mv_load_record_t *)records};
+    MvReports_Push(&packets->daemon->reports_out, &report);
+}
+
+/* The control thread sends it at once: the callers of these flows retransmit
+ * their SYN soon. */
+static void
+push_offers(void *context, const mv_flow_offer_t *offers, size_t count)
+{
+    const mv_tags_packets_t *packets = context;
+    const mv_report_t report = {.from = MV_NO_NODE,
+                                .offer_count = count,
+                                .offers = (mv_flow_offer_t *)offers};
+    MvReports_Push(&packets->daemon->reports_out, &report);
+    MvLoop_Wake(packets->daemon->control_loop);
 }
 
 static const mv_forwarder_ops_t forwarder_ops = {
@@ -150,6 +166,7 @@
     .event = log_event,
     .decided = log_decision,
     .report = push_report,
+    .offered = push_offers,
 };
 
 static void
@@ -204,7 +221,9 @@
     mv_report_t *report = MvReports_TakeAll(&packets->daemon->reports_in);
     while (report) {
         MvForwarder_ReceiveReport(packets->forwarder, now, report->from,
-                                  report->records, report->count);
+                                  report->records, report->record_count);
+        MvForwarder_ReceiveOffers(packets->forwarder, now, report->offers,
+                                  report->offer_count);
         report = MvReports_Free(report);
     }
 }
@@ -231,6 +250,7 @@
     (void)events;
     adopt_table(packets);
     mv_time_t now = g_get_monotonic_time();
+    apply_reports(packets, now);
     __atomic_store_n(&packets->daemon->last_packet_at, now, __ATOMIC_RELAXED);
     for (int i = 0; i < MAX_BATCHES_PER_EVENT && count == MV_DATAGRAM_BATCH;
          i++) {
--- a/packages/masticvaned/src/tags_reports.c
+++ b/packages/masticvaned/src/tags_reports.c
@@ -1,18 +1,16 @@
-/* Server reports passed from one thread to another. */
+/* Reports passed from one thread to another. */
 #include "tags_reports.h"
 
-#include <string.h>
-
 void
-MvReports_Push(mv_report_t **stack, mv_node_id_t from,
-               const mv_load_record_t *records, size_t count)
+MvReports_Push(mv_report_t **stack, const mv_report_t *report)
 {
-    mv_report_t *report = g_malloc(sizeof(*report) + count * sizeof(*records));
-    report->from = from;
-    report->count = count;
-    memcpy(report->records, records, count * sizeof(*records));
-    report->next = __atomic_load_n(stack, __ATOMIC_RELAXED);
-    while (!__atomic_compare_exchange_n(stack, &report->next, report, true,
+    mv_report_t *copy = g_memdup2(report, sizeof(*report));
+    copy->records = g_memdup2(report->records,
+                              report->record_count * sizeof(*report->records));
+    copy->offers = g_memdup2(report->offers,
+                             report->offer_count * sizeof(*report->offers));
+    copy->next = __atomic_load_n(stack, __ATOMIC_RELAXED);
+    while (!__atomic_compare_exchange_n(stack, &copy->next, copy, true,
                                         __ATOMIC_RELEASE, __ATOMIC_RELAXED)) {
     }
 }
@@ -27,6 +25,8 @@
 MvReports_Free(mv_report_t *report)
 {
     mv_report_t *next = report->next;
+    g_free(report->records);
+    g_free(report->offers);
     g_free(report);
     return next;
 }
--- a/packages/masticvaned/src/tags_reports.h
+++ b/packages/masticvaned/src/tags_reports.h
@@ -1,5 +1,5 @@
 /**
- * DOC: Server reports passed from one thread to another.
+ * DOC: Reports passed from one thread to another.
  *
  * A lock-free stack: any thread pushes, one thread takes all reports at once.
  * Their order does not matter.  A lost report only delays its information
@@ -8,25 +8,32 @@
 #ifndef MASTICVANED_TAGS_REPORTS_H
 #define MASTICVANED_TAGS_REPORTS_H
 
-#include "masticvane/core.h"
+#include "masticvane/tags.h"
 
 /**
- * struct mv_report - One node's report of failed requests at backend servers.
+ * struct mv_report - One node's report to the other nodes of its data centre.
  * @next: report that was pushed before it, or NULL
  * @from: id of the reporting node, MV_NO_NODE for this one
- * @count: entries in @records
- * @records: as in a message of kind MV_MESSAGE_SERVERS
+ * @record_count: entries in @records
+ * @records: failed requests at backend servers, as in a message of kind
+ *           MV_MESSAGE_SERVERS
+ * @offer_count: entries in @offers
+ * @offers: servers of flows that have not opened yet
  */
 typedef struct mv_report {
     struct mv_report *next;
     mv_node_id_t from;
-    size_t count;
-    mv_load_record_t records[];
+    size_t record_count;
+    mv_load_record_t *records;
+    size_t offer_count;
+    mv_flow_offer_t *offers;
 } mv_report_t;
 
-/** MvReports_Push() - Push a report with a copy of @records onto @stack. */
-void MvReports_Push(mv_report_t **stack, mv_node_id_t from,
-                    const mv_load_record_t *records, size_t count);
+/**
+ * MvReports_Push() - Push a copy of @report, with its arrays, onto @stack.
+ * @report: its @next is ignored
+ */
+void MvReports_Push(mv_report_t **stack, const mv_report_t *report);
 
 /**
  * MvReports_TakeAll() - Empty @stack.
--- a/packages/net/include/masticvane/net.h
+++ b/packages/net/include/masticvane/net.h
@@ -271,6 +271,11 @@
  */
 void MvLoop_Run(mv_loop_t *loop, mv_time_t timeout);
 
+/**
+ * MvLoop_Wake() - Make MvLoop_Run() return soon, from any thread.
+ */
+void MvLoop_Wake(mv_loop_t *loop);
+
 /** MvLoop_Pool() - Return the pool that the loop was created from. */
 apr_pool_t *MvLoop_Pool(const mv_loop_t *loop);
 
--- a/packages/net/src/loop.c
+++ b/packages/net/src/loop.c
@@ -24,7 +24,8 @@
 {
     mv_loop_t *loop = apr_pcalloc(pool, sizeof(*loop));
     loop->pool = pool;
-    if (apr_pollset_create(&loop->pollset, capacity, pool, 0) != APR_SUCCESS) {
+    if (apr_pollset_create(&loop->pollset, capacity, pool,
+                           APR_POLLSET_WAKEABLE) != APR_SUCCESS) {
         return NULL;
     }
     return loop;
@@ -53,6 +54,12 @@
     return watch->active;
 }
 
+void
+MvLoop_Wake(mv_loop_t *loop)
+{
+    apr_pollset_wakeup(loop->pollset);
+}
+
 void
 MvLoop_Run(mv_loop_t *loop, mv_time_t timeout)
 {
--- a/packages/net/test/net_test.cc
+++ b/packages/net/test/net_test.cc
@@ -9,6 +9,7 @@
 
 #include <random>
 #include <set>
+#include <thread>
 
 namespace {
 
@@ -350,6 +351,23 @@
 
 /* A caller that retries a closed request must not be offered the connection
  * that closes. */
+TEST(Loop, IsWokenByAnotherThread)
+{
+    apr_pool_t *pool = nullptr;
+    apr_initialize();
+    apr_pool_create(&pool, nullptr);
+    mv_loop_t *loop = MvLoop_Create(pool, 2);
+    std::thread waker([loop] {
+        g_usleep(20 * MV_MILLISECOND);
+        MvLoop_Wake(loop);
+    });
+    mv_time_t start = g_get_monotonic_time();
+    MvLoop_Run(loop, MV_MINUTE);
+    EXPECT_LT(g_get_monotonic_time() - start, 10 * MV_SECOND);
+    waker.join();
+    apr_pool_destroy(pool);
+}
+
 TEST(H2, ClosingConnectionAcceptsNoRequests)
 {
     h2_fixture fixture;
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -369,6 +369,37 @@
     mv_time_t took;
 } mv_flow_decision_t;
 
+/**
+ * struct mv_flow_offer - A flow that has not opened yet, and its server.
+ * @name: the flow
+ * @tag: tag of the server that was sent its SYN
+ */
+typedef struct mv_flow_offer {
+    mv_flow_name_t name;
+    uint32_t tag;
+} mv_flow_offer_t;
+
+/** Maximum number of offers in one message. */
+#define MV_MAX_OFFERS 64
+
+/**
+ * MvFlowOffers_Encode() - Encode offers for a message between nodes.
+ * @out: the encoded offers are appended
+ *
+ * Return: false when out of memory.
+ */
+bool MvFlowOffers_Encode(const mv_flow_offer_t *offers, size_t count,
+                         mv_buffer_t *out);
+
+/**
+ * MvFlowOffers_Decode() - Decode what MvFlowOffers_Encode() has encoded.
+ * @offers: receives up to MV_MAX_OFFERS offers
+ *
+ * Return: number of offers, 0 when the bytes are malformed.
+ */
+size_t MvFlowOffers_Decode(const char *bytes, size_t length,
+                           mv_flow_offer_t offers[MV_MAX_OFFERS]);
+
 /**
  * struct mv_forwarder_ops - Callbacks of the forwarder.
  * @send: send the @length bytes of a stored SYN as @verdict says
@@ -386,6 +417,8 @@
  * @report: report failed requests to the other nodes of the data centre; in
  *          the records @endpoint is the tag of a server and @unanswered the
  *          number of its failed requests
+ * @offered: tell the other nodes of the data centre at once which servers
+ *           these flows were offered to, at most MV_MAX_OFFERS of them
  */
 typedef struct mv_forwarder_ops {
     void (*send)(void *context, const mv_flow_verdict_t *verdict,
@@ -395,6 +428,8 @@
     void (*decided)(void *context, const mv_flow_decision_t *decision);
     void (*report)(void *context, const mv_load_record_t *records,
                    size_t count);
+    void (*offered)(void *context, const mv_flow_offer_t *offers,
+                    size_t count);
 } mv_forwarder_ops_t;
 
 /**
@@ -465,6 +500,14 @@
                                mv_node_id_t from,
                                const mv_load_record_t *records, size_t count);
 
+/**
+ * MvForwarder_ReceiveOffers() - Handle the offers of another node.
+ * @offers: as given to @offered of &struct mv_forwarder_ops on that node
+ * @count: entries in @offers
+ */
+void MvForwarder_ReceiveOffers(mv_forwarder_t *forwarder, mv_time_t now,
+                               const mv_flow_offer_t *offers, size_t count);
+
 /**
  * MvForwarder_DueAt() - Latest time of the next call of MvForwarder_Timer()
  * that packets since the last call made necessary, or MV_NEVER.
--- a/packages/tags/src/flows.c
+++ b/packages/tags/src/flows.c
@@ -38,6 +38,21 @@
     }
 }
 
+mv_flow_t *
+MvFlow_Add(mv_forwarder_t *forwarder, const mv_flow_name_t *name,
+           mv_time_t now, mv_flow_phase_t phase)
+{
+    mv_flow_t *flow = g_new0(mv_flow_t, 1);
+    flow->name = *name;
+    flow->began_at = now;
+    flow->last_seen_at = now;
+    MvList_Init(&flow->link);
+    MvList_Init(&flow->exchange.link);
+    MvFlow_SetPhase(forwarder, flow, phase);
+    g_hash_table_insert(forwarder->flows, &flow->name, flow);
+    return flow;
+}
+
 void
 MvFlow_Remove(mv_forwarder_t *forwarder, mv_flow_t *flow)
 {
@@ -52,6 +67,7 @@
                 mv_flow_phase_t phase)
 {
     mv_list_t *lists[] = {
+        [MV_FLOW_OFFERED] = &forwarder->offered,
         [MV_FLOW_HELD] = &forwarder->held,
         [MV_FLOW_QUEUED] = &forwarder->queued,
         [MV_FLOW_SYN_SENT] = &forwarder->syn_sent,
@@ -109,10 +125,13 @@
 {
     mv_server_health_t *health = forwarder->health_by_position[position];
     flow->tag = health->tag;
-    flow->syn_count++;
+    if (flow->syn_count++ == 0) {
+        flow->told_at = now;
+    }
     flow->syn_sent_at = now;
     flow->syn_timeout = MvDataCentreHealth_SynTimeout(health->dc_health);
-    forwarder->due_at = MIN(forwarder->due_at, now + flow->syn_timeout);
+    forwarder->due_at = MIN(forwarder->due_at,
+                            now + MIN(flow->syn_timeout, MV_OFFER_INTERVAL));
     MvFlow_Release(flow);
     flow->counted_by = health;
     health->outstanding++;
--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -41,6 +41,7 @@
     forwarder->profiles = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     forwarder->due_at = MV_NEVER;
     MvList_Init(&forwarder->awaiting_answer);
+    MvList_Init(&forwarder->offered);
     MvList_Init(&forwarder->held);
     MvList_Init(&forwarder->queued);
     MvList_Init(&forwarder->syn_sent);
@@ -138,28 +139,19 @@
 
 /* SYNs */
 
-static mv_flow_t *
-add_flow(mv_forwarder_t *forwarder, const mv_flow_name_t *name, mv_time_t now,
-         mv_flow_phase_t phase)
+static void
+store_syn(mv_flow_t *flow, const uint8_t *bytes, size_t length)
 {
-    mv_flow_t *flow = g_new0(mv_flow_t, 1);
-    flow->name = *name;
-    flow->began_at = now;
-    flow->last_seen_at = now;
-    MvList_Init(&flow->link);
-    MvList_Init(&flow->exchange.link);
-    MvFlow_SetPhase(forwarder, flow, phase);
-    g_hash_table_insert(forwarder->flows, &flow->name, flow);
-    return flow;
+    flow->syn_length = (uint8_t)MIN(length, MV_SYN_MAX);
+    memcpy(flow->syn, bytes, flow->syn_length);
 }
 
 static mv_flow_t *
 add_syn(mv_forwarder_t *forwarder, const mv_flow_name_t *name, mv_time_t now,
         const uint8_t *bytes, size_t length)
 {
-    mv_flow_t *flow = add_flow(forwarder, name, now, MV_FLOW_SYN_SENT);
-    flow->syn_length = (uint8_t)MIN(length, MV_SYN_MAX);
-    memcpy(flow->syn, bytes, flow->syn_length);
+    mv_flow_t *flow = MvFlow_Add(forwarder, name, now, MV_FLOW_SYN_SENT);
+    store_syn(flow, bytes, length);
     MvCounters_Add(forwarder->counters, MV_COUNTER_FLOWS_NEW, 1);
     return flow;
 }
@@ -171,7 +163,7 @@
 {
     mv_flow_phase_t phase =
         packet->is_closing || packet->is_reset ? MV_FLOW_CLOSED : MV_FLOW_OPEN;
-    mv_flow_t *flow = add_flow(forwarder, name, now, phase);
+    mv_flow_t *flow = MvFlow_Add(forwarder, name, now, phase);
     flow->tag = tag;
     forwarder->foreign_flow_at = now;
     MvCounters_Add(forwarder->counters, MV_COUNTER_FLOWS_WITHOUT_ENTRY, 1);
@@ -236,6 +228,12 @@
         (flow->phase == MV_FLOW_HELD || flow->phase == MV_FLOW_QUEUED)) {
         return (mv_flow_verdict_t){.reason = MV_COUNTER_SYNS_QUEUED};
     }
+    if (flow && flow->phase == MV_FLOW_OFFERED) {
+        MvCounters_Add(forwarder->counters, MV_COUNTER_OFFERS_ADOPTED, 1);
+        store_syn(flow, bytes, length);
+        flow->began_at = now;
+        MvFlow_SetPhase(forwarder, flow, MV_FLOW_SYN_SENT);
+    }
     if (flow && flow->phase == MV_FLOW_SYN_SENT) {
         return MvFlow_RepeatSyn(forwarder, flow, now, service);
     }
@@ -311,7 +309,8 @@
     if (flow->phase == MV_FLOW_SYN_SENT) {
         note_open(forwarder, flow, now, position);
     }
-    if (flow->phase == MV_FLOW_HELD || flow->phase == MV_FLOW_QUEUED) {
+    if (flow->phase == MV_FLOW_OFFERED || flow->phase == MV_FLOW_HELD ||
+        flow->phase == MV_FLOW_QUEUED) {
         /* It was opened through another node in the meantime. */
         flow->tag = forwarder->table->servers[position].tag;
         MvFlow_SetPhase(forwarder, flow, MV_FLOW_OPEN);
@@ -436,6 +435,7 @@
     next = MIN(next, MvSynRetries_Run(forwarder, now));
     next = MIN(next, MvExchanges_CheckTimeouts(forwarder, now));
     next = MIN(next, MvFailing_Report(forwarder, now));
+    MvOffers_RemoveExpired(forwarder, now);
     MvAdmission_CheckEnd(forwarder, now);
     sweep_open(forwarder, now);
     sweep_closed(forwarder, now);
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -5,6 +5,7 @@
  * flows.c        flow entries: states, SYNs sent, log records
  * syn_retries.c  SYN timeouts and repeated SYNs
  * held_syns.c    SYNs that another node may have sent to a server
+ * offers.c       flows that nodes tell each other before they have opened
  * placement.c    choice of the server for a new flow
  * flow_queue.c   queue of late flows that wait for a free slot
  * health.c       detection of servers and data centres that do not answer
@@ -18,6 +19,11 @@
 
 #include "table.h"
 
+/** Interval at which other nodes are told the server of a flow that has not
+ * opened: the first time well before the caller retransmits its SYN (200 ms),
+ * then again for nodes that have started meanwhile. */
+#define MV_OFFER_INTERVAL (75 * MV_MILLISECOND)
+
 /**
  * struct mv_data_centre_health - Health record of one data centre.
  * @data_centre: hash of its name
@@ -112,6 +118,8 @@
 
 /**
  * enum mv_flow_phase - State of a flow entry.
+ * @MV_FLOW_OFFERED: another node has sent its SYN to a server; no packet of it
+ *                   has arrived here
  * @MV_FLOW_HELD: its SYN is stored for a moment, as another node may have sent
  *                it to a server that has yet to answer
  * @MV_FLOW_QUEUED: its SYN is stored until a slot is free
@@ -123,6 +131,7 @@
  *                   answer
  */
 typedef enum mv_flow_phase {
+    MV_FLOW_OFFERED,
     MV_FLOW_HELD,
     MV_FLOW_QUEUED,
     MV_FLOW_SYN_SENT,
@@ -174,8 +183,9 @@
  * a flow answers for seconds, also when the flow opened elsewhere, and the
  * caller repeats the tag of the last answer.  A node without an entry for the
  * flow has only that tag: with two offers it could not tell at which server
- * the flow is open.  A node keeps to it by sending a SYN to one server only,
- * and, as far as it can tell, by holding a SYN that another node may have sent
+ * the flow is open.  A node sends a SYN to one server only.  The nodes of a
+ * data centre tell each other where a flow went whose SYN was not answered in
+ * time (offers.c); a retransmission that may come before that is held
  * (held_syns.c).
  *
  * @link: in the list of its phase
@@ -200,6 +210,8 @@
  * @pending_service: service that counts it as pending, or NULL
  * @syn_timeout: time from @syn_sent_at until the SYN counts as unanswered,
  *               MV_NEVER when it is not to be sent again
+ * @told_at: time at which other nodes were last told its server, or at which
+ *           its SYN was first sent
  * @held_until: time at which its SYN is sent when it is in MV_FLOW_HELD
  * @exchange: its current request, once it is open
  * @syn_length: bytes in @syn
@@ -224,6 +236,7 @@
     mv_server_health_t *counted_by;
     mv_service_load_t *pending_service;
     mv_time_t syn_timeout;
+    mv_time_t told_at;
     mv_time_t held_until;
     mv_exchange_t exchange;
     uint8_t syn_length;
@@ -255,6 +268,12 @@
  * @services: &struct mv_service_load by name of the service
  * @profiles: &struct mv_answer_profile by address and port
  * @awaiting_answer: open flows whose request has no answer yet, oldest first
+ * @offers: offers that the other nodes have not been told, up to
+ *          MV_MAX_OFFERS
+ * @offer_count: entries in @offers
+ * @offers_sent: offers told since @offers_counted_at
+ * @offers_counted_at: start of the current interval of the limit on offers
+ * @offered: flows in MV_FLOW_OFFERED, oldest first
  * @held: flows in MV_FLOW_HELD, oldest first
  * @queued: flows in MV_FLOW_QUEUED
  * @syn_sent: flows in MV_FLOW_SYN_SENT
@@ -281,7 +300,12 @@
     GHashTable *flows;
     GHashTable *services;
     GHashTable *profiles;
+    mv_flow_offer_t offers[MV_MAX_OFFERS];
+    unsigned offer_count;
+    unsigned offers_sent;
+    mv_time_t offers_counted_at;
     mv_list_t awaiting_answer;
+    mv_list_t offered;
     mv_list_t held;
     mv_list_t queued;
     mv_list_t syn_sent;
@@ -620,6 +644,33 @@
  */
 mv_time_t MvHeldSyns_Run(mv_forwarder_t *forwarder, mv_time_t now);
 
+/**
+ * MvOffers_Check() - Tell the other nodes, with the next MvOffers_Flush(), the
+ * server of a flow in MV_FLOW_SYN_SENT when that is due.
+ *
+ * Return: time of the next check.
+ */
+mv_time_t MvOffers_Check(mv_forwarder_t *forwarder, mv_flow_t *flow,
+                         mv_time_t now);
+
+/** MvOffers_Flush() - Tell the other nodes the offers that were added. */
+void MvOffers_Flush(mv_forwarder_t *forwarder);
+
+/** MvOffers_RemoveExpired() - Remove entries whose callers have given up. */
+void MvOffers_RemoveExpired(mv_forwarder_t *forwarder, mv_time_t now);
+
+/** MvFlow_Add() - Add an entry in MV_FLOW_OFFERED or a later phase. */
+mv_flow_t *MvFlow_Add(mv_forwarder_t *forwarder, const mv_flow_name_t *name,
+                      mv_time_t now, mv_flow_phase_t phase);
+
+/**
+ * MvFlow_SendOwnedSyn() - Send the stored SYN to the server of the flow's tag.
+ *
+ * Does nothing when that server takes no SYNs any more.
+ */
+void MvFlow_SendOwnedSyn(mv_forwarder_t *forwarder, mv_flow_t *flow,
+                         mv_time_t now);
+
 /** MvFlow_SetPhase() - Move the flow to the end of the list of @phase. */
 void MvFlow_SetPhase(mv_forwarder_t *forwarder, mv_flow_t *flow,
                      mv_flow_phase_t phase);
--- a/packages/tags/src/syn_retries.c
+++ b/packages/tags/src/syn_retries.c
@@ -53,6 +53,17 @@
                          flow->syn_length);
 }
 
+void
+MvFlow_SendOwnedSyn(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now)
+{
+    int position = MvTable_Server(forwarder->table, flow->tag);
+    if (takes_syns(forwarder, position, now)) {
+        mv_flow_verdict_t verdict =
+            send_again(forwarder, flow, now, (unsigned)position);
+        send_stored_syn(forwarder, flow, now, &verdict);
+    }
+}
+
 bool
 MvFlow_SendQueuedSyn(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now)
 {
@@ -118,7 +129,8 @@
     return send_again(forwarder, flow, now, (unsigned)position);
 }
 
-/* Return: time of the next check, MV_NEVER when the entry was removed. */
+/* Sends the SYN again, or gives it up, when it was not answered in time.
+ * Return: time of the next check, MV_NEVER when the entry was removed. */
 static mv_time_t
 check_syn(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now)
 {
@@ -161,8 +173,10 @@
     MV_LIST_FOREACH(item, &forwarder->syn_sent)
     {
         mv_flow_t *flow = MV_CONTAINER_OF(item, mv_flow_t, link);
+        next = MIN(next, MvOffers_Check(forwarder, flow, now));
         mv_time_t due = check_syn(forwarder, flow, now);
         next = MIN(next, due);
     }
+    MvOffers_Flush(forwarder);
     return next;
 }
--- a/packages/tags/test/ownership_test.cc
+++ b/packages/tags/test/ownership_test.cc
@@ -26,6 +26,9 @@
     1600 * MV_MILLISECOND, 1600 * MV_MILLISECOND};
 const mv_time_t kMaxPause = 5 * MV_SECOND;
 const int kRequests = 3;
+/* Time that a message takes from the traffic thread of one node to that of
+ * another. */
+const mv_time_t kMessageTime = 4 * MV_MILLISECOND;
 /* A node that is stopped still handles packets for this long. */
 const mv_time_t kStopTime = 1400 * MV_MILLISECOND;
 /* Time until the fabric notices that a node was killed. */
@@ -160,6 +163,25 @@
         }
     }
 
+    /* Messages between nodes may be lost as well. */
+    void
+    tell_offers(node_t &from)
+    {
+        std::vector<mv_flow_offer_t> offers;
+        offers.swap(from.world->offers);
+        for (node_t &to : nodes) {
+            if (offers.empty() || &to == &from || happens(troubles.lost)) {
+                continue;
+            }
+            after(kMessageTime, [this, offers, &to] {
+                if (to.world) {
+                    MvForwarder_ReceiveOffers(to.world->forwarder, now,
+                                              offers.data(), offers.size());
+                }
+            });
+        }
+    }
+
     void
     forward(uint16_t port, const mv_flow_verdict_t &verdict, bool has_syn,
             bool has_data)
@@ -392,6 +414,7 @@
                 if (node.world) {
                     node.world->advance(MV_MILLISECOND);
                     send_stored_syns(node);
+                    tell_offers(node);
                 }
             }
         }
--- a/packages/tags/test/tags_test.cc
+++ b/packages/tags/test/tags_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <set>
 #include <unordered_map>
 
@@ -228,6 +229,100 @@
     }
 }
 
+/* Guards against a second offer of a flow whose answer is late while the
+ * fabric redistributes flows. */
+TEST_F(Tags, ARetransmissionThatReachesAnotherNodeGoesToTheSameServer)
+{
+    struct {
+        const char *what;
+        mv_time_t told_at; /* after the SYN, 0 for never */
+        bool is_held;      /* the retransmission came before */
+    } const cases[] = {
+        {"told before the retransmission", 100 * MV_MILLISECOND, false},
+        {"told while it is held", 210 * MV_MILLISECOND, true},
+    };
+    for (const auto &c : cases) {
+        tags_world other("casa", 99);
+        prepare(other);
+        uint32_t tag = MvServer_Tag(
+            &(const mv_server_t &)other.server(3, "booking", "rabat"));
+        other.now += 200 * MV_MILLISECOND;
+        const mv_flow_offer_t offer = {{0x64400007, 0xc6120001, 1, 443}, tag};
+        if (c.is_held) {
+            /* A packet of another flow shows that the fabric moves flows. */
+            other.send_next(500, tag);
+            EXPECT_EQ(other.open(1, 443, 1).kind, MV_FLOW_DROP) << c.what;
+            MvForwarder_ReceiveOffers(other.forwarder, other.now, &offer, 1);
+            ASSERT_EQ(other.sent.size(), 1u) << c.what;
+            EXPECT_EQ(other.sent[0].verdict.tag, tag) << c.what;
+            continue;
+        }
+        MvForwarder_ReceiveOffers(other.forwarder, other.now, &offer, 1);
+        EXPECT_EQ(other.open(1, 443, 1).tag, tag) << c.what;
+    }
+}
+
+TEST_F(Tags, AnOfferIsForgottenWhenTheCallerHasGivenUp)
+{
+    const mv_flow_offer_t offer = {{0x64400007, 0xc6120001, 1, 443}, 77};
+    MvForwarder_ReceiveOffers(world.forwarder, world.now, &offer, 1);
+    EXPECT_EQ(MvForwarder_FlowCount(world.forwarder), 1u);
+    world.advance(2 * MV_SECOND);
+    EXPECT_EQ(MvForwarder_FlowCount(world.forwarder), 0u);
+}
+
+TEST_F(Tags, OnlyOpeningsThatTakeLongAreTold)
+{
+    for (uint16_t port = 1; port <= 20; port++) {
+        world.serve(port);
+    }
+    EXPECT_TRUE(world.offers.empty());
+    mv_flow_verdict_t verdict = world.open(100);
+    world.advance(80 * MV_MILLISECOND);
+    ASSERT_EQ(world.offers.size(), 1u);
+    EXPECT_EQ(world.offers[0].tag, verdict.tag);
+    EXPECT_EQ(world.offers[0].name.caller_port, 100);
+    /* When all servers are silent the volume stays bounded. */
+    for (uint16_t port = 1000; port < 3000; port++) {
+        world.open(port);
+    }
+    world.advance(900 * MV_MILLISECOND);
+    EXPECT_LE(world.offers.size(), 256u);
+}
+
+TEST(FlowOffers, AreDecodedAsEncodedOrNotAtAll)
+{
+    const mv_flow_offer_t offer = {{0xff400007, 0xc6120001, 0xfedc, 0x8001},
+                                   0xfffefdfc};
+    mv_buffer_t bytes = {};
+    mv_flow_offer_t decoded[MV_MAX_OFFERS];
+    for (size_t i = 0; i <= MV_MAX_OFFERS; i++) {
+        ASSERT_TRUE(MvFlowOffers_Encode(&offer, 1, &bytes));
+    }
+    const char *data = (const char *)bytes.data;
+    const size_t size = bytes.length / (MV_MAX_OFFERS + 1);
+    struct {
+        const char *what;
+        size_t length;
+        size_t count;
+    } const cases[] = {
+        {"none", 0, 0},
+        {"one", size, 1},
+        {"as many as a message holds", MV_MAX_OFFERS * size, MV_MAX_OFFERS},
+        {"one too many", (MV_MAX_OFFERS + 1) * size, 0},
+        {"a cut one", size - 1, 0},
+        {"a cut second one", size + 1, 0},
+    };
+    for (const auto &c : cases) {
+        EXPECT_EQ(MvFlowOffers_Decode(data, c.length, decoded), c.count)
+            << c.what;
+    }
+    EXPECT_EQ(MvFlowOffers_Decode(data, size, decoded), 1u);
+    EXPECT_EQ(memcmp(&decoded[0].name, &offer.name, sizeof(offer.name)), 0);
+    EXPECT_EQ(decoded[0].tag, offer.tag);
+    MvBuffer_Clear(&bytes);
+}
+
 /* A server that leaves gets no SYN, whether from this node or retransmitted
  * by the caller: the flow would begin after the server's last moment. */
 TEST_F(Tags, NoSynIsRepeatedToALeavingServer)
--- a/packages/tags/test/tags_world.cc
+++ b/packages/tags/test/tags_world.cc
@@ -35,8 +35,15 @@
     world->reports.emplace_back(records, records + count);
 }
 
+void
+record_offers(void *context, const mv_flow_offer_t *offers, size_t count)
+{
+    auto *world = static_cast<tags_world *>(context);
+    world->offers.insert(world->offers.end(), offers, offers + count);
+}
+
 const mv_forwarder_ops_t kOps = {record_syn, record_event, record_decision,
-                                 record_report};
+                                 record_report, record_offers};
 
 std::string
 key_of(uint64_t id)
--- a/packages/tags/test/tags_world.h
+++ b/packages/tags/test/tags_world.h
@@ -54,6 +54,7 @@
     std::vector<int> events;
     std::vector<mv_flow_decision_t> decisions;
     std::vector<std::vector<mv_load_record_t>> reports;
+    std::vector<mv_flow_offer_t> offers;
 };
 
 #endif
