tags: SYNs that waited during a standstill are dropped

Cause: the SYNs lay in the socket of the frozen node. Their callers had opened the flow through another node; on waking the first one sent the old SYNs to other servers, whose answers replaced the tag that the callers repeat.

Change: the traffic thread notices that it did not run for half a second, also while the VM was suspended, and drops SYNs without an entry until the socket was read empty. A stored SYN (queued or held) whose caller has given up is not sent either. The time is now compared before each read.

--- a/packages/masticvaned/src/tags_packets.c
+++ b/packages/masticvaned/src/tags_packets.c
@@ -11,6 +11,9 @@
 #define MAX_LOOP_WAIT (100 * MV_MILLISECOND)
 #define MAX_BATCHES_PER_EVENT 8
 #define SOCKET_BUFFER_BYTES (1 << 20)
+/* The process stood still when the thread did not run for this long beyond
+ * its longest wait.  The fabric takes a node out after a second. */
+#define MIN_STANDSTILL (400 * MV_MILLISECOND)
 
 /* A packet with headroom for the encapsulation of the fabric. */
 typedef struct packet_buffer {
@@ -30,6 +33,8 @@
     mv_forwarder_t *forwarder;
     mv_time_t next_timer;
     bool may_have_more;
+    mv_time_t ran_at; /* by the clock that counts suspension of the VM */
+    bool has_backlog; /* of packets that arrived during a standstill */
     packet_buffer_t buffers[MV_DATAGRAM_BATCH];
     /* Buffers of resets and stored SYNs, by index in the batch. */
     packet_buffer_t outgoing[MV_DATAGRAM_BATCH];
@@ -240,14 +245,36 @@
                             staleness(packets->daemon), packet_count);
 }
 
+static mv_time_t
+boot_time(void)
+{
+    struct timespec time;
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time.tv_sec * MV_SECOND + time.tv_nsec / 1000;
+}
+
+/* To be called before each read of the socket, and in each iteration of the
+ * loop: detects that the process stood still since the last call. */
 static void
-socket_ready(mv_watch_t *watch, int events)
+detect_standstill(mv_tags_packets_t *packets)
+{
+    mv_time_t now = boot_time();
+    mv_time_t stood_still = now - packets->ran_at - MAX_LOOP_WAIT;
+    packets->ran_at = now;
+    if (stood_still <= MIN_STANDSTILL) {
+        return;
+    }
+    MvLog_Write(packets->daemon->log, MV_EVENT_TRAFFIC_RESUMED,
+                "paused_ms=%" PRId64, stood_still / MV_MILLISECOND);
+    MvForwarder_BeginBacklog(packets->forwarder);
+    packets->has_backlog = true;
+}
+
+static void
+read_socket(mv_tags_packets_t *packets)
 {
-    mv_tags_packets_t *packets =
-        MV_CONTAINER_OF(watch, mv_tags_packets_t, watch);
     size_t lengths[MV_DATAGRAM_BATCH];
     int count = MV_DATAGRAM_BATCH;
-    (void)events;
     adopt_table(packets);
     mv_time_t now = g_get_monotonic_time();
     apply_reports(packets, now);
@@ -255,6 +282,7 @@
     for (int i = 0; i < MAX_BATCHES_PER_EVENT && count == MV_DATAGRAM_BATCH;
          i++) {
         mv_time_t batch_began = g_get_monotonic_time();
+        detect_standstill(packets);
         count = receive(packets, lengths);
         for (int p = 0; p < count; p++) {
             process_packet(packets, &packets->buffers[p], lengths[p], now);
@@ -263,6 +291,19 @@
         record_latencies(packets, batch_began, (unsigned)count);
     }
     packets->may_have_more = count == MV_DATAGRAM_BATCH;
+    if (count == 0) {
+        MvForwarder_EndBacklog(packets->forwarder);
+        packets->has_backlog = false;
+    }
+}
+
+static void
+socket_ready(mv_watch_t *watch, int events)
+{
+    mv_tags_packets_t *packets =
+        MV_CONTAINER_OF(watch, mv_tags_packets_t, watch);
+    (void)events;
+    read_socket(packets);
 }
 
 static void
@@ -296,12 +337,17 @@
     mv_tags_packets_t *packets = argument;
     mv_tags_daemon_t *daemon = packets->daemon;
     mv_time_t now = g_get_monotonic_time();
+    packets->ran_at = boot_time();
     while (!__atomic_load_n(&daemon->finished, __ATOMIC_ACQUIRE)) {
         packets->next_timer =
             MIN(packets->next_timer, MvForwarder_DueAt(packets->forwarder));
         mv_time_t wait = packets->next_timer - now;
         packets->may_have_more = false;
         MvLoop_Run(packets->loop, CLAMP(wait, 0, MAX_LOOP_WAIT));
+        detect_standstill(packets);
+        if (packets->has_backlog) {
+            read_socket(packets);
+        }
         now = g_get_monotonic_time();
         adopt_table(packets);
         apply_reports(packets, now);
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -481,6 +481,18 @@
                                            const uint8_t *bytes,
                                            size_t length);
 
+/**
+ * MvForwarder_BeginBacklog() - The process stood still: the packets that
+ * follow arrived at unknown times before.
+ *
+ * Until MvForwarder_EndBacklog(), SYNs without an entry are dropped: their
+ * callers may have opened the flow through another node, at another server.
+ */
+void MvForwarder_BeginBacklog(mv_forwarder_t *forwarder);
+
+/** MvForwarder_EndBacklog() - The packets that follow arrive when handled. */
+void MvForwarder_EndBacklog(mv_forwarder_t *forwarder);
+
 /**
  * MvForwarder_Timer() - Send queued SYNs, repeat unanswered ones, send reports
  * and drop old flow entries.
--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -93,6 +93,18 @@
     return previous;
 }
 
+void
+MvForwarder_BeginBacklog(mv_forwarder_t *forwarder)
+{
+    forwarder->is_backlog = true;
+}
+
+void
+MvForwarder_EndBacklog(mv_forwarder_t *forwarder)
+{
+    forwarder->is_backlog = false;
+}
+
 void
 MvForwarder_SetLogSampling(mv_forwarder_t *forwarder, unsigned one_in)
 {
@@ -215,6 +227,9 @@
 {
     mv_flow_t *flow = g_hash_table_lookup(forwarder->flows, name);
     unsigned service = MvFlow_ChooseService(route, name);
+    if (!flow && forwarder->is_backlog) {
+        return (mv_flow_verdict_t){.reason = MV_COUNTER_PACKETS_STALE_SYN};
+    }
     /* A flow with an entry may be open: it is never refused. */
     if (!flow && packet->retransmission == 0 &&
         MvAdmission_ShouldRefuse(forwarder, now, route, service)) {
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -268,6 +268,8 @@
  * @services: &struct mv_service_load by name of the service
  * @profiles: &struct mv_answer_profile by address and port
  * @awaiting_answer: open flows whose request has no answer yet, oldest first
+ * @is_backlog: the packets arrived at unknown times, while the process stood
+ *              still
  * @offers: offers that the other nodes have not been told, up to
  *          MV_MAX_OFFERS
  * @offer_count: entries in @offers
@@ -300,6 +302,7 @@
     GHashTable *flows;
     GHashTable *services;
     GHashTable *profiles;
+    bool is_backlog;
     mv_flow_offer_t offers[MV_MAX_OFFERS];
     unsigned offer_count;
     unsigned offers_sent;
@@ -608,7 +611,8 @@
  * MvFlow_SendQueuedSyn() - Choose a server and send it the SYN of a held or
  * queued flow.
  *
- * Return: false when the route or a usable server is missing.
+ * Return: false when the route or a usable server is missing, or the caller
+ * has given up, as after a pause of the process.
  */
 bool MvFlow_SendQueuedSyn(mv_forwarder_t *forwarder, mv_flow_t *flow,
                           mv_time_t now);
--- a/packages/tags/src/syn_retries.c
+++ b/packages/tags/src/syn_retries.c
@@ -69,7 +69,8 @@
 {
     const mv_table_route_t *route =
         MvTable_Route(forwarder->table, flow->name.address, flow->name.port);
-    if (!route || route->route.share_count == 0) {
+    if (!route || route->route.share_count == 0 ||
+        now - flow->first_syn_at > MAX_OPENING_TIME) {
         return false;
     }
     int position = MvPlacement_Choose(
@@ -140,11 +141,12 @@
         MvFlow_Remove(forwarder, flow);
         return MV_NEVER;
     }
+    mv_time_t next_offer = MvOffers_Check(forwarder, flow, now);
     if (flow->syn_timeout == MV_NEVER) {
-        return flow->began_at + MAX_OPENING_TIME;
+        return MIN(next_offer, flow->began_at + MAX_OPENING_TIME);
     }
     if (now < flow->syn_sent_at + flow->syn_timeout) {
-        return flow->syn_sent_at + flow->syn_timeout;
+        return MIN(next_offer, flow->syn_sent_at + flow->syn_timeout);
     }
     note_timeout(forwarder, flow, now);
     int position = MvTable_Server(forwarder->table, flow->tag);
@@ -173,7 +175,6 @@
     MV_LIST_FOREACH(item, &forwarder->syn_sent)
     {
         mv_flow_t *flow = MV_CONTAINER_OF(item, mv_flow_t, link);
-        next = MIN(next, MvOffers_Check(forwarder, flow, now));
         mv_time_t due = check_syn(forwarder, flow, now);
         next = MIN(next, due);
     }
--- a/packages/tags/test/ownership_test.cc
+++ b/packages/tags/test/ownership_test.cc
@@ -31,7 +31,10 @@
 const mv_time_t kMessageTime = 4 * MV_MILLISECOND;
 /* A node that is stopped still handles packets for this long. */
 const mv_time_t kStopTime = 1400 * MV_MILLISECOND;
-/* Time until the fabric notices that a node was killed. */
+const mv_time_t kMaxPauseOfNode = 5 * MV_SECOND;
+/* Pauses that a node notices. */
+const mv_time_t kNoticedPause = 500 * MV_MILLISECOND;
+/* Time until the fabric notices that a node was killed or is paused. */
 const mv_time_t kProbeTime = MV_SECOND;
 
 struct troubles_t {
@@ -42,6 +45,7 @@
     mv_time_t max_stall; /* of a server */
     bool stops;
     bool kills;
+    bool pauses;
 };
 
 struct flow_t {
@@ -67,6 +71,9 @@
 struct node_t {
     std::unique_ptr<tags_world> world;
     bool is_in_rotation = false;
+    bool is_paused = false;
+    /* Packets that arrive while it is paused. */
+    std::vector<std::function<void()>> socket;
 };
 
 struct deployment {
@@ -174,7 +181,7 @@
                 continue;
             }
             after(kMessageTime, [this, offers, &to] {
-                if (to.world) {
+                if (to.world && !to.is_paused) {
                     MvForwarder_ReceiveOffers(to.world->forwarder, now,
                                               offers.data(), offers.size());
                 }
@@ -197,11 +204,22 @@
     receive_at_node(uint16_t port, const mv_flow_packet_t &packet)
     {
         node_t *node = choose_node(port);
-        const flow_t &flow = flows[port];
         if (!node || !node->world) {
             return;
         }
-        mv_flow_verdict_t verdict = node->world->receive(packet, port, 443);
+        if (node->is_paused) {
+            node->socket.push_back(
+                [=] { handle_packet(*node, port, packet); });
+            return;
+        }
+        handle_packet(*node, port, packet);
+    }
+
+    void
+    handle_packet(node_t &node, uint16_t port, const mv_flow_packet_t &packet)
+    {
+        const flow_t &flow = flows[port];
+        mv_flow_verdict_t verdict = node.world->receive(packet, port, 443);
         if (verdict.kind == MV_FLOW_FORWARD) {
             if (!packet.has_syn && flow.is_open_at_server &&
                 verdict.server != flow.server) {
@@ -237,6 +255,34 @@
         });
     }
 
+    void
+    pause(node_t &node)
+    {
+        const mv_time_t length = draw(kMaxPauseOfNode);
+        node.is_paused = true;
+        if (length > kProbeTime) {
+            after(kProbeTime, [&node] { node.is_in_rotation = false; });
+        }
+        after(length, [this, &node, length] { resume(node, length); });
+    }
+
+    void
+    resume(node_t &node, mv_time_t length)
+    {
+        std::vector<std::function<void()>> packets;
+        packets.swap(node.socket);
+        node.is_paused = false;
+        node.world->now = now;
+        if (length > kNoticedPause) {
+            MvForwarder_BeginBacklog(node.world->forwarder);
+        }
+        for (const auto &packet : packets) {
+            packet();
+        }
+        MvForwarder_EndBacklog(node.world->forwarder);
+        after(draw(kProbeTime / 2), [&node] { node.is_in_rotation = true; });
+    }
+
     void
     play_trouble()
     {
@@ -251,6 +297,9 @@
         else if (are_all_running && troubles.kills) {
             kill(node);
         }
+        else if (are_all_running && troubles.pauses) {
+            pause(node);
+        }
         servers[1 + draw(kServers)].stalled_until =
             now + draw(troubles.max_stall);
         after(500 * MV_MILLISECOND + draw(3 * MV_SECOND),
@@ -411,7 +460,7 @@
                 action();
             }
             for (node_t &node : nodes) {
-                if (node.world) {
+                if (node.world && !node.is_paused) {
                     node.world->advance(MV_MILLISECOND);
                     send_stored_syns(node);
                     tell_offers(node);
@@ -438,12 +487,14 @@
 const mv_time_t kMs = MV_MILLISECOND;
 
 const troubles_t kTroubles[] = {
-    {"LossesAndPlannedStops", 0.02, 0.01, 2 * kMs, 0, true, false},
-    {"LossesAndKills", 0.02, 0.01, 2 * kMs, 0, false, true},
-    {"LatePacketsAndPlannedStops", 0, 0.01, 120 * kMs, 0, true, false},
-    {"StalledServersAndPlannedStops", 0, 0, 2 * kMs, 900 * kMs, true, false},
-    {"StalledServersAndKills", 0, 0, 2 * kMs, 900 * kMs, false, true},
-    {"Everything", 0.01, 0.01, 40 * kMs, 900 * kMs, true, false},
+    {"LossesAndPlannedStops", 0.02, 0.01, 2 * kMs, 0, true, false, false},
+    {"LossesAndKills", 0.02, 0.01, 2 * kMs, 0, false, true, false},
+    {"LatePacketsAndPlannedStops", 0, 0.01, 120 * kMs, 0, true, false, false},
+    {"StalledServersAndPlannedStops", 0, 0, 2 * kMs, 900 * kMs, true, false,
+     false},
+    {"StalledServersAndKills", 0, 0, 2 * kMs, 900 * kMs, false, true, false},
+    {"LossesAndPausedNodes", 0.01, 0, 2 * kMs, 0, false, false, true},
+    {"Everything", 0.01, 0.01, 40 * kMs, 900 * kMs, true, false, false},
 };
 
 class Ownership : public testing::TestWithParam<troubles_t> {};
