platform: a watch whose reply cannot be taken leads to a list

Cause: the reply to the watch after the cut held every configuration written since, 16.5 MB; the client takes 8 MiB. The follower took that for a failed call and repeated the same watch, which can only fail in the same way.

Change: a watch whose reply is too large, cut off, too late in its middle or unreadable is refused like one whose history is gone, so that the store is listed, in pages. A call of which nothing arrives fails as before. Event 2010 says that the store is listed again and whether replies were unusable; a counter counts those.

The other store client (store_http.c) reads single keys and is unchanged.

--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -241,6 +241,21 @@
     }
 }
 
+static void
+log_relists(mv_tags_control_t *control)
+{
+    unsigned relists = MvFollower_Relists(control->follower);
+    if (relists == control->relists) {
+        return;
+    }
+    control->relists = relists;
+    MvLog_Write(
+        control->daemon.log, MV_EVENT_STORE_RELISTED,
+        "revision=%" PRIu64 " unusable=%" PRIu64,
+        MvReplica_Revision(control->replica),
+        MvCounters_Get(&control->daemon.counters, MV_COUNTER_STORE_UNUSABLE));
+}
+
 static mv_time_t
 run_timers(mv_tags_control_t *control, mv_time_t now)
 {
@@ -274,6 +289,7 @@
         MvTagsCluster_PublishTable(control, now);
         MvTagsCluster_SendReports(control);
         log_store_reachability(control, now);
+        log_relists(control);
         MvLog_Tick(control->daemon.log);
         handle_signals(control, now);
         check_settings(control, now);
--- a/packages/masticvaned/src/tags_control.h
+++ b/packages/masticvaned/src/tags_control.h
@@ -21,6 +21,7 @@
  * @changed_at: when this node first learned of the oldest change that is in no
  *              table yet, or 0
  * @dump_at: when the state requested by SIGUSR1 is written, 0 for never
+ * @relists: lists after a refused watch that have been logged
  * @was_reachable: last logged reachability of the store, false at the start
  * @was_ready: last logged readiness, false at the start
  * @started_at: when the event loop was entered
@@ -56,6 +57,7 @@
     bool table_outdated;
     mv_time_t changed_at;
     mv_time_t dump_at;
+    unsigned relists;
     bool was_reachable;
     bool is_stopping;
     bool was_ready;
--- a/packages/net/include/masticvane/net.h
+++ b/packages/net/include/masticvane/net.h
@@ -433,6 +433,8 @@
  * @status: HTTP status code, or 0 without a response
  * @body: NUL-terminated response body
  * @length: bytes in @body, without the NUL
+ * @is_partial: a part of a body arrived, but not all of it: it was cut off, it
+ *              came too late, or it exceeds MV_HTTP1_MAX_BODY_BYTES
  * @index: value of the header named by @index_header of
  *         MvHttp1_CreateClient(), or 0
  */
@@ -441,6 +443,7 @@
     unsigned status;
     const char *body;
     size_t length;
+    bool is_partial;
     uint64_t index;
 } mv_http1_response_t;
 
--- a/packages/net/src/http1_client.c
+++ b/packages/net/src/http1_client.c
@@ -70,10 +70,12 @@
     else if (connection) {
         free_connection(connection);
     }
+    bool is_partial = outcome != MV_HTTP1_RESPONDED && call->body.length > 0;
     MvBuffer_Append(&call->body, "", 1);
     mv_http1_response_t response = {
         .outcome = outcome,
         .status = status,
+        .is_partial = is_partial,
         .body = (const char *)call->body.data,
         .length = call->body.length ? call->body.length - 1 : 0,
         .index = g_ascii_strtoull(call->index, NULL, 10)};
--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -274,6 +274,12 @@
  */
 mv_time_t MvFollower_FailingSince(const mv_follower_t *follower);
 
+/**
+ * MvFollower_Relists() - Number of lists that were begun because a watch could
+ * not tell the changes.
+ */
+unsigned MvFollower_Relists(const mv_follower_t *follower);
+
 /** MvFollower_IsReachable() - Whether the last store call succeeded. */
 bool MvFollower_IsReachable(const mv_follower_t *follower);
 
--- a/packages/replica/src/follower.c
+++ b/packages/replica/src/follower.c
@@ -27,6 +27,7 @@
     mv_time_t last_contact;
     mv_time_t failing_since; /* 0 while calls succeed */
     mv_time_t back_off;
+    unsigned relists;
     mv_replica_list_t *list; /* NULL before the first page */
     char *list_after;        /* last key of the previous page */
 };
@@ -140,9 +141,10 @@
     mv_follower_t *follower = context;
     follower->is_calling = false;
     if (items->outcome == MV_STORE_REFUSED) {
-        /* The store has compacted its history.  The list must not be stale, or
-         * it could be older than the replica. */
+        /* The list must not be stale, or it could be older than the
+         * replica. */
         note_success(follower);
+        follower->relists++;
         restart_list(follower, true);
         return;
     }
@@ -254,6 +256,12 @@
     return follower->failing_since;
 }
 
+unsigned
+MvFollower_Relists(const mv_follower_t *follower)
+{
+    return follower->relists;
+}
+
 bool
 MvFollower_IsReachable(const mv_follower_t *follower)
 {
--- a/packages/store/include/masticvane/store.h
+++ b/packages/store/include/masticvane/store.h
@@ -72,8 +72,9 @@
 /**
  * struct mv_store_items - Reply to a list or a watch, valid during the
  * callback.
- * @outcome: result; %MV_STORE_REFUSED for a watch: the store has compacted the
- *           history after the requested revision, so list again
+ * @outcome: result; %MV_STORE_REFUSED for a watch: the changes after the
+ *           requested revision cannot be had by a watch, as the store has
+ *           compacted that history or the reply cannot be taken, so list again
  * @revision: revision of the store
  * @more: the list has a further page, which starts after the last key
  * @count: entries in @items
