--- a/packages/masticvaned/src/tags_cluster.c
+++ b/packages/masticvaned/src/tags_cluster.c
@@ -194,6 +194,11 @@
         .offer_count =
             MvFlowOffers_Decode(message->blob, message->blob_length, offers),
         .offers = offers};
+    if (report.offer_count == 0) {
+        MvCounters_Add(&control->daemon.counters, MV_COUNTER_FRAMES_REFUSED,
+                       1);
+        return;
+    }
     MvReports_Push(&control->daemon.reports_in, &report);
 }
 
