tags: a doubled SYN does not replace an open flow

The handling of a SYN with an entry has a function of its own.

Test: ADoubledSynDoesNotReplaceAnOpenFlow, red before. ownership_test as before.

--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -188,7 +188,8 @@
            now - forwarder->foreign_flow_at > FABRIC_SETTLING_TIME;
 }
 
-/* Stores a SYN to send it later, from the phase @phase. */
+/* Stores a SYN to send it later.
+ * @phase: MV_FLOW_HELD or MV_FLOW_QUEUED */
 static mv_flow_verdict_t
 store_flow(mv_forwarder_t *forwarder, mv_time_t now,
            const mv_table_route_t *route, const mv_flow_packet_t *packet,
@@ -220,6 +221,50 @@
     return (mv_flow_verdict_t){.reason = MV_COUNTER_PACKETS_LATE_SYN};
 }
 
+/* A doubled SYN is the same to the last byte; a new flow from the same port
+ * has another sequence number. */
+static bool
+is_doubled_syn(const mv_flow_t *flow, const uint8_t *bytes, size_t length)
+{
+    return flow->phase == MV_FLOW_OPEN && flow->syn_length > 0 &&
+           flow->syn_length == MIN(length, MV_SYN_MAX) &&
+           memcmp(flow->syn, bytes, flow->syn_length) == 0;
+}
+
+/* Handles a SYN from the addresses and ports of @flow.
+ * Return: false when it opens another flow; @flow has then been removed. */
+static bool
+handle_known_syn(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now,
+                 const mv_flow_packet_t *packet, unsigned service,
+                 const uint8_t *bytes, size_t length,
+                 mv_flow_verdict_t *verdict)
+{
+    switch (flow->phase) {
+    case MV_FLOW_HELD:
+    case MV_FLOW_QUEUED:
+        *verdict = (mv_flow_verdict_t){.reason = MV_COUNTER_SYNS_QUEUED};
+        return true;
+    case MV_FLOW_OFFERED:
+        MvCounters_Add(forwarder->counters, MV_COUNTER_OFFERS_ADOPTED, 1);
+        store_syn(flow, bytes, length);
+        flow->began_at = now;
+        MvFlow_SetPhase(forwarder, flow, MV_FLOW_SYN_SENT);
+        *verdict = MvFlow_RepeatSyn(forwarder, flow, now, service);
+        return true;
+    case MV_FLOW_SYN_SENT:
+        *verdict = MvFlow_RepeatSyn(forwarder, flow, now, service);
+        return true;
+    default:
+        break;
+    }
+    if (packet->retransmission > 0 || is_doubled_syn(flow, bytes, length)) {
+        *verdict = repeat_refusal(flow);
+        return true;
+    }
+    MvFlow_Remove(forwarder, flow);
+    return false;
+}
+
 static mv_flow_verdict_t
 open_flow(mv_forwarder_t *forwarder, mv_time_t now,
           const mv_table_route_t *route, const mv_flow_packet_t *packet,
@@ -239,24 +284,10 @@
     if (!flow && packet->retransmission > 0) {
         MvAdmission_NoteRetransmission(forwarder, service);
     }
-    if (flow &&
-        (flow->phase == MV_FLOW_HELD || flow->phase == MV_FLOW_QUEUED)) {
-        return (mv_flow_verdict_t){.reason = MV_COUNTER_SYNS_QUEUED};
-    }
-    if (flow && flow->phase == MV_FLOW_OFFERED) {
-        MvCounters_Add(forwarder->counters, MV_COUNTER_OFFERS_ADOPTED, 1);
-        store_syn(flow, bytes, length);
-        flow->began_at = now;
-        MvFlow_SetPhase(forwarder, flow, MV_FLOW_SYN_SENT);
-    }
-    if (flow && flow->phase == MV_FLOW_SYN_SENT) {
-        return MvFlow_RepeatSyn(forwarder, flow, now, service);
-    }
-    if (flow && packet->retransmission > 0) {
-        return repeat_refusal(flow);
-    }
-    if (flow) {
-        MvFlow_Remove(forwarder, flow);
+    mv_flow_verdict_t verdict;
+    if (flow && handle_known_syn(forwarder, flow, now, packet, service, bytes,
+                                 length, &verdict)) {
+        return verdict;
     }
     if (MvHeldSyns_MustHold(forwarder, now, packet)) {
         return store_flow(forwarder, now, route, packet, name, bytes, length,
@@ -272,8 +303,7 @@
         return refuse(packet, MV_COUNTER_PACKETS_NO_ENDPOINT);
     }
     flow = add_syn(forwarder, name, now, bytes, length);
-    mv_flow_verdict_t verdict =
-        MvFlow_SendSyn(forwarder, flow, now, (unsigned)position);
+    verdict = MvFlow_SendSyn(forwarder, flow, now, (unsigned)position);
     MvFlow_LogDecision(forwarder, flow, now, MV_EVENT_FLOW_PLACED, false);
     return verdict;
 }
--- a/packages/tags/test/tags_test.cc
+++ b/packages/tags/test/tags_test.cc
@@ -160,6 +160,29 @@
     EXPECT_EQ(world.open(1, 443, 2).kind, MV_FLOW_DROP);
 }
 
+/* A late copy of the first SYN must not offer an open flow to another server;
+ * a SYN with another sequence number opens a new flow from the same port. */
+TEST_F(Tags, ADoubledSynDoesNotReplaceAnOpenFlow)
+{
+    uint32_t tag = world.serve(1);
+    mv_flow_verdict_t doubled = world.open(1);
+    EXPECT_EQ(doubled.kind, MV_FLOW_DROP);
+    EXPECT_EQ(doubled.reason, MV_COUNTER_PACKETS_LATE_SYN);
+    EXPECT_EQ(world.send_next(1, tag).tag, tag);
+
+    mv_flow_packet_t packet = {};
+    packet.caller = 0x64400007;
+    packet.caller_port = 1;
+    packet.address = 0xc6120001;
+    packet.port = 443;
+    packet.has_syn = true;
+    const uint8_t bytes[34] = {0x80, 0, 1, 7};
+    EXPECT_EQ(MvForwarder_HandlePacket(world.forwarder, world.now, &packet,
+                                       bytes, sizeof(bytes))
+                  .kind,
+              MV_FLOW_FORWARD);
+}
+
 /* Guards against flows that are reset after a planned stop (review/2): one
  * lost answer to a SYN made this node offer the flow to a second server. */
 TEST_F(Tags, AnUnansweredSynIsSentAgainToItsServerOnly)
