tags: a node that starts asks the others for the contested flows

Cause: openings are told once; a node that starts later knows only the tag that the caller repeats.

Change: a node asks when it has registered (an empty MV_MESSAGE_OPENINGS); the others send it all contested flows that are open.

--- a/packages/core/include/masticvane/core.h
+++ b/packages/core/include/masticvane/core.h
@@ -462,7 +462,8 @@
  * @MV_MESSAGE_REPLICA_SUBSCRIBE: request for heartbeats and changes of the
  * store
  * @MV_MESSAGE_OFFERS: servers of flows that have not opened yet
- * @MV_MESSAGE_OPENINGS: servers at which flows have opened
+ * @MV_MESSAGE_OPENINGS: servers at which flows have opened; without any, a
+ * request for those that the sender may need
  * @MV_MESSAGE_KIND_COUNT: number that follows the last kind
  */
 typedef enum mv_message_kind {
--- a/packages/masticvaned/src/tags_cluster.c
+++ b/packages/masticvaned/src/tags_cluster.c
@@ -150,8 +150,9 @@
     .contact_changed = log_heartbeats,
 };
 
+/* @to: MV_NO_NODE for all nodes of the report group */
 static void
-send_flows(mv_tags_control_t *control, mv_message_kind_t kind,
+send_flows(mv_tags_control_t *control, mv_node_id_t to, mv_message_kind_t kind,
            const mv_flow_offer_t *flows, size_t count)
 {
     mv_buffer_t bytes = {.data = NULL};
@@ -159,7 +160,12 @@
         mv_message_t message = {.kind = kind,
                                 .blob = (char *)bytes.data,
                                 .blob_length = bytes.length};
-        MvFanout_Broadcast(control->fanout, &message);
+        if (to == MV_NO_NODE) {
+            MvFanout_Broadcast(control->fanout, &message);
+        }
+        else {
+            MvFanout_Send(control->fanout, to, &message);
+        }
     }
     MvBuffer_Clear(&bytes);
 }
@@ -179,12 +185,12 @@
     mv_report_t *report = MvReports_TakeAll(&control->daemon.reports_out);
     while (report) {
         if (report->offer_count > 0) {
-            send_flows(control, MV_MESSAGE_OFFERS, report->offers,
+            send_flows(control, MV_NO_NODE, MV_MESSAGE_OFFERS, report->offers,
                        report->offer_count);
         }
         if (report->opening_count > 0) {
-            send_flows(control, MV_MESSAGE_OPENINGS, report->openings,
-                       report->opening_count);
+            send_flows(control, report->to, MV_MESSAGE_OPENINGS,
+                       report->openings, report->opening_count);
         }
         if (report->record_count > 0) {
             send_records(control, report);
@@ -193,11 +199,25 @@
     }
 }
 
+/* To be called when this node has just started: the others have told each
+ * other the contested flows before. */
+static void
+request_openings(mv_tags_control_t *control)
+{
+    mv_message_t message = {.kind = MV_MESSAGE_OPENINGS};
+    MvFanout_Broadcast(control->fanout, &message);
+}
+
 static void
 receive_flows(mv_tags_control_t *control, const mv_message_t *message)
 {
     mv_flow_offer_t flows[MV_MAX_OFFERS];
     mv_report_t report = {.from = message->from};
+    if (message->kind == MV_MESSAGE_OPENINGS && message->blob_length == 0) {
+        report.wants_openings = true;
+        MvReports_Push(&control->daemon.reports_in, &report);
+        return;
+    }
     size_t count =
         MvFlowOffers_Decode(message->blob, message->blob_length, flows);
     if (count == 0) {
@@ -328,6 +348,7 @@
     }
     MvFanout_SetSelf(control->fanout, g_get_monotonic_time(), id);
     MvLog_Write(control->daemon.log, MV_EVENT_NODE_REGISTERED, "id=%u", id);
+    request_openings(control);
 }
 
 static const mv_registration_ops_t registration_ops = {
--- a/packages/masticvaned/src/tags_packets.c
+++ b/packages/masticvaned/src/tags_packets.c
@@ -180,10 +180,12 @@
 }
 
 static void
-push_openings(void *context, const mv_flow_offer_t *openings, size_t count)
+push_openings(void *context, mv_node_id_t to, const mv_flow_offer_t *openings,
+              size_t count)
 {
     const mv_tags_packets_t *packets = context;
     const mv_report_t report = {.from = MV_NO_NODE,
+                                .to = to,
                                 .opening_count = count,
                                 .openings = (mv_flow_offer_t *)openings};
     MvReports_Push(&packets->daemon->reports_out, &report);
@@ -271,6 +273,9 @@
                                   report->offer_count);
         MvForwarder_ReceiveOpenings(packets->forwarder, now, report->openings,
                                     report->opening_count);
+        if (report->wants_openings) {
+            MvForwarder_RetellOpenings(packets->forwarder, report->from);
+        }
         report = MvReports_Free(report);
     }
 }
--- a/packages/masticvaned/src/tags_reports.h
+++ b/packages/masticvaned/src/tags_reports.h
@@ -14,6 +14,7 @@
  * struct mv_report - One node's report to the other nodes of its data centre.
  * @next: report that was pushed before it, or NULL
  * @from: id of the reporting node, MV_NO_NODE for this one
+ * @to: node to which @openings go, MV_NO_NODE for all
  * @record_count: entries in @records
  * @records: failed requests at backend servers, as in a message of kind
  *           MV_MESSAGE_SERVERS
@@ -21,16 +22,19 @@
  * @offers: servers of flows that have not opened yet
  * @opening_count: entries in @openings
  * @openings: servers at which flows have opened
+ * @wants_openings: the reporting node has just started and asks for them
  */
 typedef struct mv_report {
     struct mv_report *next;
     mv_node_id_t from;
+    mv_node_id_t to;
     size_t record_count;
     mv_load_record_t *records;
     size_t offer_count;
     mv_flow_offer_t *offers;
     size_t opening_count;
     mv_flow_offer_t *openings;
+    bool wants_openings;
 } mv_report_t;
 
 /**
--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -436,6 +436,14 @@
 void MvFanout_HandleMessage(mv_fanout_t *fanout, mv_time_t now,
                             const mv_message_t *message);
 
+/**
+ * MvFanout_Send() - Send @message to the node @to.
+ *
+ * Sets the sender of @message.  Does nothing before MvFanout_SetSelf().
+ */
+void MvFanout_Send(mv_fanout_t *fanout, mv_node_id_t to,
+                   mv_message_t *message);
+
 /**
  * MvFanout_Broadcast() - Send @message to the nodes of the own report group.
  *
--- a/packages/replica/src/fanout.c
+++ b/packages/replica/src/fanout.c
@@ -303,6 +303,16 @@
     return groups - 1;
 }
 
+void
+MvFanout_Send(mv_fanout_t *fanout, mv_node_id_t to, mv_message_t *message)
+{
+    if (fanout->self == MV_NO_NODE) {
+        return;
+    }
+    message->from = fanout->self;
+    send_to(fanout, to, message);
+}
+
 void
 MvFanout_Broadcast(mv_fanout_t *fanout, mv_message_t *message)
 {
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -430,7 +430,8 @@
  *          number of its failed requests
  * @offered: tell the other nodes of the data centre at once which servers
  *           these flows were offered to, at most MV_MAX_OFFERS of them
- * @opened: tell them likewise at which servers these flows have opened
+ * @opened: tell them likewise, or only the node @to unless it is MV_NO_NODE,
+ * at which servers these flows have opened
  */
 typedef struct mv_forwarder_ops {
     void (*send)(void *context, const mv_flow_verdict_t *verdict,
@@ -442,8 +443,8 @@
                    size_t count);
     void (*offered)(void *context, const mv_flow_offer_t *offers,
                     size_t count);
-    void (*opened)(void *context, const mv_flow_offer_t *openings,
-                   size_t count);
+    void (*opened)(void *context, mv_node_id_t to,
+                   const mv_flow_offer_t *openings, size_t count);
 } mv_forwarder_ops_t;
 
 /**
@@ -497,6 +498,12 @@
                                            const uint8_t *bytes,
                                            size_t length);
 
+/**
+ * MvForwarder_RetellOpenings() - Tell a node that has just started the servers
+ * of all open flows that may have been offered to another one as well.
+ */
+void MvForwarder_RetellOpenings(mv_forwarder_t *forwarder, mv_node_id_t to);
+
 /**
  * MvForwarder_Timer() - Send queued SYNs, repeat unanswered ones, send reports
  * and drop old flow entries.
--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -350,7 +350,8 @@
     MvFlow_SetPhase(forwarder, flow, MV_FLOW_OPEN);
     MvFlow_LogDecision(forwarder, flow, now, MV_EVENT_FLOW_OPENED,
                        flow->syn_count > 1);
-    if (flow->is_contested || !is_own_offer) {
+    flow->is_contested = flow->is_contested || !is_own_offer;
+    if (flow->is_contested) {
         MvOffers_TellOpening(forwarder, flow, now);
     }
 }
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -190,7 +190,8 @@
  * that stood still, or kept a SYN for any other reason, cannot know where the
  * ones after it went (@offer_until).  Where two offers could not be avoided,
  * as when a node stops between its last look at the clock and the send, the
- * node through which the flow opens tells the others (@is_contested).
+ * node through which the flow opens tells the others (@is_contested), and a
+ * node that starts asks them.
  *
  * @link: in the list of its phase
  * @name: its identity
@@ -221,8 +222,8 @@
  *           its SYN was first sent
  * @held_until: time at which its SYN is sent when it is in MV_FLOW_HELD
  * @exchange: its current request, once it is open
- * @is_contested: another node may have offered it to another server: its first
- *                SYN did not arrive here
+ * @is_contested: it may have been offered to two servers: its first SYN did
+ * not arrive here, or another node offered it as well
  * @has_opened_here: this node saw the packet with which it opened
  * @syn_length: bytes in @syn
  * @syn: the caller's SYN
--- a/packages/tags/src/offers.c
+++ b/packages/tags/src/offers.c
@@ -128,6 +128,29 @@
     }
 }
 
+void
+MvForwarder_RetellOpenings(mv_forwarder_t *forwarder, mv_node_id_t to)
+{
+    mv_flow_offer_t openings[MV_MAX_OFFERS];
+    size_t count = 0;
+    MV_LIST_FOREACH(item, &forwarder->open)
+    {
+        const mv_flow_t *flow = MV_CONTAINER_OF(item, mv_flow_t, link);
+        if (!flow->is_contested) {
+            continue;
+        }
+        openings[count++] =
+            (mv_flow_offer_t){.name = flow->name, .tag = flow->tag};
+        if (count == MV_MAX_OFFERS) {
+            forwarder->ops->opened(forwarder->context, to, openings, count);
+            count = 0;
+        }
+    }
+    if (count > 0) {
+        forwarder->ops->opened(forwarder->context, to, openings, count);
+    }
+}
+
 void
 MvOffers_Flush(mv_forwarder_t *forwarder)
 {
@@ -142,7 +165,7 @@
     if (openings->count > 0) {
         MvCounters_Add(forwarder->counters, MV_COUNTER_OPENINGS_TOLD,
                        openings->count);
-        forwarder->ops->opened(forwarder->context, openings->flows,
+        forwarder->ops->opened(forwarder->context, MV_NO_NODE, openings->flows,
                                openings->count);
     }
     offers->count = 0;
@@ -178,6 +201,7 @@
             adopt_offer(forwarder, flow, now, offers[i].tag);
         }
         else if (flow->has_opened_here && flow->tag != offers[i].tag) {
+            flow->is_contested = true;
             MvOffers_TellOpening(forwarder, flow, now);
         }
     }
@@ -198,6 +222,7 @@
         }
         MvCounters_Add(forwarder->counters, MV_COUNTER_OPENINGS_ADOPTED, 1);
         MvFlow_Release(flow);
+        flow->is_contested = true;
         flow->tag = openings[i].tag;
         flow->last_seen_at = now;
         MvFlow_SetPhase(forwarder, flow, MV_FLOW_OPEN);
--- a/packages/tags/test/ownership_test.cc
+++ b/packages/tags/test/ownership_test.cc
@@ -144,6 +144,28 @@
         }
         node.world->route(1, {{443, "booking"}});
         node.world->publish();
+        after(kMessageTime, [this, &node] { ask_openings(node); });
+    }
+
+    /* A node that has started asks the others. */
+    void
+    ask_openings(node_t &node)
+    {
+        const auto id = (mv_node_id_t)(&node - nodes.data());
+        for (node_t &other : nodes) {
+            if (!other.world || &other == &node || other.is_paused) {
+                continue;
+            }
+            MvForwarder_RetellOpenings(other.world->forwarder, id);
+            const auto told = other.world->retold[id];
+            other.world->retold.clear();
+            after(kMessageTime, [this, told, &node] {
+                deliver(node, [this, told, &node] {
+                    MvForwarder_ReceiveOpenings(node.world->forwarder, now,
+                                                told.data(), told.size());
+                });
+            });
+        }
     }
 
     node_t *
--- a/packages/tags/test/tags_test.cc
+++ b/packages/tags/test/tags_test.cc
@@ -389,6 +389,24 @@
     }
 }
 
+/* Guards against nodes that started after a contested flow was told: also a
+ * node that only heard of it tells them. */
+TEST_F(Tags, ANodeThatStartsIsToldAllContestedFlows)
+{
+    const mv_flow_offer_t opening = {{0x64400007, 0xc6120001, 1, 443},
+                                     world.serve(2)};
+    MvForwarder_ReceiveOpenings(world.forwarder, world.now, &opening, 1);
+    for (uint16_t port = 1000; port < 1200; port++) {
+        const mv_flow_verdict_t verdict = world.open(port, 443, 1);
+        world.send_next(port, verdict.tag);
+    }
+    const mv_node_id_t started = 4;
+    MvForwarder_RetellOpenings(world.forwarder, started);
+    ASSERT_EQ(world.retold[started].size(), 201u);
+    EXPECT_EQ(world.retold[started][0].name.caller_port, 1);
+    EXPECT_EQ(world.retold[started][0].tag, opening.tag);
+}
+
 TEST_F(Tags, OpeningsWhoseFirstSynArrivedAreNotTold)
 {
     for (uint16_t port = 1; port <= 20; port++) {
--- a/packages/tags/test/tags_world.cc
+++ b/packages/tags/test/tags_world.cc
@@ -43,10 +43,12 @@
 }
 
 void
-record_openings(void *context, const mv_flow_offer_t *openings, size_t count)
+record_openings(void *context, mv_node_id_t to,
+                const mv_flow_offer_t *openings, size_t count)
 {
     auto *world = static_cast<tags_world *>(context);
-    world->openings.insert(world->openings.end(), openings, openings + count);
+    auto &told = to == MV_NO_NODE ? world->openings : world->retold[to];
+    told.insert(told.end(), openings, openings + count);
 }
 
 const mv_forwarder_ops_t kOps = {record_syn,      record_event,
--- a/packages/tags/test/tags_world.h
+++ b/packages/tags/test/tags_world.h
@@ -59,6 +59,8 @@
     std::vector<std::vector<mv_load_record_t>> reports;
     std::vector<mv_flow_offer_t> offers;
     std::vector<mv_flow_offer_t> openings;
+    /* Openings told to one node that has started. */
+    std::map<mv_node_id_t, std::vector<mv_flow_offer_t>> retold;
 };
 
 #endif
--- a/test/standstill/standstill.py
+++ b/test/standstill/standstill.py
@@ -56,13 +56,17 @@
 #   offers: servers that a flow may be offered to.  A process that stops after
 #     its last look at the clock cannot know that it sends late: then two, but
 #     the flow must keep the server at which it opened.
-Case = collections.namedtuple("Case", "name place stops_s waiting_s out_s opens_all offers")
+#   restarts: it is killed after it has woken, and starts again
+Case = collections.namedtuple("Case", "name place stops_s waiting_s out_s opens_all offers "
+                              "restarts", defaults=[False])
 FLOWS, ARRIVALS_S, RUN_BETWEEN_S = 40, 1.4, 0.02
 CASES = [
     Case("while it waits for packets", "wait", [3.0], None, 1.0, False, 1),
     Case("between the look at the clock and the read", "before-read", [3.0], None, 1.0, False, 1),
     Case("with a batch in hand", "after-read", [1.6], 0.05, 0.5, False, 1),
     Case("before the batch is sent", "before-send", [1.6], 0.05, 0.5, False, 2),
+    Case("before the batch is sent, and restarts", "before-send", [1.6], 0.05, 0.5, False, 2,
+         restarts=True),
     Case("with a batch in hand, for less than a caller waits", "after-read", [0.8], 0.05, 0.5,
          False, 1),
     Case("in pulses", "wait", [0.45] * 5, None, 1.0, False, 1),
@@ -201,6 +205,11 @@
             self.world.daemon, "--config", self.settings_path,
             env={**os.environ, "MASTICVANE_STOP_FILE": self.stop_file})
 
+    async def restart(self):
+        self.signal(signal.SIGKILL)
+        await self.process.wait()
+        await self.start()
+
     async def is_ready(self):
         try:
             reader, writer = await asyncio.open_connection(self.ip, 7701)
@@ -289,12 +298,15 @@
             "limits": {"idle_timeout_ms": 15000}}).encode())
         for node in self.nodes:
             await node.start()
+        await self.wait_ready()
+        await asyncio.sleep(1.0)
+
+    async def wait_ready(self):
         deadline = now() + READY_LIMIT_S
         while not all([await node.is_ready() for node in self.nodes]):
             if now() > deadline:
                 raise RuntimeError("the entry VMs are not ready")
             await asyncio.sleep(0.1)
-        await asyncio.sleep(1.0)
 
     def add_flow(self):
         self.next_port += 1
@@ -365,8 +377,12 @@
         taking_out = asyncio.ensure_future(
             self.take_out(3600 if case.out_s is None else case.out_s))
         await self.stand_still(case)
-        woken.set()
         taking_out.cancel()
+        if case.restarts:
+            await asyncio.sleep(SECOND_REQUEST_S)
+            await self.nodes[0].restart()
+            await self.wait_ready()
+        woken.set()
         await asyncio.sleep(0.3)
         self.is_first_in_rotation = True
         faults = [f"flow {flow.port}: {fault}"
