tags: a stored SYN that an offer releases is sent at once; an old SYN is not refused

Traced by a trial that printed the datagrams: resets of old SYNs without a route, which were decided before their age was looked at. Looking for what else may lie in the batch: a SYN that another node's offer releases stayed there until the next read or timer, a queue that a pause can fill.

Change: the age is looked at first; the batch is sent after reports were applied.

Ruled out: a stop inside a batch (all datagrams were resets).

--- a/packages/masticvaned/src/tags_packets.c
+++ b/packages/masticvaned/src/tags_packets.c
@@ -278,6 +278,8 @@
         }
         report = MvReports_Free(report);
     }
+    /* An offer may have sent a SYN that was stored. */
+    flush(packets);
 }
 
 static void
--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -158,8 +158,7 @@
 static bool
 is_stale_syn(const mv_flow_packet_t *packet, mv_time_t now)
 {
-    return packet->has_syn &&
-           now > offer_until(packet, now) - USUAL_OPENING_TIME;
+    return now > offer_until(packet, now) - USUAL_OPENING_TIME;
 }
 
 static void
@@ -292,9 +291,6 @@
 {
     mv_flow_t *flow = g_hash_table_lookup(forwarder->flows, name);
     unsigned service = MvFlow_ChooseService(route, name);
-    if (is_stale_syn(packet, now)) {
-        return (mv_flow_verdict_t){.reason = MV_COUNTER_PACKETS_STALE_SYN};
-    }
     /* A flow with an entry may be open: it is never refused. */
     if (!flow && packet->retransmission == 0 &&
         MvAdmission_ShouldRefuse(forwarder, now, route, service)) {
@@ -442,7 +438,10 @@
     if (forwarder->table && forwarder->table->version > 0) {
         const mv_table_route_t *route =
             MvTable_Route(forwarder->table, packet->address, packet->port);
-        if (!route || route->route.share_count == 0) {
+        if (packet->has_syn && is_stale_syn(packet, now)) {
+            verdict.reason = MV_COUNTER_PACKETS_STALE_SYN;
+        }
+        else if (!route || route->route.share_count == 0) {
             verdict = refuse(packet, MV_COUNTER_PACKETS_NO_SERVICE);
         }
         else if (packet->has_syn) {
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -151,7 +151,7 @@
     ("a retransmission whose first SYN went elsewhere is held", TAGS + "held_syns.c",
      "    return packet->retransmission > 0 &&", "    return packet->retransmission > 9 &&", "tags_test", "Tags.*:*Losses*"),
     ("SYNs that waited during a standstill are dropped", TAGS + "forwarder.c",
-     "    if (is_stale_syn(packet, now)) {", "    if (!route) {", "tags_test", "*PausedNodes"),
+     "        if (packet->has_syn && is_stale_syn(packet, now)) {", "        if (packet->has_syn && length == 0) {", "tags_test", "*PausedNodes"),
     ("a SYN kept during a standstill is not repeated", TAGS + "syn_retries.c",
      "    return now <= flow->offer_until;", "    return now <= MV_NEVER;", "tags_test", "Tags.*"),
     ("nodes are told where a contested flow opened", TAGS + "forwarder.c",
