masticvaned: a read that failed does not count as an empty socket

A read that ends with an error other than "no datagram" told nothing, but counted as having found the socket empty (struct mv_arrivals); control buffers that a kernel leaves untouched were parsed; and the waiting time, an upper bound, had entered the estimate of the first SYN's time, by which fresh flows could be queued in an overload.

Change: such a read returns -1 and moves nothing; the buffers are cleared; the estimate is as it was before.

--- a/packages/masticvaned/src/datagrams.c
+++ b/packages/masticvaned/src/datagrams.c
@@ -74,7 +74,7 @@
 {
     struct mmsghdr messages[MV_DATAGRAM_BATCH] = {0};
     struct iovec buffers[MV_DATAGRAM_BATCH];
-    control_buffer_t controls[MV_DATAGRAM_BATCH];
+    control_buffer_t controls[MV_DATAGRAM_BATCH] = {0};
     for (size_t i = 0; i < MV_DATAGRAM_BATCH; i++) {
         buffers[i] = (struct iovec){first + i * stride, capacity};
         messages[i].msg_hdr.msg_iov = &buffers[i];
@@ -91,7 +91,7 @@
             stamps[i] = arrival_stamp(&messages[i].msg_hdr);
         }
     }
-    return MAX(count, 0);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? 0 : count;
 }
 
 bool
--- a/packages/masticvaned/src/datagrams.h
+++ b/packages/masticvaned/src/datagrams.h
@@ -50,7 +50,7 @@
  *          NULL when they are not wanted
  *
  * Return: number of datagrams, MV_DATAGRAM_BATCH at most; 0 when none is
- * queued.
+ * queued, -1 when the read failed.
  */
 int MvDatagrams_Receive(int fd, uint8_t *first, size_t stride, size_t capacity,
                         size_t lengths[MV_DATAGRAM_BATCH],
--- a/packages/masticvaned/src/tags_packets.c
+++ b/packages/masticvaned/src/tags_packets.c
@@ -223,7 +223,7 @@
     }
 }
 
-/* Return: number of datagrams read. */
+/* Return: number of datagrams read, 0 when that failed. */
 static int
 read_batch(mv_tags_packets_t *packets)
 {
@@ -238,10 +238,10 @@
         process_packet(packets, &packets->buffers[i], lengths[i], stamps[i]);
     }
     flush(packets);
-    if (count < MV_DATAGRAM_BATCH) {
+    if (count >= 0 && count < MV_DATAGRAM_BATCH) {
         MvArrivals_NoteEmpty(&packets->arrivals);
     }
-    return count;
+    return MAX(count, 0);
 }
 
 static void
--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -209,7 +209,7 @@
            mv_flow_phase_t phase)
 {
     mv_flow_t *flow = add_syn(forwarder, name, now, packet, bytes, length);
-    flow->first_syn_at = now - packet->waited - packet->since_first_syn;
+    flow->first_syn_at = now - packet->since_first_syn;
     flow->urgency = route->route.urgency;
     if (phase == MV_FLOW_HELD) {
         MvHeldSyns_Add(forwarder, flow, now);
@@ -310,8 +310,7 @@
                           MV_FLOW_HELD);
     }
     if (MvFlowQueue_MustWait(forwarder, now, route, service,
-                             now - packet->waited - packet->since_first_syn,
-                             0)) {
+                             now - packet->since_first_syn, 0)) {
         return store_flow(forwarder, now, route, packet, name, bytes, length,
                           MV_FLOW_QUEUED);
     }
