tags: the waiting time of a later SYN counts in the flow queue

Cause: took the waiting time out of the estimate of the first SYN's time. A last SYN that had waited 0.3 s and was queued (the servers count as full with the open flows of the earlier cases) left the queue at 1.2 s of estimated, 1.5 s of real age: its caller had given up, offer_until dropped it. Log: 6001 held_us=600103 for the flow that was just in time.

--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -161,6 +161,16 @@
     return now > offer_until(packet, now) - USUAL_OPENING_TIME;
 }
 
+/* Return: estimated time at which the caller sent its first SYN.  One that is
+ * the first counts as sent now: it is not late. */
+static mv_time_t
+first_syn_at(const mv_flow_packet_t *packet, mv_time_t now)
+{
+    return packet->retransmission == 0
+               ? now
+               : now - packet->waited - packet->since_first_syn;
+}
+
 static void
 store_syn(mv_flow_t *flow, const uint8_t *bytes, size_t length)
 {
@@ -209,7 +219,7 @@
            mv_flow_phase_t phase)
 {
     mv_flow_t *flow = add_syn(forwarder, name, now, packet, bytes, length);
-    flow->first_syn_at = now - packet->since_first_syn;
+    flow->first_syn_at = first_syn_at(packet, now);
     flow->urgency = route->route.urgency;
     if (phase == MV_FLOW_HELD) {
         MvHeldSyns_Add(forwarder, flow, now);
@@ -310,7 +320,7 @@
                           MV_FLOW_HELD);
     }
     if (MvFlowQueue_MustWait(forwarder, now, route, service,
-                             now - packet->since_first_syn, 0)) {
+                             first_syn_at(packet, now), 0)) {
         return store_flow(forwarder, now, route, packet, name, bytes, length,
                           MV_FLOW_QUEUED);
     }
--- a/packages/tags/test/load_test.cc
+++ b/packages/tags/test/load_test.cc
@@ -223,6 +223,32 @@
     EXPECT_TRUE(world.opened.count(1000));
 }
 
+/* Guards against a queued flow whose last SYN had waited in the socket: it was
+ * taken for younger than it is and sent after its caller had given up. */
+TEST(Load, AQueuedFlowThatHadWaitedIsSentBeforeItsCallerGivesUp)
+{
+    load_world world;
+    for (uint16_t port = 1; port <= 300; port++) {
+        world.send_syn(port, 0, 0);
+    }
+    world.run(20 * MV_MILLISECOND);
+    mv_flow_packet_t packet = {};
+    packet.retransmission = kLastRetransmission;
+    packet.since_first_syn = 600 * MV_MILLISECOND;
+    packet.until_next_syn = until_next_syn(kLastRetransmission);
+    packet.waited = 300 * MV_MILLISECOND;
+    packet.has_syn = true;
+    EXPECT_EQ(world.receive(packet, 1000, 443).kind, MV_FLOW_DROP);
+    std::vector<sent_t> sent;
+    for (int i = 0; i < 490; i++) {
+        world.advance(MV_MILLISECOND);
+        sent.insert(sent.end(), world.sent.begin(), world.sent.end());
+    }
+    EXPECT_TRUE(std::any_of(sent.begin(), sent.end(), [](const sent_t &syn) {
+        return syn.port() == 1000;
+    }));
+}
+
 /* Ten nodes are registered, but nine are down: this one may use more than a
  * tenth of the slots. */
 TEST(Load, AFlowIsQueuedLessThanHalfASecondWhileSlotsAreFree)
