--- a/packages/masticvaned/test/arrivals_test.cc
+++ b/packages/masticvaned/test/arrivals_test.cc
@@ -1,9 +1,11 @@
-/* Waiting times of datagrams: a wrong one would let a SYN that its caller has
- * repeated since pass as fresh. */
+/* Waiting times of datagrams, and those that expire before they are sent: a
+ * wrong one would let a SYN that its caller has repeated since pass as fresh.
+ */
 #include <gtest/gtest.h>
 
 extern "C" {
 #include "arrivals.h"
+#include "datagrams.h"
 }
 
 namespace {
@@ -57,3 +59,27 @@
     EXPECT_EQ(arrivals.empty.boot, arrivals.read_began.boot);
     EXPECT_LE(arrivals.read_began.boot, arrivals.read_ended.boot);
 }
+
+/* Guards against a stop while a batch is in hand. */
+TEST(Arrivals, ExpiredDatagramsAreNotSent)
+{
+    const mv_time_t now = MV_SECOND;
+    const mv_time_t expires_at[] = {now - 1, MV_NEVER, now, now - 1, now + 1};
+    uint8_t data[5] = {10, 11, 12, 13, 14};
+    mv_datagram_batch_t batch = {};
+    for (int i = 0; i < 5; i++) {
+        struct sockaddr_in to = {};
+        to.sin_port = (in_port_t)i;
+        EXPECT_TRUE(
+            MvDatagramBatch_Add(&batch, &to, expires_at[i], &data[i], 1));
+    }
+    EXPECT_EQ(MvDatagramBatch_DropExpired(&batch, now), 2u);
+    ASSERT_EQ(batch.count, 3u);
+    const int kept[] = {1, 2, 4};
+    for (int i = 0; i < 3; i++) {
+        const struct msghdr &message = batch.messages[i].msg_hdr;
+        const auto *to = static_cast<sockaddr_in *>(message.msg_name);
+        EXPECT_EQ(to->sin_port, kept[i]);
+        EXPECT_EQ(message.msg_iov->iov_base, &data[kept[i]]);
+    }
+}
