--- a/fuzz/fuzz.cc
+++ b/fuzz/fuzz.cc
@@ -110,7 +110,7 @@
     std::string frame(MV_FABRIC_HEADROOM, '\0');
     frame.append(reinterpret_cast<const char *>(data), size);
     const mv_flow_verdict_t verdict = {
-        MV_FLOW_FORWARD, MV_COUNTER_PACKETS_FORWARDED, 1, 2, 3, 4};
+        MV_FLOW_FORWARD, MV_COUNTER_PACKETS_FORWARDED, 1, 2, 3, 4, MV_NEVER};
     fabric->encapsulate(&verdict, (uint8_t *)&frame[MV_FABRIC_HEADROOM]);
     uint8_t reset[MV_RESET_MAX];
     fabric->reset(&parsed, reset);
