Evacuation of a data centre: the operators' order is served

Cause: nobody read op/evacuate/ZONE.

Open flows stay. A SYN that was sent, told, held or queued before the order is settled by it; a flow that only evacuated servers could take is reset at once (flows_evacuated, event 6005), also one whose SYN is stored: the forwarder can now send a reset of its own. Events 2011 and 2012, a gauge, the dump and masticvane status show it. masticvane evacuate ANSWERS DATA_CENTRE [--cancel] writes the order of the product's own deployments; an endpoint whose retirement is cancelled is no longer logged as gone.

--- a/packages/config/src/answers.c
+++ b/packages/config/src/answers.c
@@ -152,6 +152,43 @@
     return work;
 }
 
+/* An endpoint of an evacuated data centre leaves when the evacuation begins,
+ * unless it leaves earlier. */
+static void
+apply_evacuation(const parser_t *parser, mv_endpoint_t *endpoint)
+{
+    char *section = g_strdup_printf("evacuation %s", endpoint->data_centre);
+    if (MvIni_SectionLine(parser->ini, section) > 0) {
+        int64_t since = read_time(parser, section, "since");
+        bool leaves_earlier =
+            endpoint->leaves_at > 0 && endpoint->leaves_at <= since;
+        endpoint->leaves_at = leaves_earlier ? endpoint->leaves_at : since;
+    }
+    g_free(section);
+}
+
+/* Each section [evacuation DATA_CENTRE] must name a data centre and a time. */
+static void
+check_evacuations(const parser_t *parser)
+{
+    GPtrArray *sections = MvIni_Sections(parser->ini, "evacuation ");
+    for (guint i = 0; i < sections->len; i++) {
+        const char *section = g_ptr_array_index(sections, i);
+        const char *data_centre = section + strlen("evacuation ");
+        if (!g_strv_contains((const char *const *)parser->data_centres,
+                             data_centre)) {
+            add_finding(parser, section, "since",
+                        "the section's data centre is not among "
+                        "deployment.data_centres");
+        }
+        if (!*read_text(parser, section, "since", "")) {
+            add_finding(parser, section, "since",
+                        "missing; write 2026-12-24T18:00:00Z");
+        }
+    }
+    g_ptr_array_unref(sections);
+}
+
 static mv_endpoint_t
 read_endpoint(const parser_t *parser, const char *section, const char *name,
               const char *service_section)
@@ -185,6 +222,7 @@
                     "earlier than leaves; flows may be reset only after the "
                     "endpoint leaves");
     }
+    apply_evacuation(parser, &endpoint);
     return endpoint;
 }
 
@@ -315,6 +353,7 @@
     parser.data_centres = g_strsplit(
         read_text(&parser, "deployment", "data_centres", NULL), " ", -1);
     mv_deployment_t *deployment = read_deployment(&parser);
+    check_evacuations(&parser);
     MvIni_ReportUnused(ini, findings);
     g_strfreev(parser.data_centres);
     MvIni_Destroy(ini);
--- a/packages/config/src/template.c
+++ b/packages/config/src/template.c
@@ -57,6 +57,11 @@
         "; leaves = 2026-12-24T18:00:00Z\n"
         "; ends = 2026-12-24T20:00:00Z\n"
         "\n"
+        "; An evacuated data centre: its backend servers get no new flows or\n"
+        "; requests from then on, until the section is removed.\n"
+        "; [evacuation north]\n"
+        "; since = 2026-12-24T18:00:00Z\n"
+        "\n"
         "; One section for each member whose fair-share weight is not 1.\n"
         "[member depot]\n"
         "weight = 1\n");
--- a/packages/config/test/config_test.cc
+++ b/packages/config/test/config_test.cc
@@ -131,6 +131,51 @@
     MvDeployment_Unref(second);
 }
 
+/* Guards against an evacuation that reaches only some services of the data
+ * centre, that delays a retirement, or that does not end. */
+TEST(Answers, EndpointsOfAnEvacuatedDataCentreLeave)
+{
+    std::string valid = read_file(kExamples[0]);
+    std::string text =
+        replace(valid, "address = 127.20.1.4\n",
+                "address = 127.20.1.4\nleaves = 2026-12-01T00:00:00Z\n") +
+        "\n[evacuation casa]\nsince = 2026-12-24T18:00:00Z\n";
+    const int64_t since = 1798135200;
+    mv_deployment_t *evacuated = parse(text);
+    ASSERT_NE(evacuated, nullptr);
+    unsigned in_casa = 0;
+    for (uint16_t s = 0; s < evacuated->service_count; s++) {
+        const mv_service_t *service = &evacuated->services[s];
+        for (uint16_t e = 0; e < service->endpoint_count; e++) {
+            const mv_endpoint_t *endpoint = &service->endpoints[e];
+            bool is_in_casa = !strcmp(endpoint->data_centre, "casa");
+            bool is_retired = endpoint->address == 0x7f140104;
+            in_casa += is_in_casa;
+            EXPECT_EQ(endpoint->leaves_at, is_retired   ? 1796083200
+                                           : is_in_casa ? since
+                                                        : 0)
+                << endpoint->name;
+        }
+    }
+    EXPECT_GT(in_casa, 4u);
+    MvDeployment_Unref(evacuated);
+    const struct {
+        const char *section;
+        const char *finding;
+    } faults[] = {
+        {"[evacuation paris]\nsince = now\n",
+         "evacuation paris.since: the section's data centre is not among"},
+        {"[evacuation casa]\nuntil = now\n", "evacuation casa.since: missing"},
+        {"[evacuation casa]\nsince = soon\n", "not a time"},
+    };
+    for (const auto &fault : faults) {
+        std::vector<std::string> found;
+        EXPECT_EQ(parse(valid + "\n" + fault.section, &found), nullptr);
+        ASSERT_FALSE(found.empty()) << fault.section;
+        EXPECT_NE(found[0].find(fault.finding), std::string::npos) << found[0];
+    }
+}
+
 TEST(Codec, BundlesRoundTripAndForgedOrTruncatedOnesAreRejected)
 {
     for (const char *path : kExamples) {
@@ -207,8 +252,8 @@
 {
     const danger_case cases[] = {
         {"share = 50", "share = 40", MV_DANGER_NONE},
-        {"address = 127.20.1.3\n",
-         "address = 127.20.1.3\nleaves = 2020-01-01T00:00:00Z\n",
+        {"address = 127.20.1.4\n",
+         "address = 127.20.1.4\nleaves = 2020-01-01T00:00:00Z\n",
          MV_DANGER_PAST_RETIREMENT},
         {"[endpoint booking booking-3]", "[endpoint booking other]",
          MV_DANGER_ENDPOINT_REMOVED},
--- a/packages/core/src/retirement.c
+++ b/packages/core/src/retirement.c
@@ -126,6 +126,21 @@
     retirement->is_configured = true;
 }
 
+/* The operators have cancelled its retirement, or the evacuation of its data
+ * centre. */
+static bool
+stays_in_service(const mv_deployment_t *deployment,
+                 const retirement_t *retirement)
+{
+    for (uint16_t s = 0; s < deployment->service_count; s++) {
+        const mv_service_t *service = &deployment->services[s];
+        if (service->id == retirement->service) {
+            return MvService_FindEndpoint(service, retirement->endpoint);
+        }
+    }
+    return false;
+}
+
 static void
 free_retirement(retirement_t *retirement)
 {
@@ -150,10 +165,13 @@
     MV_LIST_FOREACH(item, &node->retirements)
     {
         retirement_t *retirement = MV_CONTAINER_OF(item, retirement_t, link);
-        if (!retirement->is_configured) {
+        if (retirement->is_configured) {
+            continue;
+        }
+        if (!stays_in_service(deployment, retirement)) {
             enter_step(node, retirement, STEP_GONE, now);
-            free_retirement(retirement);
         }
+        free_retirement(retirement);
     }
 }
 
--- a/packages/masticvane/src/command.h
+++ b/packages/masticvane/src/command.h
@@ -34,7 +34,8 @@
  * @key_file: path of the key file that masticvaned uses
  * @deployment: deployment name, for subcommands without an answers file
  * @accept: names of accepted dangers, see MvDanger_Name(); NULL-terminated
- * @at: time at which the endpoint leaves
+ * @at: time at which the endpoint leaves, or the evacuation begins
+ * @cancel: end the evacuation
  * @until: time from which its remaining flows may be reset
  * @wait_seconds: how long confirm waits until the new version is in force at
  *                every entry VM
@@ -48,6 +49,7 @@
     char **accept;
     char *at;
     char *until;
+    gboolean cancel;
     int wait_seconds;
     gboolean json;
 } mv_options_t;
@@ -67,6 +69,7 @@
 int MvCommand_Plan(const mv_options_t *options, int argc, char **argv);
 int MvCommand_Confirm(const mv_options_t *options, int argc, char **argv);
 int MvCommand_Retire(const mv_options_t *options, int argc, char **argv);
+int MvCommand_Evacuate(const mv_options_t *options, int argc, char **argv);
 int MvCommand_Status(const mv_options_t *options, int argc, char **argv);
 int MvCommand_Dump(const mv_options_t *options, int argc, char **argv);
 
--- a/packages/masticvane/src/nodes.c
+++ b/packages/masticvane/src/nodes.c
@@ -214,12 +214,29 @@
                  remark);
 }
 
+/* Prints the evacuated data centres that a node with forwarding = tags
+ * reports. */
+static void
+print_evacuations(const mv_node_status_t *node)
+{
+    size_t i;
+    const json_t *entry;
+    json_array_foreach(json_object_get(node->state, "evacuated"), i, entry)
+    {
+        (void)printf(
+            "  data centre %s evacuated for %" G_GINT64_FORMAT " s\n",
+            json_string_value(json_object_get(entry, "data_centre")),
+            (gint64)json_integer_value(json_object_get(entry, "seconds")));
+    }
+}
+
 static json_t *
 status_json(const mv_node_status_t *node)
 {
-    return json_pack("{s:i,s:b,s:I}", "node", (int)node->id, "answered",
+    const json_t *evacuated = json_object_get(node->state, "evacuated");
+    return json_pack("{s:i,s:b,s:I,s:O?}", "node", (int)node->id, "answered",
                      (int)node->answered, "config_version",
-                     (json_int_t)node->version);
+                     (json_int_t)node->version, "evacuated", evacuated);
 }
 
 int
@@ -248,6 +265,7 @@
         json_array_append_new(statuses, status_json(&nodes[i]));
         if (!options->json) {
             print_status(&nodes[i], newest);
+            print_evacuations(&nodes[i]);
         }
     }
     json_t *summary = MvRetirements_Sum(nodes, count);
--- a/packages/masticvaned/src/tags_cluster.c
+++ b/packages/masticvaned/src/tags_cluster.c
@@ -32,6 +32,20 @@
                 version, before, revision, routes);
 }
 
+static void
+apply_evacuation(mv_tags_control_t *control, const mv_store_entry_t *entry,
+                 uint64_t revision)
+{
+    int event =
+        MvDirectory_SetEvacuated(control->directory, MvClock_Boot(),
+                                 entry->data_centre, entry->is_decoded);
+    if (event) {
+        MvLog_Write(control->daemon.log, (mv_log_event_t)event,
+                    "data_centre=%s revision=%" PRIu64, entry->data_centre,
+                    revision);
+    }
+}
+
 static void
 mark_table_outdated(mv_tags_control_t *control, mv_time_t now)
 {
@@ -67,6 +81,9 @@
     if (entry.routing) {
         apply_routing(control, entry.routing, item->revision);
     }
+    if (entry.kind == MV_STORE_ENTRY_EVACUATION) {
+        apply_evacuation(control, &entry, item->revision);
+    }
     if (entry.kind == MV_STORE_ENTRY_SERVER) {
         int event =
             entry.is_decoded
--- a/packages/masticvaned/src/tags_packets.c
+++ b/packages/masticvaned/src/tags_packets.c
@@ -106,6 +106,12 @@
     queue_forward(packets, verdict, packet, length);
 }
 
+static void
+send_reset(void *context, const mv_flow_packet_t *packet, mv_time_t expires_at)
+{
+    queue_reset(context, packet, expires_at);
+}
+
 static void
 log_event(void *context, mv_log_event_t event, uint64_t server, int64_t detail)
 {
@@ -194,6 +200,7 @@
 
 static const mv_forwarder_ops_t forwarder_ops = {
     .send = send_stored_syn,
+    .reset = send_reset,
     .event = log_event,
     .decided = log_decision,
     .report = push_report,
--- a/packages/masticvaned/src/tags_status.c
+++ b/packages/masticvaned/src/tags_status.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "arrivals.h"
 #include "platform.h"
 #include "tags_control.h"
 
@@ -42,9 +43,12 @@
         "version of the configuration in force, 0 before the first",
         (double)MvDirectory_Version(control->directory));
     MvCounters_ExposeGauge(
-        body, "servers_usable",
-        "announced backend servers that accept new flows",
+        body, "servers_usable", "announced backend servers that do not leave",
         (double)MvDirectory_UsableServers(control->directory));
+    MvCounters_ExposeGauge(
+        body, "data_centres_evacuated",
+        "data centres whose backend servers get no new flows by order",
+        MvDirectory_EvacuatedCount(control->directory));
     MvCounters_ExposeGauge(
         body, "store_revision",
         "revision of the store that the replica is complete up to",
@@ -83,19 +87,26 @@
     mv_tags_daemon_t *daemon = &control->daemon;
     json_t *counters = MvCounters_ToJson(&daemon->counters);
     char *text = json_dumps(counters, JSON_INDENT(2));
+    json_t *evacuated =
+        MvDirectory_DumpEvacuated(control->directory, MvClock_Boot());
+    char *evacuated_text = json_dumps(evacuated, JSON_COMPACT);
     __atomic_store_n(&daemon->dump_requested, true, __ATOMIC_RELEASE);
     pthread_mutex_lock(&daemon->dump_lock);
     char *state = g_strdup_printf(
-        "{\"node\": \"%s\", \"revision\": %" PRIu64
-        ", \"watches\": %s, \"near_nodes\": %u,\n\"counters\": %s,\n"
-        "\"forwarder\": %s}\n",
-        daemon->settings->name, MvReplica_Revision(control->replica),
+        "{\"node\": \"%s\", \"config_version\": %" PRIu64
+        ", \"revision\": %" PRIu64
+        ", \"watches\": %s, \"near_nodes\": %u,\n\"evacuated\": %s,\n"
+        "\"counters\": %s,\n\"forwarder\": %s}\n",
+        daemon->settings->name, MvDirectory_Version(control->directory),
+        MvReplica_Revision(control->replica),
         MvFanout_IsWatching(control->fanout) ? "true" : "false",
-        MvFanout_LocalNodes(control->fanout), text,
+        MvFanout_LocalNodes(control->fanout), evacuated_text, text,
         daemon->dump ? daemon->dump : "null");
     pthread_mutex_unlock(&daemon->dump_lock);
     free(text);
+    free(evacuated_text);
     json_decref(counters);
+    json_decref(evacuated);
     return state;
 }
 
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -218,12 +218,39 @@
  */
 void MvDirectory_SetLocalNodes(mv_directory_t *directory, unsigned nodes);
 
+/**
+ * MvDirectory_SetEvacuated() - The operators evacuate a data centre, or end
+ * its evacuation.
+ * @data_centre: its name; a name that no server has yet is remembered
+ * @is_evacuated: true for the order, false for its end
+ *
+ * Servers of an evacuated data centre keep their open flows and get no new
+ * ones.
+ *
+ * Return: &mv_log_event_t to log, or 0 when nothing changed.
+ */
+int MvDirectory_SetEvacuated(mv_directory_t *directory, mv_time_t now,
+                             const char *data_centre, bool is_evacuated);
+
+/** MvDirectory_EvacuatedCount() - Number of evacuated data centres. */
+unsigned MvDirectory_EvacuatedCount(const mv_directory_t *directory);
+
+/**
+ * MvDirectory_DumpEvacuated() - Evacuated data centres as JSON: an array of
+ * objects with "data_centre" and the "seconds" since this node learned of the
+ * order.
+ *
+ * Return: new reference.
+ */
+json_t *MvDirectory_DumpEvacuated(const mv_directory_t *directory,
+                                  mv_time_t now);
+
 /** MvDirectory_Version() - Version of the configuration in force, or 0. */
 uint64_t MvDirectory_Version(const mv_directory_t *directory);
 
 /**
- * MvDirectory_UsableServers() - Number of announced servers that take new
- * flows.
+ * MvDirectory_UsableServers() - Number of announced servers that do not leave,
+ * those of evacuated data centres included.
  */
 size_t MvDirectory_UsableServers(const mv_directory_t *directory);
 
@@ -414,6 +441,8 @@
 /**
  * struct mv_forwarder_ops - Callbacks of the forwarder.
  * @send: send the @length bytes of a stored SYN as @verdict says
+ * @reset: send the reset that answers @packet, which is not at hand any more;
+ *         @expires_at as in &struct mv_flow_verdict
  * @event: log an event about the server with id @server, or about the node
  *         when @server is 0.  @detail depends on the event, named here
  *         without MV_EVENT_: length of the back-off in microseconds
@@ -436,6 +465,8 @@
 typedef struct mv_forwarder_ops {
     void (*send)(void *context, const mv_flow_verdict_t *verdict,
                  const uint8_t *bytes, size_t length);
+    void (*reset)(void *context, const mv_flow_packet_t *packet,
+                  mv_time_t expires_at);
     void (*event)(void *context, mv_log_event_t event, uint64_t server,
                   int64_t detail);
     void (*decided)(void *context, const mv_flow_decision_t *decision);
@@ -591,11 +622,14 @@
  * @MV_STORE_ENTRY_OTHER: of no use to the directory
  * @MV_STORE_ENTRY_SERVER: announcement of a backend server
  * @MV_STORE_ENTRY_ROUTING: configuration
+ * @MV_STORE_ENTRY_EVACUATION: order to evacuate a data centre, in force while
+ *                             the entry exists
  */
 typedef enum mv_store_entry_kind {
     MV_STORE_ENTRY_OTHER,
     MV_STORE_ENTRY_SERVER,
     MV_STORE_ENTRY_ROUTING,
+    MV_STORE_ENTRY_EVACUATION,
 } mv_store_entry_kind_t;
 
 /**
@@ -606,12 +640,15 @@
  *          @is_decoded is set
  * @routing: the configuration, when @kind is MV_STORE_ENTRY_ROUTING and
  *           @is_decoded is set, else NULL; the calling code owns it
+ * @data_centre: the data centre, when @kind is MV_STORE_ENTRY_EVACUATION;
+ *               @is_decoded is set while the order exists
  */
 typedef struct mv_store_entry {
     mv_store_entry_kind_t kind;
     bool is_decoded;
     mv_server_t server;
     mv_routing_t *routing;
+    char data_centre[MV_NAME_MAX];
 } mv_store_entry_t;
 
 /**
--- /dev/null
+++ b/packages/tags/src/directory_private.h
@@ -0,0 +1,67 @@
+/**
+ * DOC: State of the directory, shared by its source files.
+ *
+ * directory.c     servers, routes and evacuations, as the store announces them
+ * snapshot.c      the immutable snapshot for the traffic thread
+ */
+#ifndef MV_TAGS_DIRECTORY_PRIVATE_H
+#define MV_TAGS_DIRECTORY_PRIVATE_H
+
+#include "table.h"
+
+/**
+ * struct mv_incarnation - One incarnation of a server, as announced under one
+ * key.
+ *
+ * Another writer may announce the same id under a second key: that is another
+ * incarnation with the same tag, which the first one keeps (index_tag() of
+ * snapshot.c).
+ * @link: in the list of all incarnations
+ * @key: key of the announcement
+ * @server: the announcement
+ * @tag: the server's tag
+ * @is_announced: the announcement exists
+ * @withdrawn_at: time at which it was withdrawn, later by the store's outages
+ *                since then
+ * @warmup_until: end of its warm-up
+ */
+typedef struct mv_incarnation {
+    mv_list_t link;
+    char *key;
+    mv_server_t server;
+    uint32_t tag;
+    bool is_announced;
+    mv_time_t withdrawn_at;
+    mv_time_t warmup_until;
+} mv_incarnation_t;
+
+/**
+ * struct mv_directory - Servers and routes as read from the store.
+ * @settings: its settings
+ * @data_centre: hash of the name of the own data centre
+ * @announced: &struct mv_incarnation by key, those that are announced
+ * @by_identity: all incarnations, by key, id, start and service
+ * @incarnations: all incarnations
+ * @routing: the configuration in force
+ * @evacuated: evacuated data centres: time of the order by name
+ * @local_nodes: entry VMs of the own data centre
+ */
+struct mv_directory {
+    mv_directory_settings_t settings;
+    uint32_t data_centre;
+    GHashTable *announced;
+    GHashTable *by_identity;
+    mv_list_t incarnations;
+    mv_routing_t *routing;
+    GHashTable *evacuated;
+    unsigned local_nodes;
+};
+
+/** MvDirectory_TakesNew() - The server announced that it takes new flows. */
+bool MvDirectory_TakesNew(const mv_incarnation_t *incarnation);
+
+/** MvDirectory_DropExpired() - Free incarnations that were withdrawn long ago.
+ */
+void MvDirectory_DropExpired(mv_directory_t *directory, mv_time_t now);
+
+#endif
--- a/packages/tags/src/flows.c
+++ b/packages/tags/src/flows.c
@@ -108,6 +108,12 @@
     return route->services[i];
 }
 
+bool
+MvService_IsEvacuated(const mv_forwarder_t *forwarder, unsigned service)
+{
+    return forwarder->table->services[service].evacuated_count > 0;
+}
+
 mv_flow_verdict_t
 MvFlow_ForwardTo(const mv_table_server_t *server)
 {
@@ -166,7 +172,7 @@
         .is_rare = is_rare,
         .server = health ? health->server : 0,
         .reason = flow->phase == MV_FLOW_REFUSED
-                      ? MV_COUNTER_FLOWS_UNANSWERED
+                      ? flow->refusal
                       : MV_COUNTER_PACKETS_FORWARDED,
         .candidates =
             position < 0
--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -238,7 +238,7 @@
 {
     if (flow->phase == MV_FLOW_REFUSED) {
         return (mv_flow_verdict_t){.kind = MV_FLOW_RESET,
-                                   .reason = MV_COUNTER_FLOWS_UNANSWERED};
+                                   .reason = flow->refusal};
     }
     return (mv_flow_verdict_t){.reason = MV_COUNTER_PACKETS_LATE_SYN};
 }
@@ -325,6 +325,10 @@
                           MV_FLOW_QUEUED);
     }
     int position = MvPlacement_Choose(forwarder, now, service);
+    if (position < 0 && MvService_IsEvacuated(forwarder, service)) {
+        return (mv_flow_verdict_t){.kind = MV_FLOW_RESET,
+                                   .reason = MV_COUNTER_FLOWS_EVACUATED};
+    }
     if (position < 0) {
         return refuse(packet, MV_COUNTER_PACKETS_NO_ENDPOINT);
     }
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -127,8 +127,8 @@
  *                    has not arrived
  * @MV_FLOW_OPEN: the caller has answered the server
  * @MV_FLOW_CLOSED: the caller has closed or reset it
- * @MV_FLOW_REFUSED: it was reset before it opened, as its server did not
- *                   answer
+ * @MV_FLOW_REFUSED: it was reset before it opened, for the reason in @refusal
+ *                   of &struct mv_flow
  */
 typedef enum mv_flow_phase {
     MV_FLOW_OFFERED,
@@ -196,6 +196,7 @@
  * @link: in the list of its phase
  * @name: its identity
  * @phase: &enum mv_flow_phase
+ * @refusal: in MV_FLOW_REFUSED, counter of the reason
  * @began_at: arrival of its first SYN; time at which it left the queue when it
  *            was queued
  * @queue_time: time that it was queued
@@ -232,6 +233,7 @@
     mv_list_t link;
     mv_flow_name_t name;
     mv_flow_phase_t phase;
+    mv_counter_id_t refusal;
     mv_time_t began_at;
     mv_time_t queue_time;
     const mv_table_route_t *route;
@@ -458,6 +460,15 @@
 bool MvFlowName_IsLogged(const mv_forwarder_t *forwarder,
                          const mv_flow_name_t *name, bool is_rare);
 
+/**
+ * MvService_IsEvacuated() - Verdict about new flows of a service: it has no
+ * usable server, and it has servers in evacuated data centres.
+ *
+ * The order holds until the operators end it, so that such a flow is refused
+ * at once.
+ */
+bool MvService_IsEvacuated(const mv_forwarder_t *forwarder, unsigned service);
+
 /** MvFlow_ForwardTo() - Verdict that forwards a packet to @server. */
 mv_flow_verdict_t MvFlow_ForwardTo(const mv_table_server_t *server);
 
@@ -629,7 +640,7 @@
 
 /**
  * MvFlow_SendQueuedSyn() - Choose a server and send it the SYN of a held or
- * queued flow.
+ * queued flow; refuse the flow when the only servers are evacuated.
  *
  * Return: false when the route or a usable server is missing, or the SYN must
  * not be sent any more (@offer_until), as after a standstill.
--- /dev/null
+++ b/packages/tags/src/snapshot.c
@@ -0,0 +1,195 @@
+/* The immutable snapshot of the directory for the traffic thread. */
+#include <string.h>
+
+#include "directory_private.h"
+
+/**
+ * struct builder - State while a snapshot is built.
+ * @directory: source
+ * @table: the snapshot
+ * @services: array of mv_table_service_t
+ * @by_name: position of a service plus one, by name; the directory owns the
+ *           names
+ */
+typedef struct builder {
+    const mv_directory_t *directory;
+    mv_table_t *table;
+    GArray *services;
+    GHashTable *by_name;
+} builder_t;
+
+/* Return: position of the service, or -1. */
+static int
+find_service(const builder_t *builder, const char *name)
+{
+    return GPOINTER_TO_INT(g_hash_table_lookup(builder->by_name, name)) - 1;
+}
+
+static unsigned
+service_position(builder_t *builder, const char *name)
+{
+    int found = find_service(builder, name);
+    if (found >= 0) {
+        return (unsigned)found;
+    }
+    mv_table_service_t service = {.flow_limit = UINT32_MAX};
+    g_strlcpy(service.name, name, sizeof(service.name));
+    g_array_append_val(builder->services, service);
+    g_hash_table_insert(builder->by_name, (gpointer)name,
+                        GINT_TO_POINTER((int)builder->services->len));
+    return builder->services->len - 1;
+}
+
+/* When two incarnations have the same tag, the older one keeps it and the
+ * newer one gets no new flows. */
+static void
+index_tag(mv_table_t *table, unsigned position)
+{
+    mv_table_server_t *server = &table->servers[position];
+    int holder_position = MvTable_Server(table, server->tag);
+    unsigned owner = position;
+    if (holder_position >= 0) {
+        mv_table_server_t *holder = &table->servers[holder_position];
+        bool is_older =
+            server->server.started_at < holder->server.started_at ||
+            (server->server.started_at == holder->server.started_at &&
+             server->server.id < holder->server.id);
+        owner = is_older ? position : (unsigned)holder_position;
+        (is_older ? holder : server)->takes_new = false;
+    }
+    g_hash_table_insert(table->by_tag, GUINT_TO_POINTER(server->tag),
+                        GINT_TO_POINTER((int)owner + 1));
+}
+
+static void
+add_servers(builder_t *builder)
+{
+    const mv_directory_t *directory = builder->directory;
+    mv_table_t *table = builder->table;
+    MV_LIST_FOREACH(item, &directory->incarnations)
+    {
+        const mv_incarnation_t *incarnation =
+            MV_CONTAINER_OF(item, mv_incarnation_t, link);
+        mv_table_server_t *server = &table->servers[table->server_count];
+        uint32_t data_centre =
+            MvDataCentre_Hash(incarnation->server.data_centre);
+        bool is_evacuated = g_hash_table_contains(
+            directory->evacuated, incarnation->server.data_centre);
+        *server = (mv_table_server_t){
+            .server = incarnation->server,
+            .tag = incarnation->tag,
+            .service = service_position(builder, incarnation->server.service),
+            .data_centre = data_centre,
+            .is_local = data_centre == directory->data_centre,
+            .takes_new = MvDirectory_TakesNew(incarnation) && !is_evacuated,
+            .is_evacuated = is_evacuated,
+            .usable_until = incarnation->is_announced
+                                ? MV_NEVER
+                                : incarnation->withdrawn_at +
+                                      directory->settings.vanished_grace,
+            .warmup_until = incarnation->warmup_until,
+        };
+        index_tag(table, table->server_count++);
+    }
+}
+
+static void
+add_routes(builder_t *builder)
+{
+    const GArray *routes = builder->directory->routing->routes;
+    mv_table_t *table = builder->table;
+    table->routes = g_new0(mv_table_route_t, routes->len + 1);
+    for (unsigned i = 0; i < routes->len; i++) {
+        mv_table_route_t *route = &table->routes[table->route_count++];
+        route->route = g_array_index(routes, mv_route_t, i);
+        for (unsigned s = 0; s < route->route.share_count; s++) {
+            const mv_route_share_t *share = &route->route.shares[s];
+            route->services[s] = service_position(builder, share->service);
+            route->total_weight += share->weight;
+        }
+        g_hash_table_insert(
+            table->by_address,
+            MvTable_AddressKey(route->route.address, route->route.port),
+            route);
+    }
+}
+
+/* Lists the servers of each service that take new flows. */
+static void
+fill_services(mv_table_t *table)
+{
+    for (unsigned i = 0; i < table->server_count; i++) {
+        const mv_table_server_t *server = &table->servers[i];
+        mv_table_service_t *service = &table->services[server->service];
+        service->count += server->takes_new;
+        service->evacuated_count += server->is_evacuated &&
+                                    server->server.state == MV_SERVER_READY &&
+                                    server->usable_until == MV_NEVER;
+    }
+    for (unsigned i = 0; i < table->service_count; i++) {
+        mv_table_service_t *service = &table->services[i];
+        service->servers = g_new0(unsigned, service->count + 1);
+        service->count = 0;
+    }
+    for (unsigned i = 0; i < table->server_count; i++) {
+        const mv_table_server_t *server = &table->servers[i];
+        mv_table_service_t *service = &table->services[server->service];
+        if (server->takes_new) {
+            service->servers[service->count++] = i;
+        }
+    }
+}
+
+static void
+set_limits(const builder_t *builder)
+{
+    const GArray *limits = builder->directory->routing->limits;
+    for (unsigned i = 0; i < limits->len; i++) {
+        const mv_connection_limit_t *limit =
+            &g_array_index(limits, mv_connection_limit_t, i);
+        int position = find_service(builder, limit->service);
+        if (position >= 0) {
+            g_array_index(builder->services, mv_table_service_t, position)
+                .flow_limit = limit->flows;
+        }
+    }
+}
+
+static unsigned
+list_length(const mv_list_t *list)
+{
+    unsigned length = 0;
+    MV_LIST_FOREACH(item, list)
+    {
+        length++;
+    }
+    return length;
+}
+
+mv_table_t *
+MvDirectory_Table(mv_directory_t *directory, mv_time_t now)
+{
+    MvDirectory_DropExpired(directory, now);
+    mv_table_t *table = g_new0(mv_table_t, 1);
+    builder_t builder = {
+        .directory = directory,
+        .table = table,
+        .services = g_array_new(FALSE, TRUE, sizeof(mv_table_service_t)),
+        .by_name = g_hash_table_new(g_str_hash, g_str_equal)};
+    table->version = directory->routing->version;
+    table->flow_idle = directory->routing->flow_idle;
+    table->local_nodes = directory->local_nodes;
+    table->by_address = g_hash_table_new(NULL, NULL);
+    table->by_tag = g_hash_table_new(NULL, NULL);
+    table->servers =
+        g_new0(mv_table_server_t, list_length(&directory->incarnations) + 1);
+    add_servers(&builder);
+    add_routes(&builder);
+    set_limits(&builder);
+    g_hash_table_unref(builder.by_name);
+    table->service_count = builder.services->len;
+    table->services =
+        (mv_table_service_t *)(void *)g_array_free(builder.services, FALSE);
+    fill_services(table);
+    return table;
+}
--- a/packages/tags/src/syn_retries.c
+++ b/packages/tags/src/syn_retries.c
@@ -73,6 +73,33 @@
     }
 }
 
+static mv_flow_verdict_t
+refuse(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now,
+       mv_counter_id_t reason)
+{
+    flow->refusal = reason;
+    MvFlow_Release(flow);
+    MvFlow_SetPhase(forwarder, flow, MV_FLOW_REFUSED);
+    MvFlow_LogDecision(forwarder, flow, now, MV_EVENT_FLOW_REFUSED, true);
+    flow->last_seen_at = now;
+    return (mv_flow_verdict_t){.kind = MV_FLOW_RESET, .reason = reason};
+}
+
+/* Refuses a flow whose SYN is stored, with a reset to its caller. */
+static void
+refuse_stored(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now,
+              mv_counter_id_t reason)
+{
+    const mv_flow_packet_t packet = {.caller = flow->name.caller,
+                                     .caller_port = flow->name.caller_port,
+                                     .address = flow->name.address,
+                                     .port = flow->name.port,
+                                     .has_syn = true};
+    MvCounters_Add(forwarder->counters, reason, 1);
+    refuse(forwarder, flow, now, reason);
+    forwarder->ops->reset(forwarder->context, &packet, flow->offer_until);
+}
+
 bool
 MvFlow_SendQueuedSyn(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now)
 {
@@ -82,8 +109,12 @@
         !has_latest_syn(flow, now)) {
         return false;
     }
-    int position = MvPlacement_Choose(
-        forwarder, now, MvFlow_ChooseService(route, &flow->name));
+    unsigned service = MvFlow_ChooseService(route, &flow->name);
+    int position = MvPlacement_Choose(forwarder, now, service);
+    if (position < 0 && MvService_IsEvacuated(forwarder, service)) {
+        refuse_stored(forwarder, flow, now, MV_COUNTER_FLOWS_EVACUATED);
+        return true;
+    }
     if (position < 0) {
         return false;
     }
@@ -107,17 +138,6 @@
     return health->tag != flow->tag && !MvServerHealth_IsAvoided(health, now);
 }
 
-static mv_flow_verdict_t
-refuse(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now)
-{
-    MvFlow_Release(flow);
-    MvFlow_SetPhase(forwarder, flow, MV_FLOW_REFUSED);
-    MvFlow_LogDecision(forwarder, flow, now, MV_EVENT_FLOW_REFUSED, true);
-    flow->last_seen_at = now;
-    return (mv_flow_verdict_t){.kind = MV_FLOW_RESET,
-                               .reason = MV_COUNTER_FLOWS_UNANSWERED};
-}
-
 mv_flow_verdict_t
 MvFlow_RepeatSyn(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now,
                  unsigned service)
@@ -131,7 +151,11 @@
     bool is_unresponsive =
         !takes || flow->syn_timeouts >= UNRESPONSIVE_AFTER_TIMEOUTS;
     if (is_unresponsive && has_alternative(forwarder, flow, now, service)) {
-        return refuse(forwarder, flow, now);
+        return refuse(forwarder, flow, now, MV_COUNTER_FLOWS_UNANSWERED);
+    }
+    if (!takes && position >= 0 &&
+        forwarder->table->servers[position].is_evacuated) {
+        return refuse(forwarder, flow, now, MV_COUNTER_FLOWS_EVACUATED);
     }
     if (!takes) {
         return (mv_flow_verdict_t){.reason = MV_COUNTER_PACKETS_NO_ENDPOINT};
--- a/packages/tags/src/table.h
+++ b/packages/tags/src/table.h
@@ -15,7 +15,9 @@
  * @service: position of its service
  * @data_centre: hash of the name of its data centre
  * @is_local: it runs in the own data centre
- * @takes_new: it is not draining, and its tag is not that of an older server
+ * @takes_new: it is not draining, its data centre is not evacuated, and its
+ *             tag is not that of an older server
+ * @is_evacuated: its data centre is evacuated
  * @usable_until: time until which new flows may go to it after its
  *                announcement vanished, MV_NEVER while it is announced
  * @warmup_until: end of its warm-up, during which it is slow
@@ -27,6 +29,7 @@
     uint32_t data_centre;
     bool is_local;
     bool takes_new;
+    bool is_evacuated;
     mv_time_t usable_until;
     mv_time_t warmup_until;
 } mv_table_server_t;
@@ -35,12 +38,15 @@
  * struct mv_table_service - Servers of one service with @takes_new set.
  * @name: its name
  * @flow_limit: maximum number of outstanding flows of one server
+ * @evacuated_count: servers that do not take new flows only because their data
+ *                   centre is evacuated
  * @count: entries in @servers
  * @servers: their positions in the table
  */
 typedef struct mv_table_service {
     char name[MV_NAME_MAX];
     uint32_t flow_limit;
+    unsigned evacuated_count;
     unsigned count;
     unsigned *servers;
 } mv_table_service_t;
--- a/packages/tags/test/tags_world.cc
+++ b/packages/tags/test/tags_world.cc
@@ -16,6 +16,12 @@
         {*verdict, std::string((const char *)bytes, length)});
 }
 
+void
+record_reset(void *context, const mv_flow_packet_t *packet, mv_time_t)
+{
+    static_cast<tags_world *>(context)->resets.push_back(*packet);
+}
+
 void
 record_event(void *context, mv_log_event_t event, uint64_t, int64_t)
 {
@@ -51,9 +57,9 @@
     told.insert(told.end(), openings, openings + count);
 }
 
-const mv_forwarder_ops_t kOps = {record_syn,      record_event,
-                                 record_decision, record_report,
-                                 record_offers,   record_openings};
+const mv_forwarder_ops_t kOps = {record_syn,      record_reset,  record_event,
+                                 record_decision, record_report, record_offers,
+                                 record_openings};
 
 std::string
 key_of(uint64_t id)
@@ -129,6 +135,7 @@
         mv_route_t route = {};
         route.address = kAddress;
         route.port = port;
+        route.target_latency = target_latency;
         route.share_count = 1;
         route.shares[0].weight = 1;
         g_strlcpy(route.shares[0].service, service.c_str(), MV_NAME_MAX);
--- a/packages/tags/test/tags_world.h
+++ b/packages/tags/test/tags_world.h
@@ -50,10 +50,13 @@
     uint64_t counter(mv_counter_id_t id) const;
 
     mv_time_t now = MV_SECOND;
+    /* Of the routes that route() makes from now on. */
+    mv_time_t target_latency = 0;
     mv_counters_t counters = {};
     mv_directory_t *directory;
     mv_forwarder_t *forwarder;
     std::vector<sent_t> sent;
+    std::vector<mv_flow_packet_t> resets;
     std::vector<int> events;
     std::vector<mv_flow_decision_t> decisions;
     std::vector<std::vector<mv_load_record_t>> reports;
