Open flows keep their server across changes of a route's services

Cause: a packet was forwarded only when the route in force names the service of its tag.

Change: route_history.c remembers, for the retention of flows, which services a route lost; open flows go on there, new ones go only where the configuration in force says. Nodes that start later learn it from one key of the store, which the observers write when it lacks a line (record_writer.c). A removed route takes its former services along.

--- a/packages/masticvaned/src/tags_cluster.c
+++ b/packages/masticvaned/src/tags_cluster.c
@@ -6,6 +6,15 @@
 #include "platform.h"
 #include "tags_control.h"
 
+/* Interval at which the record of former services is compared with what this
+ * node knows. */
+#define HISTORY_CHECK_INTERVAL (250 * MV_MILLISECOND)
+/* The nodes that watch the store write the record within this time.  The
+ * others write it only when none of them could. */
+#define WATCHER_WRITE_DELAY (300 * MV_MILLISECOND)
+#define OTHER_WRITE_MIN_DELAY (2 * MV_SECOND)
+#define OTHER_WRITE_MAX_DELAY (6 * MV_SECOND)
+
 /* @event is 0 when there is nothing to log. */
 static void
 log_server(mv_tags_control_t *control, int event, const mv_store_item_t *item)
@@ -23,7 +32,8 @@
     uint64_t version = routing->version;
     unsigned routes = routing->routes->len;
     uint64_t before = MvDirectory_Version(control->directory);
-    bool is_newer = MvDirectory_SetRouting(control->directory, routing);
+    bool is_newer =
+        MvDirectory_SetRouting(control->directory, MvClock_Boot(), routing);
     MvLog_Write(control->daemon.log,
                 is_newer ? MV_EVENT_CONFIG_IN_FORCE
                          : MV_EVENT_CONFIG_NOT_NEWER,
@@ -56,6 +66,41 @@
     }
 }
 
+static void
+apply_route_history(mv_tags_control_t *control, const mv_store_item_t *item)
+{
+    if (!MvDirectory_MergeRouteHistory(control->directory, MvClock_Boot(),
+                                       item->deleted ? NULL : item->value)) {
+        MvLog_Write(control->daemon.log, MV_EVENT_ITEM_UNREADABLE,
+                    "revision=%" PRIu64
+                    " why=\"%s: a line names no route and service\"",
+                    item->revision, item->key);
+    }
+}
+
+mv_time_t
+MvTagsCluster_WriteRouteHistory(mv_tags_control_t *control, mv_time_t now)
+{
+    if (now >= control->next_history_check) {
+        bool is_urgent = false;
+        bool is_watching = MvFanout_IsWatching(control->fanout);
+        char *record = MvDirectory_RouteHistory(control->directory,
+                                                MvClock_Boot(), &is_urgent);
+        control->next_history_check = now + HISTORY_CHECK_INTERVAL;
+        if (is_watching && is_urgent) {
+            MvRecordWriter_Want(control->history_writer, now, record, 0,
+                                WATCHER_WRITE_DELAY);
+        }
+        else {
+            MvRecordWriter_Want(control->history_writer, now, record,
+                                OTHER_WRITE_MIN_DELAY, OTHER_WRITE_MAX_DELAY);
+        }
+        g_free(record);
+    }
+    return MIN(MvRecordWriter_Timer(control->history_writer, now),
+               control->next_history_check);
+}
+
 void
 MvTagsCluster_ApplyItem(void *context, const mv_store_item_t *item)
 {
@@ -68,6 +113,10 @@
     if (entry.kind) {
         mark_table_outdated(control, now);
     }
+    if (!strcmp(item->key, MV_ROUTE_HISTORY_KEY)) {
+        apply_route_history(control, item);
+        mark_table_outdated(control, now);
+    }
     if (g_str_has_prefix(item->key, MV_NODE_PREFIX)) {
         MvFanout_UpdateNode(control->fanout, now, item->key,
                             item->deleted ? NULL : item->value);
--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -266,6 +266,9 @@
         control->daemon.settings->self.control_port > 0) {
         next = MvRegistration_Timer(control->registration, now);
     }
+    if (MvFollower_IsComplete(control->follower)) {
+        next = MIN(next, MvTagsCluster_WriteRouteHistory(control, now));
+    }
     next = MIN(next, MvFanout_Timer(control->fanout, now));
     next = MIN(next, MvFollower_Timer(control->follower, now));
     return MIN(next,
@@ -339,6 +342,9 @@
     control->registration = MvRegistration_Create(
         &self, control->store, control->replica, control->random,
         MvTagsCluster_RegistrationOps(), control);
+    control->history_writer =
+        MvRecordWriter_Create(MV_ROUTE_HISTORY_KEY, control->store,
+                              control->replica, control->random);
     return MvTagsStatus_Serve(control, error);
 }
 
@@ -361,6 +367,7 @@
     MvLinks_Destroy(control->links);
     MvKeyring_Destroy(control->keyring);
     MvRegistration_Destroy(control->registration);
+    MvRecordWriter_Destroy(control->history_writer);
     MvFanout_Destroy(control->fanout);
     MvFollower_Destroy(control->follower);
     MvStore_Destroy(control->store);
--- a/packages/masticvaned/src/tags_control.h
+++ b/packages/masticvaned/src/tags_control.h
@@ -29,6 +29,7 @@
  * @stop_began: when the planned stop began
  * @next_cleanup: when idle connections, old tombstones and withdrawn servers
  *                are removed again
+ * @next_history_check: when the record of former services is checked again
  * @no_contact_since: start of the time without contact that was not reported
  *                    to the directory yet, 0 while there is contact
  * @suspended_time: CLOCK_BOOTTIME minus CLOCK_MONOTONIC, which grows while the
@@ -43,6 +44,7 @@
     mv_follower_t *follower;
     mv_fanout_t *fanout;
     mv_registration_t *registration;
+    mv_record_writer_t *history_writer;
     mv_keyring_t *keyring;
     mv_links_t *links;
     mv_directory_t *directory;
@@ -65,6 +67,7 @@
     mv_time_t unreachable_since;
     mv_time_t stop_began;
     mv_time_t next_cleanup;
+    mv_time_t next_history_check;
     mv_time_t no_contact_since;
     mv_time_t suspended_time;
 } mv_tags_control_t;
@@ -77,6 +80,17 @@
  */
 void MvTagsCluster_ApplyItem(void *control, const mv_store_item_t *item);
 
+/**
+ * MvTagsCluster_WriteRouteHistory() - Write the record of services that routes
+ * named before when the store lacks it.
+ *
+ * To be called once the replica has a full list.
+ *
+ * Return: the latest time at which to call this function again.
+ */
+mv_time_t MvTagsCluster_WriteRouteHistory(mv_tags_control_t *control,
+                                          mv_time_t now);
+
 /**
  * MvTagsCluster_PublishTable() - Hand a new forwarding table to the traffic
  * thread when a change made one necessary.
--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -143,6 +143,12 @@
 const char *MvReplica_Value(const mv_replica_t *replica, const char *key,
                             size_t *length);
 
+/**
+ * MvReplica_KeyRevision() - Revision of the last change of @key, 0 when it
+ * does not exist.
+ */
+uint64_t MvReplica_KeyRevision(const mv_replica_t *replica, const char *key);
+
 /**
  * MvReplica_EncodeSince() - Encode the changes after revision @since.
  * @out: the encoded delta is appended
@@ -536,6 +542,54 @@
  */
 mv_time_t MvRegistration_Timer(mv_registration_t *registration, mv_time_t now);
 
+/* Records that any node may write */
+
+/** typedef mv_record_writer_t - Writes one key of the store when it must. */
+typedef struct mv_record_writer mv_record_writer_t;
+
+/**
+ * MvRecordWriter_Create() - Create the writer of @key.
+ * @store: must outlive the writer
+ * @replica: shows what the key holds; must outlive the writer
+ * @random: source of the delays; not owned
+ *
+ * Several nodes may want to write the same: each waits for a random time and
+ * writes under the condition that the key is as the replica shows it, so that
+ * the first one spares the others the call.
+ *
+ * Return: the writer, to be freed with MvRecordWriter_Destroy().
+ */
+mv_record_writer_t *MvRecordWriter_Create(const char *key, mv_store_t *store,
+                                          const mv_replica_t *replica,
+                                          GRand *random);
+
+/**
+ * MvRecordWriter_Destroy() - Free the writer; NULL is accepted.
+ *
+ * An outstanding store call still refers to the writer: destroy the store
+ * next, before MvStore_Poll() or its event loop runs again.
+ */
+void MvRecordWriter_Destroy(mv_record_writer_t *writer);
+
+/**
+ * MvRecordWriter_Want() - Set the value that the key should have.
+ * @value: the value, or NULL when nothing is to be written; to be called again
+ *         whenever the replica or the wanted value may have changed
+ * @min_delay: shortest delay of the write, from the first call with a value
+ * @max_delay: longest delay
+ */
+void MvRecordWriter_Want(mv_record_writer_t *writer, mv_time_t now,
+                         const char *value, mv_time_t min_delay,
+                         mv_time_t max_delay);
+
+/**
+ * MvRecordWriter_Timer() - Start the write when it is due.
+ *
+ * Return: the latest time at which to call this function again, %MV_NEVER
+ * while a call is outstanding or nothing is to be written.
+ */
+mv_time_t MvRecordWriter_Timer(mv_record_writer_t *writer, mv_time_t now);
+
 #ifdef __cplusplus
 }
 #endif
--- a/packages/replica/src/replica.c
+++ b/packages/replica/src/replica.c
@@ -195,3 +195,11 @@
     }
     return entry->value;
 }
+
+uint64_t
+MvReplica_KeyRevision(const mv_replica_t *replica, const char *key)
+{
+    const mv_replica_entry_t *entry =
+        g_hash_table_lookup(replica->entries, key);
+    return entry && !entry->deleted ? entry->revision : 0;
+}
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -151,7 +151,8 @@
  * struct mv_directory_settings - Settings of the directory.
  * @data_centre: name of the data centre of this node
  * @retention: time for which a server is kept for its open flows after its
- *             announcement was withdrawn
+ *             announcement was withdrawn, and a service for those of a route
+ *             that does not name it any more
  * @vanished_grace: time for which a server whose announcement vanished without
  *                  draining may still get new flows: when more servers of its
  *                  service vanished than are announced, or when it answered a
@@ -197,7 +198,33 @@
  *
  * Return: true when @routing is in force now.
  */
-bool MvDirectory_SetRouting(mv_directory_t *directory, mv_routing_t *routing);
+bool MvDirectory_SetRouting(mv_directory_t *directory, mv_time_t now,
+                            mv_routing_t *routing);
+
+/** Store key of the services that routes named before a change. */
+#define MV_ROUTE_HISTORY_KEY "masticvane/route-history"
+
+/**
+ * MvDirectory_MergeRouteHistory() - Read the item %MV_ROUTE_HISTORY_KEY.
+ * @record: its value, NULL when it does not exist
+ *
+ * Packets of flows that are open at a service which their route named before
+ * are forwarded for @retention of the settings after the change.
+ *
+ * Return: false when a part of it was malformed; that part has been ignored.
+ */
+bool MvDirectory_MergeRouteHistory(mv_directory_t *directory, mv_time_t now,
+                                   const char *record);
+
+/**
+ * MvDirectory_RouteHistory() - Value that the item should have.
+ * @is_urgent: set to whether nodes that start now need it
+ *
+ * Return: the value, freed with g_free(), or NULL when the item need not be
+ * written.
+ */
+char *MvDirectory_RouteHistory(mv_directory_t *directory, mv_time_t now,
+                               bool *is_urgent);
 
 /**
  * MvDirectory_NoteStoreOutage() - The store could not be read for @span.
--- a/packages/tags/src/directory.c
+++ b/packages/tags/src/directory.c
@@ -67,6 +67,7 @@
         g_hash_table_new(hash_incarnation, is_same_incarnation);
     MvList_Init(&directory->incarnations);
     directory->routing = MvRouting_Create();
+    directory->history = MvRouteHistory_Create(settings->retention);
     directory->evacuated =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     directory->local_nodes = 1;
@@ -96,6 +97,7 @@
     g_hash_table_unref(directory->announced);
     g_hash_table_unref(directory->by_identity);
     g_hash_table_unref(directory->evacuated);
+    MvRouteHistory_Destroy(directory->history);
     MvRouting_Destroy(directory->routing);
     g_free(directory);
 }
@@ -182,17 +184,40 @@
 }
 
 bool
-MvDirectory_SetRouting(mv_directory_t *directory, mv_routing_t *routing)
+MvDirectory_SetRouting(mv_directory_t *directory, mv_time_t now,
+                       mv_routing_t *routing)
 {
     if (routing->version <= directory->routing->version) {
         MvRouting_Destroy(routing);
         return false;
     }
+    MvRouteHistory_Replace(directory->history, now, directory->routing,
+                           routing);
     MvRouting_Destroy(directory->routing);
     directory->routing = routing;
     return true;
 }
 
+bool
+MvDirectory_MergeRouteHistory(mv_directory_t *directory, mv_time_t now,
+                              const char *record)
+{
+    return MvRouteHistory_Merge(directory->history, now, directory->routing,
+                                record);
+}
+
+char *
+MvDirectory_RouteHistory(mv_directory_t *directory, mv_time_t now,
+                         bool *is_urgent)
+{
+    MvRouteHistory_Expire(directory->history, now);
+    mv_history_state_t state = MvRouteHistory_State(directory->history);
+    *is_urgent = state == MV_HISTORY_UNRECORDED;
+    return state == MV_HISTORY_RECORDED
+               ? NULL
+               : MvRouteHistory_Encode(directory->history);
+}
+
 int
 MvDirectory_SetEvacuated(mv_directory_t *directory, mv_time_t now,
                          const char *data_centre, bool is_evacuated)
--- a/packages/tags/src/directory_private.h
+++ b/packages/tags/src/directory_private.h
@@ -7,6 +7,7 @@
 #ifndef MV_TAGS_DIRECTORY_PRIVATE_H
 #define MV_TAGS_DIRECTORY_PRIVATE_H
 
+#include "route_history.h"
 #include "table.h"
 
 /**
@@ -43,6 +44,7 @@
  * @by_identity: all incarnations, by key, id, start and service
  * @incarnations: all incarnations
  * @routing: the configuration in force
+ * @history: services that the routes named before
  * @evacuated: evacuated data centres: time of the order by name
  * @local_nodes: entry VMs of the own data centre
  */
@@ -53,6 +55,7 @@
     GHashTable *by_identity;
     mv_list_t incarnations;
     mv_routing_t *routing;
+    mv_route_history_t *history;
     GHashTable *evacuated;
     unsigned local_nodes;
 };
--- a/packages/tags/src/snapshot.c
+++ b/packages/tags/src/snapshot.c
@@ -93,6 +93,22 @@
     }
 }
 
+/* A former service without a server is left out. */
+static void
+add_former_services(const builder_t *builder, mv_table_route_t *route)
+{
+    const char *services[MV_FORMER_SERVICES];
+    unsigned count = MvRouteHistory_Services(builder->directory->history,
+                                             route->route.address,
+                                             route->route.port, services);
+    for (unsigned i = 0; i < count; i++) {
+        int position = find_service(builder, services[i]);
+        if (position >= 0) {
+            route->former[route->former_count++] = (unsigned)position;
+        }
+    }
+}
+
 static void
 add_routes(builder_t *builder)
 {
@@ -107,6 +123,7 @@
             route->services[s] = service_position(builder, share->service);
             route->total_weight += share->weight;
         }
+        add_former_services(builder, route);
         g_hash_table_insert(
             table->by_address,
             MvTable_AddressKey(route->route.address, route->route.port),
@@ -170,6 +187,7 @@
 MvDirectory_Table(mv_directory_t *directory, mv_time_t now)
 {
     MvDirectory_DropExpired(directory, now);
+    MvRouteHistory_Expire(directory->history, now);
     mv_table_t *table = g_new0(mv_table_t, 1);
     builder_t builder = {
         .directory = directory,
--- a/packages/tags/src/table.c
+++ b/packages/tags/src/table.c
@@ -32,6 +32,11 @@
             return true;
         }
     }
+    for (unsigned i = 0; i < route->former_count; i++) {
+        if (route->former[i] == service) {
+            return true;
+        }
+    }
     return false;
 }
 
--- a/packages/tags/src/table.h
+++ b/packages/tags/src/table.h
@@ -6,7 +6,7 @@
 #ifndef MV_TAGS_TABLE_H
 #define MV_TAGS_TABLE_H
 
-#include "masticvane/tags.h"
+#include "route_history.h"
 
 /**
  * struct mv_table_server - Server that packets may be forwarded to.
@@ -56,11 +56,15 @@
  * @route: the route
  * @total_weight: sum of the weights
  * @services: positions, in the order of the shares of @route
+ * @former_count: entries in @former
+ * @former: positions of services that it named before: their open flows go on
  */
 typedef struct mv_table_route {
     mv_route_t route;
     uint64_t total_weight;
     unsigned services[MV_ROUTE_SERVICES];
+    unsigned former_count;
+    unsigned former[MV_FORMER_SERVICES];
 } mv_table_route_t;
 
 /**
@@ -104,7 +108,10 @@
 /** MvTable_Server() - Position of the server with @tag, or -1. */
 int MvTable_Server(const mv_table_t *table, uint32_t tag);
 
-/** MvTable_Allows() - @service is one of the services of @route. */
+/**
+ * MvTable_Allows() - Open flows of @route may be at @service: it is one of the
+ * route's services, or was one.
+ */
 bool MvTable_Allows(const mv_table_route_t *route, unsigned service);
 
 /** MvTable_AddressKey() - Key of an address and port in @by_address. */
