Flows of servers that have ended are reset

Cause: packets of a flow whose server had ended were dropped (packets_unknown_tag) or sent to an address where nobody answers; callers waited until their timeout. With a whole service dark, retransmitted SYNs were refused although no server answered, and load shedding took the missing answers for an overload: callers used up their retries within milliseconds.

Change: the store and the callers' packets together show that a server has ended (ended.h has the invariant); its open flows are then reset, also unasked. A SYN to a replaced server is placed anew. While a service is silent nothing is refused.

--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -212,6 +212,21 @@
     control->suspended_time = suspended_time;
 }
 
+/* Keeps the time since which this node knows what the store holds. */
+static void
+track_knowledge(mv_tags_control_t *control, mv_time_t now, mv_time_t age)
+{
+    mv_time_t behind_since = MvFanout_BehindSince(control->fanout);
+    bool is_behind = behind_since > 0 && now - behind_since > CONTACT_TIMEOUT;
+    bool is_in_touch = age < CONTACT_TIMEOUT && !is_behind &&
+                       MvReplica_Revision(control->replica) > 0;
+    if (is_in_touch == (control->in_touch_since != MV_NEVER)) {
+        return;
+    }
+    control->in_touch_since = is_in_touch ? MvClock_Boot() : MV_NEVER;
+    control->table_outdated = true;
+}
+
 /* Publishes the time of the last contact, and reports time without contact to
  * the directory: servers whose announcements vanished cannot announce
  * themselves again until the store returns.  Called in every iteration of the
@@ -222,6 +237,7 @@
     mv_time_t age = MvFanout_Staleness(control->fanout, now);
     __atomic_store_n(&control->daemon.last_contact_at, now - age,
                      __ATOMIC_RELAXED);
+    track_knowledge(control, now, age);
     if (age < CONTACT_TIMEOUT) {
         control->no_contact_since = 0;
         return;
@@ -391,6 +407,7 @@
                    .log = log,
                    .fabric = MvPlatform_Fabric()},
         .stop_limit = settings->stop_limit,
+        .in_touch_since = MV_NEVER,
         .random = g_rand_new()};
     mv_tags_packets_t *packets = NULL;
     pthread_mutex_init(&control.daemon.dump_lock, NULL);
--- a/packages/masticvaned/src/tags_control.h
+++ b/packages/masticvaned/src/tags_control.h
@@ -30,6 +30,8 @@
  * @next_cleanup: when idle connections, old tombstones and withdrawn servers
  *                are removed again
  * @next_history_check: when the record of former services is checked again
+ * @in_touch_since: since when this node has had contact without a gap, on the
+ *                  clock that counts suspension; MV_NEVER while it has none
  * @no_contact_since: start of the time without contact that was not reported
  *                    to the directory yet, 0 while there is contact
  * @suspended_time: CLOCK_BOOTTIME minus CLOCK_MONOTONIC, which grows while the
@@ -68,6 +70,7 @@
     mv_time_t stop_began;
     mv_time_t next_cleanup;
     mv_time_t next_history_check;
+    mv_time_t in_touch_since;
     mv_time_t no_contact_since;
     mv_time_t suspended_time;
 } mv_tags_control_t;
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -300,6 +300,14 @@
 void MvTable_SetSource(mv_table_t *table, uint64_t revision,
                        mv_time_t changed_at);
 
+/**
+ * MvTable_SetContact() - Record since when the node has had contact.
+ * @in_touch_since: time since which it has had contact with the store, or with
+ *                  an up-to-date node, without a gap; MV_NEVER, as in a new
+ *                  table, while it has none
+ */
+void MvTable_SetContact(mv_table_t *table, mv_time_t in_touch_since);
+
 /** MvTable_ChangedAt() - @changed_at as given to MvTable_SetSource(). */
 mv_time_t MvTable_ChangedAt(const mv_table_t *table);
 
--- a/packages/tags/src/admission.c
+++ b/packages/tags/src/admission.c
@@ -220,6 +220,9 @@
     }
 }
 
+/* A service that does not answer at all is not overloaded: it may return, and
+ * callers whose flows were refused would have used up their retries by then.
+ */
 bool
 MvAdmission_ShouldRefuse(mv_forwarder_t *forwarder, mv_time_t now,
                          const mv_table_route_t *route, unsigned service)
@@ -229,8 +232,9 @@
     unsigned level = urgency_level(route);
     count_arrival(admission, now, level);
     double part = refused_part(load, now, route->route.target_latency);
-    if (part == 0 || g_rand_double(forwarder->random) >=
-                         refused_part_of_level(admission, level, part)) {
+    if (part == 0 || MvService_IsSilent(forwarder, service) ||
+        g_rand_double(forwarder->random) >=
+            refused_part_of_level(admission, level, part)) {
         return false;
     }
     count_refused(forwarder, admission, now);
--- a/packages/tags/src/directory.c
+++ b/packages/tags/src/directory.c
@@ -160,6 +160,11 @@
     if (incarnation) {
         /* A new incarnation under the same key has replaced the old one. */
         incarnation->server.state = MV_SERVER_DRAINING;
+        if (server->id == incarnation->server.id &&
+            server->started_at > incarnation->server.started_at &&
+            incarnation->server.started_at > 0) {
+            incarnation->replaced_at = now;
+        }
         withdraw(incarnation, now);
     }
     incarnation = find_incarnation(directory, key, server);
@@ -274,7 +279,7 @@
         mv_incarnation_t *incarnation =
             MV_CONTAINER_OF(item, mv_incarnation_t, link);
         mv_time_t absent_for = now - incarnation->withdrawn_at;
-        if (!incarnation->is_announced && MvDirectory_TakesNew(incarnation) &&
+        if (!incarnation->is_announced &&
             absent_for < directory->settings.vanished_grace + span) {
             incarnation->withdrawn_at += MIN(span, absent_for);
             changed = true;
--- a/packages/tags/src/directory_private.h
+++ b/packages/tags/src/directory_private.h
@@ -24,6 +24,8 @@
  * @is_announced: the announcement exists
  * @withdrawn_at: time at which it was withdrawn, later by the store's outages
  *                since then
+ * @replaced_at: time at which a later incarnation was first seen at its
+ *               address, 0 for never
  * @warmup_until: end of its warm-up
  */
 typedef struct mv_incarnation {
@@ -33,6 +35,7 @@
     uint32_t tag;
     bool is_announced;
     mv_time_t withdrawn_at;
+    mv_time_t replaced_at;
     mv_time_t warmup_until;
 } mv_incarnation_t;
 
--- /dev/null
+++ b/packages/tags/src/ended.h
@@ -0,0 +1,74 @@
+/**
+ * DOC: Whether the server of an open flow has ended.
+ *
+ * The failure this guards against: a server ends, and the callers of its open
+ * flows wait for answers until their timeout, while other servers could serve
+ * them.  A reset lets them retry at once.
+ *
+ * Invariant: a flow whose server lives is not reset.  Silence alone is no
+ * evidence, since a server may be slow, paused or partitioned; neither is the
+ * store alone, since entries lapse in its outages and a server that is cut off
+ * from it goes on serving.  Both together are: the store shows that the server
+ * has ended, and no packet of a caller shows that it lives.
+ */
+#ifndef MV_TAGS_ENDED_H
+#define MV_TAGS_ENDED_H
+
+#include "masticvane/tags.h"
+
+/**
+ * struct mv_server_signs - What the callers' packets show of one server.
+ * @life_at: time at which a caller last showed that it had received something
+ *           new from the server, 0 for never
+ * @unanswered_since: arrival of the oldest request since then, 0 when there is
+ *                    none
+ * @repeats: number of requests that callers have sent again since then, each
+ *           one a time-out of theirs without an acknowledgement
+ */
+typedef struct mv_server_signs {
+    mv_time_t life_at;
+    mv_time_t unanswered_since;
+    unsigned repeats;
+} mv_server_signs_t;
+
+/** MvServerSigns_NoteLife() - A caller received something from the server. */
+void MvServerSigns_NoteLife(mv_server_signs_t *signs, mv_time_t now);
+
+/**
+ * MvServerSigns_NoteRequest() - A packet with data goes to the server.
+ * @is_repeat: the caller has sent it before
+ */
+void MvServerSigns_NoteRequest(mv_server_signs_t *signs, mv_time_t now,
+                               bool is_repeat);
+
+/**
+ * MvServerSigns_HasEnded() - Whether a server has ended.
+ * @ended_at: time from which the store shows that it has, or MV_NEVER
+ * @is_replaced: it does so since a later incarnation has the server's address
+ */
+bool MvServerSigns_HasEnded(const mv_server_signs_t *signs, mv_time_t now,
+                            mv_time_t ended_at, bool is_replaced);
+
+/** typedef mv_unknown_tags_t - Tags of packets that name no known server. */
+typedef struct mv_unknown_tags mv_unknown_tags_t;
+
+/** MvUnknownTags_Create() - Create an empty set. */
+mv_unknown_tags_t *MvUnknownTags_Create(void);
+
+/** MvUnknownTags_Destroy() - Free; NULL is ignored. */
+void MvUnknownTags_Destroy(mv_unknown_tags_t *tags);
+
+/**
+ * MvUnknownTags_HasEnded() - Note a packet whose tag names no known server.
+ * @in_touch_since: as given to MvTable_SetContact()
+ *
+ * Return: whether the server has ended: it is not in the store, though this
+ * node would know it by now.
+ */
+bool MvUnknownTags_HasEnded(mv_unknown_tags_t *tags, mv_time_t now,
+                            uint32_t tag, mv_time_t in_touch_since);
+
+/** MvUnknownTags_Expire() - Forget tags of which no packet came lately. */
+void MvUnknownTags_Expire(mv_unknown_tags_t *tags, mv_time_t now);
+
+#endif
--- a/packages/tags/src/exchanges.c
+++ b/packages/tags/src/exchanges.c
@@ -23,6 +23,9 @@
 #define MIN_LATE_TIME (100 * MV_MILLISECOND)
 /* The server's FIN is acknowledged like one byte. */
 #define END_BYTES 1
+/* The packets of a request follow each other sooner; callers send a packet
+ * again after 200 ms. */
+#define MIN_REPEAT_TIME (150 * MV_MILLISECOND)
 /* Interval at which open requests are checked for a late answer. */
 #define CHECK_INTERVAL (50 * MV_MILLISECOND)
 
@@ -95,12 +98,48 @@
         return;
     }
     const mv_server_health_t *health = forwarder->health_by_position[position];
+    /* A server without any sign of life is not overloaded but silent. */
+    if (flow->exchange.answer_bytes == 0 &&
+        health->signs.life_at < flow->exchange.requested_at) {
+        return;
+    }
     MvAdmission_NoteAnswer(
         forwarder, forwarder->table->servers[position].service, now,
         health->dc_health->smoothed + flow->exchange.first_byte_after,
         route->route.target_latency, answered);
 }
 
+static mv_server_signs_t *
+signs_of(const mv_forwarder_t *forwarder, const mv_flow_t *flow)
+{
+    int position = MvTable_Server(forwarder->table, flow->tag);
+    return position < 0 ? NULL
+                        : &forwarder->health_by_position[position]->signs;
+}
+
+/* The service of an open flow whose server is known. */
+static unsigned
+service_of(const mv_forwarder_t *forwarder, const mv_flow_t *flow)
+{
+    int position = MvTable_Server(forwarder->table, flow->tag);
+    return forwarder->table->servers[position].service;
+}
+
+/* Notes what the packet shows of the server's life.  Nothing of the answer has
+ * arrived when a packet with data comes so late: it is sent again. */
+static void
+note_request(const mv_forwarder_t *forwarder, const mv_flow_t *flow,
+             mv_time_t now)
+{
+    mv_server_signs_t *signs = signs_of(forwarder, flow);
+    const mv_exchange_t *exchange = &flow->exchange;
+    bool is_repeat = exchange->answer_bytes == 0 &&
+                     now - exchange->requested_at >= MIN_REPEAT_TIME;
+    if (signs) {
+        MvServerSigns_NoteRequest(signs, now, is_repeat);
+    }
+}
+
 static void
 update_answer(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now,
               uint32_t acknowledged)
@@ -111,6 +150,11 @@
         length <= (int32_t)exchange->answer_bytes) {
         return;
     }
+    mv_server_signs_t *signs = signs_of(forwarder, flow);
+    if (signs) {
+        MvServerSigns_NoteLife(signs, now);
+        MvService_NoteAnswer(forwarder, service_of(forwarder, flow));
+    }
     if (exchange->answer_bytes == 0 && length > END_BYTES) {
         mv_answer_profile_t *profile = profile_of(forwarder, flow);
         mv_time_t took = now - exchange->requested_at;
@@ -176,6 +220,9 @@
     if (packet->has_data && !ends && exchange->requested_at == 0) {
         start_request(forwarder, flow, now, packet->acknowledged);
     }
+    if (packet->has_data && !ends) {
+        note_request(forwarder, flow, now);
+    }
 }
 
 mv_time_t
--- a/packages/tags/src/flows.c
+++ b/packages/tags/src/flows.c
@@ -4,6 +4,10 @@
 
 #include "forwarder_private.h"
 
+/* Flows in a row, most of them at different servers, that were not answered
+ * when the whole service is silent. */
+#define SILENT_AFTER_FLOWS 4
+
 guint
 MvFlowName_Hash(gconstpointer key)
 {
@@ -93,6 +97,19 @@
     return load;
 }
 
+bool
+MvService_IsSilent(mv_forwarder_t *forwarder, unsigned service)
+{
+    return MvService_Load(forwarder, service)->unanswered_flows >=
+           SILENT_AFTER_FLOWS;
+}
+
+void
+MvService_NoteAnswer(mv_forwarder_t *forwarder, unsigned service)
+{
+    MvService_Load(forwarder, service)->unanswered_flows = 0;
+}
+
 unsigned
 MvFlow_ChooseService(const mv_table_route_t *route, const mv_flow_name_t *name)
 {
--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -43,6 +43,7 @@
     forwarder->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     forwarder->profiles = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    forwarder->unknown_tags = MvUnknownTags_Create();
     forwarder->due_at = MV_NEVER;
     MvList_Init(&forwarder->awaiting_answer);
     MvList_Init(&forwarder->offered);
@@ -65,6 +66,7 @@
     g_hash_table_unref(forwarder->data_centre_health);
     g_hash_table_unref(forwarder->services);
     g_hash_table_unref(forwarder->profiles);
+    MvUnknownTags_Destroy(forwarder->unknown_tags);
     g_rand_free(forwarder->random);
     MvTable_Destroy(forwarder->table);
     g_free(forwarder->health_by_position);
@@ -113,6 +115,7 @@
     if (verdict->kind == MV_FLOW_FORWARD ||
         verdict->reason == MV_COUNTER_SYNS_QUEUED ||
         verdict->reason == MV_COUNTER_FLOWS_UNANSWERED ||
+        verdict->reason == MV_COUNTER_FLOWS_SERVER_ENDED ||
         verdict->reason == MV_COUNTER_PACKETS_LATE_SYN) {
         return;
     }
@@ -191,7 +194,7 @@
 }
 
 /* Adds an entry for a flow opened through another node. */
-static void
+static mv_flow_t *
 add_foreign_flow(mv_forwarder_t *forwarder, const mv_flow_name_t *name,
                  mv_time_t now, const mv_flow_packet_t *packet, uint32_t tag)
 {
@@ -199,8 +202,10 @@
         packet->is_closing || packet->is_reset ? MV_FLOW_CLOSED : MV_FLOW_OPEN;
     mv_flow_t *flow = MvFlow_Add(forwarder, name, now, phase);
     flow->tag = tag;
+    flow->acknowledged = packet->acknowledged;
     forwarder->foreign_flow_at = now;
     MvCounters_Add(forwarder->counters, MV_COUNTER_FLOWS_WITHOUT_ENTRY, 1);
+    return flow;
 }
 
 bool
@@ -350,6 +355,8 @@
     flow->tag = health->tag;
     MvServerHealth_NoteAnswer(forwarder, health, now,
                               is_own_offer ? flow->syn_sent_at : 0);
+    MvService_NoteAnswer(forwarder,
+                         forwarder->table->servers[position].service);
     if (flow->counted_by != health) {
         MvFlow_Release(flow);
         flow->counted_by = health;
@@ -396,6 +403,7 @@
         MvFlow_SetPhase(forwarder, flow, MV_FLOW_OPEN);
     }
     flow->last_seen_at = now;
+    flow->acknowledged = packet->acknowledged;
     if (flow->phase == MV_FLOW_OPEN) {
         MvExchange_HandlePacket(forwarder, flow, now, packet);
     }
@@ -422,7 +430,7 @@
     uint32_t tag = is_open ? flow->tag : packet->tag;
     int position = MvTable_Server(forwarder->table, tag);
     if (position < 0) {
-        return (mv_flow_verdict_t){.reason = MV_COUNTER_PACKETS_UNKNOWN_TAG};
+        return MvFlow_HandleUnknownTag(forwarder, now, tag);
     }
     const mv_table_server_t *server = &forwarder->table->servers[position];
     if (!MvTable_Allows(route, server->service)) {
@@ -432,7 +440,11 @@
         update_flow(forwarder, flow, now, packet, (unsigned)position);
     }
     else {
-        add_foreign_flow(forwarder, name, now, packet, tag);
+        flow = add_foreign_flow(forwarder, name, now, packet, tag);
+    }
+    if (flow->phase == MV_FLOW_OPEN &&
+        MvServer_HasEnded(forwarder, (unsigned)position, now)) {
+        return MvFlow_End(forwarder, flow, now);
     }
     return MvFlow_ForwardTo(server);
 }
@@ -519,6 +531,7 @@
     next = MIN(next, MvSynRetries_Run(forwarder, now));
     next = MIN(next, MvExchanges_CheckTimeouts(forwarder, now));
     next = MIN(next, MvFailing_Report(forwarder, now));
+    next = MIN(next, MvEndedFlows_Run(forwarder, now));
     MvOffers_RemoveExpired(forwarder, now);
     MvAdmission_CheckEnd(forwarder, now);
     sweep_open(forwarder, now);
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -13,10 +13,13 @@
  * admission.c    refusal of new flows under overload
  * failing.c      outlier detection: servers that fail requests which the
  *                other servers of their service answer
+ * ended.c        signs that a server has ended
+ * ended_flows.c  reset of the open flows of such servers
  */
 #ifndef MV_TAGS_FORWARDER_PRIVATE_H
 #define MV_TAGS_FORWARDER_PRIVATE_H
 
+#include "ended.h"
 #include "table.h"
 
 /** Interval at which other nodes are told the server of a flow that has not
@@ -84,6 +87,8 @@
  * @trial_until: deadline of the trial flow that is sent after a back-off;
  *               until then no other flow is sent
  * @back_off: length of the next back-off after missing answers
+ * @signs: what callers' packets show of its life
+ * @has_ended: it has ended, at the last check of ended_flows.c
  * @history: outcomes of its requests, as seen by this node
  * @unreported: outcomes that have not been reported to the other nodes of the
  *              data centre
@@ -106,6 +111,8 @@
     mv_time_t silent_until;
     mv_time_t trial_until;
     mv_time_t back_off;
+    mv_server_signs_t signs;
+    bool has_ended;
     mv_outcome_history_t history;
     mv_outcome_counts_t unreported;
     mv_outcome_counts_t peer_counts;
@@ -127,8 +134,8 @@
  *                    has not arrived
  * @MV_FLOW_OPEN: the caller has answered the server
  * @MV_FLOW_CLOSED: the caller has closed or reset it
- * @MV_FLOW_REFUSED: it was reset before it opened, for the reason in @refusal
- *                   of &struct mv_flow
+ * @MV_FLOW_REFUSED: it was reset, before it opened or as its server has ended,
+ *                   for the reason in @refusal of &struct mv_flow
  */
 typedef enum mv_flow_phase {
     MV_FLOW_OFFERED,
@@ -179,7 +186,8 @@
 /**
  * struct mv_flow - Entry of a flow that this node has seen.
  *
- * Invariant: a flow is offered to one server only.  A server that was offered
+ * Invariant: a flow is offered to one server only, unless that one has ended
+ * before it answered.  A server that was offered
  * a flow answers for seconds, also when the flow opened elsewhere, and the
  * caller repeats the tag of the last answer.  A node without an entry for the
  * flow has only that tag: with two offers it could not tell at which server
@@ -222,6 +230,7 @@
  * @told_at: time at which other nodes were last told its server, or at which
  *           its SYN was first sent
  * @held_until: time at which its SYN is sent when it is in MV_FLOW_HELD
+ * @acknowledged: acknowledgement number of its last packet
  * @exchange: its current request, once it is open
  * @is_contested: it may have been offered to two servers: its first SYN did
  * not arrive here, or another node offered it as well
@@ -252,6 +261,7 @@
     mv_time_t syn_timeout;
     mv_time_t told_at;
     mv_time_t held_until;
+    uint32_t acknowledged;
     mv_exchange_t exchange;
     bool is_contested;
     bool has_opened_here;
@@ -297,6 +307,8 @@
  * @flows: &struct mv_flow by name
  * @services: &struct mv_service_load by name of the service
  * @profiles: &struct mv_answer_profile by address and port
+ * @unknown_tags: tags of packets that name no known server
+ * @next_ended_check: when servers are next checked by ended_flows.c
  * @awaiting_answer: open flows whose request has no answer yet, oldest first
  * @offers: offers that the other nodes have not been told
  * @openings: openings that the other nodes have not been told
@@ -327,6 +339,8 @@
     GHashTable *flows;
     GHashTable *services;
     GHashTable *profiles;
+    mv_unknown_tags_t *unknown_tags;
+    mv_time_t next_ended_check;
     mv_untold_flows_t offers;
     mv_untold_flows_t openings;
     mv_list_t awaiting_answer;
@@ -469,6 +483,33 @@
  */
 bool MvService_IsEvacuated(const mv_forwarder_t *forwarder, unsigned service);
 
+/** MvServer_HasEnded() - The server at @position has ended, see ended.h. */
+bool MvServer_HasEnded(const mv_forwarder_t *forwarder, unsigned position,
+                       mv_time_t now);
+
+/**
+ * MvFlow_End() - End an open flow whose server has ended.
+ *
+ * Return: verdict that resets it.
+ */
+mv_flow_verdict_t MvFlow_End(mv_forwarder_t *forwarder, mv_flow_t *flow,
+                             mv_time_t now);
+
+/**
+ * MvFlow_HandleUnknownTag() - Verdict about a packet whose tag names no known
+ * server.
+ */
+mv_flow_verdict_t MvFlow_HandleUnknownTag(mv_forwarder_t *forwarder,
+                                          mv_time_t now, uint32_t tag);
+
+/**
+ * MvEndedFlows_Run() - Reset the open flows of servers that have ended since
+ * the last check.
+ *
+ * Return: time of the next call, or MV_NEVER.
+ */
+mv_time_t MvEndedFlows_Run(mv_forwarder_t *forwarder, mv_time_t now);
+
 /** MvFlow_ForwardTo() - Verdict that forwards a packet to @server. */
 mv_flow_verdict_t MvFlow_ForwardTo(const mv_table_server_t *server);
 
@@ -545,6 +586,8 @@
  * @history: outcomes of the requests to all its servers
  * @admission: overload detection and load shedding
  * @pending_flows: flows that wait for the server or for an answer
+ * @unanswered_flows: flows whose SYN was not answered in time, since a server
+ *                    last answered anything
  * @link: in the list of loads with queued flows, during MvFlowQueue_Run()
  * @candidate: its queued flow that goes first in the current pass of
  *             MvFlowQueue_Run() over the queue
@@ -556,6 +599,7 @@
     mv_outcome_history_t history;
     mv_admission_t admission;
     unsigned pending_flows;
+    unsigned unanswered_flows;
     mv_list_t link;
     mv_flow_t *candidate;
     bool must_wait;
@@ -568,6 +612,15 @@
  */
 mv_service_load_t *MvService_Load(mv_forwarder_t *forwarder, unsigned service);
 
+/**
+ * MvService_IsSilent() - No server of the service answers, as far as this node
+ * can tell: to try another one does not help.
+ */
+bool MvService_IsSilent(mv_forwarder_t *forwarder, unsigned service);
+
+/** MvService_NoteAnswer() - A server of the service answered. */
+void MvService_NoteAnswer(mv_forwarder_t *forwarder, unsigned service);
+
 /**
  * MvService_IsFull() - This node's flows queue at all servers of the service
  * in its own data centre.
--- a/packages/tags/src/health.c
+++ b/packages/tags/src/health.c
@@ -40,6 +40,17 @@
     return dc_health;
 }
 
+/* A server has started: the data centre may have returned, and is not left to
+ * wait for the end of its back-off. */
+static void
+forget_silence(mv_data_centre_health_t *dc_health)
+{
+    dc_health->silent_servers = 0;
+    dc_health->silent_until = 0;
+    dc_health->trial_until = 0;
+    dc_health->back_off = MIN_BACK_OFF;
+}
+
 mv_server_health_t *
 MvServerHealth_At(mv_forwarder_t *forwarder, unsigned position)
 {
@@ -54,6 +65,7 @@
         health->dc_health = find_data_centre(forwarder, server->data_centre);
         health->back_off = MIN_BACK_OFF;
         g_hash_table_insert(forwarder->server_health, key, health);
+        forget_silence(health->dc_health);
     }
     return health;
 }
@@ -109,16 +121,14 @@
         forwarder->ops->event(forwarder->context, MV_EVENT_DATA_CENTRE_ANSWERS,
                               health->server, dc_health->data_centre);
     }
+    MvServerSigns_NoteLife(&health->signs, now);
     health->last_contact_at = now;
     health->failures = 0;
     health->silent_until = 0;
     health->trial_until = 0;
     health->back_off = MIN_BACK_OFF;
     dc_health->last_contact_at = now;
-    dc_health->silent_servers = 0;
-    dc_health->silent_until = 0;
-    dc_health->trial_until = 0;
-    dc_health->back_off = MIN_BACK_OFF;
+    forget_silence(dc_health);
 }
 
 static void
--- a/packages/tags/src/snapshot.c
+++ b/packages/tags/src/snapshot.c
@@ -61,6 +61,63 @@
                         GINT_TO_POINTER((int)owner + 1));
 }
 
+static gpointer
+address_of(const mv_incarnation_t *incarnation)
+{
+    return MvTable_AddressKey(incarnation->server.address,
+                              incarnation->server.port);
+}
+
+/* @other: NULL for none; a start that is not announced is 0 */
+static bool
+started_after(const mv_incarnation_t *incarnation,
+              const mv_incarnation_t *other)
+{
+    return !other || incarnation->server.started_at > other->server.started_at;
+}
+
+/* Notes which incarnations have given their address to a later one.  Two
+ * processes never have the same address at a time. */
+static void
+note_replaced(const mv_directory_t *directory, mv_time_t now)
+{
+    GHashTable *latest = g_hash_table_new(NULL, NULL);
+    MV_LIST_FOREACH(item, &directory->incarnations)
+    {
+        mv_incarnation_t *incarnation =
+            MV_CONTAINER_OF(item, mv_incarnation_t, link);
+        gpointer address = address_of(incarnation);
+        const mv_incarnation_t *holder = g_hash_table_lookup(latest, address);
+        if (incarnation->is_announced && started_after(incarnation, holder)) {
+            g_hash_table_insert(latest, address, incarnation);
+        }
+    }
+    MV_LIST_FOREACH(item, &directory->incarnations)
+    {
+        mv_incarnation_t *incarnation =
+            MV_CONTAINER_OF(item, mv_incarnation_t, link);
+        const mv_incarnation_t *holder =
+            g_hash_table_lookup(latest, address_of(incarnation));
+        if (incarnation->replaced_at == 0 && holder &&
+            incarnation->server.started_at > 0 &&
+            started_after(holder, incarnation)) {
+            incarnation->replaced_at = now;
+        }
+    }
+    g_hash_table_unref(latest);
+}
+
+static mv_time_t
+ended_at(const mv_directory_t *directory, const mv_incarnation_t *incarnation)
+{
+    if (incarnation->replaced_at > 0) {
+        return incarnation->replaced_at;
+    }
+    return incarnation->is_announced ? MV_NEVER
+                                     : incarnation->withdrawn_at +
+                                           directory->settings.vanished_grace;
+}
+
 static void
 add_servers(builder_t *builder)
 {
@@ -81,13 +138,16 @@
             .service = service_position(builder, incarnation->server.service),
             .data_centre = data_centre,
             .is_local = data_centre == directory->data_centre,
-            .takes_new = MvDirectory_TakesNew(incarnation) && !is_evacuated,
+            .takes_new = MvDirectory_TakesNew(incarnation) && !is_evacuated &&
+                         incarnation->replaced_at == 0,
             .is_evacuated = is_evacuated,
             .usable_until = incarnation->is_announced
                                 ? MV_NEVER
                                 : incarnation->withdrawn_at +
                                       directory->settings.vanished_grace,
             .warmup_until = incarnation->warmup_until,
+            .ended_at = ended_at(directory, incarnation),
+            .is_replaced = incarnation->replaced_at > 0,
         };
         index_tag(table, table->server_count++);
     }
@@ -188,6 +248,7 @@
 {
     MvDirectory_DropExpired(directory, now);
     MvRouteHistory_Expire(directory->history, now);
+    note_replaced(directory, now);
     mv_table_t *table = g_new0(mv_table_t, 1);
     builder_t builder = {
         .directory = directory,
@@ -195,6 +256,7 @@
         .services = g_array_new(FALSE, TRUE, sizeof(mv_table_service_t)),
         .by_name = g_hash_table_new(g_str_hash, g_str_equal)};
     table->version = directory->routing->version;
+    table->in_touch_since = MV_NEVER;
     table->flow_idle = directory->routing->flow_idle;
     table->local_nodes = directory->local_nodes;
     table->by_address = g_hash_table_new(NULL, NULL);
--- a/packages/tags/src/syn_retries.c
+++ b/packages/tags/src/syn_retries.c
@@ -14,16 +14,6 @@
  * answer it because of one lost packet. */
 #define UNRESPONSIVE_AFTER_TIMEOUTS 2
 
-static void
-note_timeout(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now)
-{
-    mv_server_health_t *health = MvServerHealth_Find(forwarder, flow->tag);
-    flow->syn_timeouts++;
-    if (health && MvForwarder_IsFabricStable(forwarder, now)) {
-        MvServerHealth_NoteTimeout(forwarder, health, now, flow->syn_sent_at);
-    }
-}
-
 /* Whether a SYN may still go to the server: it neither leaves nor is gone. */
 static bool
 takes_syns(const mv_forwarder_t *forwarder, int position, mv_time_t now)
@@ -35,6 +25,24 @@
     return server->takes_new && now < server->usable_until;
 }
 
+static void
+note_timeout(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now)
+{
+    int position = MvTable_Server(forwarder->table, flow->tag);
+    bool is_first = flow->syn_timeouts++ == 0;
+    /* A server that has left is silent, which says nothing about the others.
+     */
+    if (!takes_syns(forwarder, position, now) ||
+        !MvForwarder_IsFabricStable(forwarder, now)) {
+        return;
+    }
+    unsigned service = forwarder->table->servers[position].service;
+    MvService_Load(forwarder, service)->unanswered_flows += is_first;
+    MvServerHealth_NoteTimeout(forwarder,
+                               forwarder->health_by_position[position], now,
+                               flow->syn_sent_at);
+}
+
 /* Whether the caller's latest SYN arrived here, as far as this node can tell,
  * see @offer_until of &struct mv_flow. */
 static bool
@@ -125,17 +133,42 @@
     return true;
 }
 
-/* Whether a new flow would go to another server that is expected to answer. */
+/* Whether a new flow would go to another server.
+ * @must_answer: only to one that is expected to answer: a caller has few
+ *               retries, and must not lose them while all servers are silent
+ */
 static bool
 has_alternative(mv_forwarder_t *forwarder, const mv_flow_t *flow,
-                mv_time_t now, unsigned service)
+                mv_time_t now, unsigned service, bool must_answer)
 {
     int position = MvPlacement_Choose(forwarder, now, service);
     if (position < 0) {
         return false;
     }
     const mv_server_health_t *health = forwarder->health_by_position[position];
-    return health->tag != flow->tag && !MvServerHealth_IsAvoided(health, now);
+    bool may_answer = !MvServerHealth_IsAvoided(health, now) &&
+                      !MvService_IsSilent(forwarder, service);
+    return health->tag != flow->tag && (may_answer || !must_answer);
+}
+
+/* Whether a flow that this node offered can be placed anew: its server has
+ * ended before it answered, so that the new offer is the only one that can be
+ * answered (&struct mv_flow).  Its caller need not use up a retry, of which it
+ * has few. */
+static bool
+needs_successor(const mv_forwarder_t *forwarder, const mv_flow_t *flow)
+{
+    int position = MvTable_Server(forwarder->table, flow->tag);
+    return flow->syn_count > 0 && position >= 0 &&
+           forwarder->table->servers[position].is_replaced;
+}
+
+static void
+forget_offer(mv_flow_t *flow)
+{
+    flow->is_contested = true; /* other nodes may have been told of it */
+    flow->syn_timeouts = 0;
+    flow->syn_count = 0;
 }
 
 mv_flow_verdict_t
@@ -143,6 +176,13 @@
                  unsigned service)
 {
     int position = MvTable_Server(forwarder->table, flow->tag);
+    int successor = needs_successor(forwarder, flow)
+                        ? MvPlacement_Choose(forwarder, now, service)
+                        : -1;
+    if (successor >= 0) {
+        forget_offer(flow);
+        return send_again(forwarder, flow, now, (unsigned)successor);
+    }
     if (flow->syn_timeout != MV_NEVER &&
         now >= flow->syn_sent_at + flow->syn_timeout) {
         note_timeout(forwarder, flow, now);
@@ -150,7 +190,9 @@
     bool takes = takes_syns(forwarder, position, now);
     bool is_unresponsive =
         !takes || flow->syn_timeouts >= UNRESPONSIVE_AFTER_TIMEOUTS;
-    if (is_unresponsive && has_alternative(forwarder, flow, now, service)) {
+    /* A server that takes no SYNs cannot answer: any other one is better. */
+    if (is_unresponsive &&
+        has_alternative(forwarder, flow, now, service, takes)) {
         return refuse(forwarder, flow, now, MV_COUNTER_FLOWS_UNANSWERED);
     }
     if (!takes && position >= 0 &&
@@ -174,6 +216,12 @@
         MvFlow_Remove(forwarder, flow);
         return MV_NEVER;
     }
+    if (needs_successor(forwarder, flow) && has_latest_syn(flow, now)) {
+        forget_offer(flow);
+        if (MvFlow_SendQueuedSyn(forwarder, flow, now)) {
+            return now + flow->syn_timeout;
+        }
+    }
     mv_time_t next_offer = MvOffers_Check(forwarder, flow, now);
     if (flow->syn_timeout == MV_NEVER) {
         return MIN(next_offer, flow->began_at + MAX_OPENING_TIME);
--- a/packages/tags/src/table.h
+++ b/packages/tags/src/table.h
@@ -15,12 +15,16 @@
  * @service: position of its service
  * @data_centre: hash of the name of its data centre
  * @is_local: it runs in the own data centre
- * @takes_new: it is not draining, its data centre is not evacuated, and its
- *             tag is not that of an older server
+ * @takes_new: it is not draining, its data centre is not evacuated, no later
+ *             incarnation has its address, and its tag is not that of an older
+ *             server
  * @is_evacuated: its data centre is evacuated
  * @usable_until: time until which new flows may go to it after its
  *                announcement vanished, MV_NEVER while it is announced
  * @warmup_until: end of its warm-up, during which it is slow
+ * @ended_at: time from which the store shows that it has ended, MV_NEVER while
+ *            it does not
+ * @is_replaced: a later incarnation has its address
  */
 typedef struct mv_table_server {
     mv_server_t server;
@@ -32,6 +36,8 @@
     bool is_evacuated;
     mv_time_t usable_until;
     mv_time_t warmup_until;
+    mv_time_t ended_at;
+    bool is_replaced;
 } mv_table_server_t;
 
 /**
@@ -73,6 +79,8 @@
  * @revision: revision of the store; every change up to it is in the table
  * @changed_at: arrival of the oldest change that the traffic thread does not
  *              use yet, 0 for none
+ * @in_touch_since: time since which this node has had contact with the store,
+ *                  or with an up-to-date node; MV_NEVER while it has none
  * @flow_idle: idle time after which a flow entry may be dropped
  * @local_nodes: entry VMs of the own data centre, this one included
  * @server_count: entries in @servers
@@ -89,6 +97,7 @@
     uint64_t version;
     uint64_t revision;
     mv_time_t changed_at;
+    mv_time_t in_touch_since;
     mv_time_t flow_idle;
     unsigned local_nodes;
     unsigned server_count;
