Servers that warm up: the limit holds over all nodes together

Cause: warmup_per_s of the configuration was not read; a cold server only cost 1.6 times as much, with no limit.

Change: each node has a schedule for its share of the limit (warmup.c), by the number of nodes of all data centres in the store; what is not used within 250 ms is lost. A node that is not registered yet sends nothing to such servers. The limits of a service are one type now.

Without a limit in the configuration nothing changes.

--- a/packages/masticvaned/src/tags_cluster.c
+++ b/packages/masticvaned/src/tags_cluster.c
@@ -120,6 +120,7 @@
     if (g_str_has_prefix(item->key, MV_NODE_PREFIX)) {
         MvFanout_UpdateNode(control->fanout, now, item->key,
                             item->deleted ? NULL : item->value);
+        control->table_outdated = true;
     }
     if (error) {
         MvLog_Write(control->daemon.log, MV_EVENT_ITEM_UNREADABLE,
@@ -154,6 +155,7 @@
     control->table_outdated = false;
     MvDirectory_SetLocalNodes(control->directory,
                               MvFanout_LocalNodes(control->fanout));
+    MvDirectory_SetNodes(control->directory, MvFanout_Nodes(control->fanout));
     /* The new table also contains the changes of a pending one, which the
      * traffic thread has not taken yet, and keeps the time of the oldest. */
     mv_table_t *pending = __atomic_exchange_n(&control->daemon.next_table,
@@ -414,6 +416,7 @@
         return;
     }
     MvFanout_SetSelf(control->fanout, g_get_monotonic_time(), id);
+    control->table_outdated = true;
     MvLog_Write(control->daemon.log, MV_EVENT_NODE_REGISTERED, "id=%u", id);
     request_openings(control);
 }
--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -429,7 +429,7 @@
  * MvFanout_UpdateNode() - Handle a change of the node record under @key.
  * @value: the new value, NULL when the record was deleted
  *
- * Records of other data centres are ignored.
+ * Nodes of other data centres are only counted.
  */
 void MvFanout_UpdateNode(mv_fanout_t *fanout, mv_time_t now, const char *key,
                          const char *value);
@@ -487,6 +487,12 @@
  */
 mv_time_t MvFanout_BehindSince(const mv_fanout_t *fanout);
 
+/**
+ * MvFanout_Nodes() - Number of nodes of all data centres; 0 before
+ * MvFanout_SetSelf().
+ */
+unsigned MvFanout_Nodes(const mv_fanout_t *fanout);
+
 /** MvFanout_LocalNodes() - Number of nodes of the data centre, at least 1. */
 unsigned MvFanout_LocalNodes(const mv_fanout_t *fanout);
 
--- a/packages/replica/src/fanout.c
+++ b/packages/replica/src/fanout.c
@@ -43,6 +43,7 @@
     const mv_fanout_ops_t *ops;
     void *context;
     GHashTable *peers;
+    GHashTable *records; /* ids of all data centres that have a record */
     mv_subscribers_t subscribers;
     mv_time_t started_at; /* first timer call */
     mv_node_id_t self;
@@ -97,6 +98,7 @@
     fanout->self = MV_NO_NODE;
     fanout->is_watching = true;
     fanout->peers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    fanout->records = g_hash_table_new(NULL, NULL);
     MvSubscribers_Init(&fanout->subscribers, settings->max_subscribers,
                        settings->subscription_time);
     fanout->tree = MvRelayTree_Create(settings->branching);
@@ -113,6 +115,7 @@
     MvRelayTree_Destroy(fanout->tree);
     MvSubscribers_Clear(&fanout->subscribers);
     g_hash_table_unref(fanout->peers);
+    g_hash_table_unref(fanout->records);
     g_free(fanout);
 }
 
@@ -173,11 +176,13 @@
 {
     mv_node_record_t record;
     if (MvNodeRecord_Parse(key, value, &record)) {
+        g_hash_table_add(fanout->records, GUINT_TO_POINTER((guint)record.id));
         if (!strcmp(record.data_centre, fanout->settings.data_centre)) {
             update_peer(fanout, &record);
         }
         return;
     }
+    g_hash_table_remove(fanout->records, GUINT_TO_POINTER((guint)record.id));
     peer_t *peer = value ? NULL : find_peer(fanout, record.id);
     if (peer) {
         peer->removed_at = now;
@@ -223,6 +228,12 @@
     MvRelayTree_Finish(fanout->tree);
 }
 
+unsigned
+MvFanout_Nodes(const mv_fanout_t *fanout)
+{
+    return fanout->self == MV_NO_NODE ? 0 : g_hash_table_size(fanout->records);
+}
+
 unsigned
 MvFanout_LocalNodes(const mv_fanout_t *fanout)
 {
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -105,22 +105,24 @@
 } mv_route_t;
 
 /**
- * struct mv_connection_limit - Maximum number of flows per server of a
- * service.
+ * struct mv_service_limits - Limits of the servers of a service.
  * @service: name of the service
  * @flows: maximum number of outstanding flows of one server
+ * @warmup_rate: new flows a second that one server bears while it warms up,
+ *               from all nodes together; 0 for no limit
  */
-typedef struct mv_connection_limit {
+typedef struct mv_service_limits {
     char service[MV_NAME_MAX];
     uint32_t flows;
-} mv_connection_limit_t;
+    double warmup_rate;
+} mv_service_limits_t;
 
 /**
  * struct mv_routing - Routes and limits of an accepted configuration.
  * @version: increases with every accepted change
  * @flow_idle: idle time after which a flow entry may be dropped
  * @routes: array of mv_route_t
- * @limits: array of mv_connection_limit_t
+ * @limits: array of mv_service_limits_t
  */
 typedef struct mv_routing {
     uint64_t version;
@@ -272,6 +274,15 @@
 json_t *MvDirectory_DumpEvacuated(const mv_directory_t *directory,
                                   mv_time_t now);
 
+/**
+ * MvDirectory_SetNodes() - Set the number of entry VMs of all data centres,
+ * among which the limits of servers that warm up are divided.
+ * @nodes: number, this node included; 0 while it is not known, or this node
+ *         does not count among them yet: it then sends nothing to servers
+ *         whose limit it would have to share
+ */
+void MvDirectory_SetNodes(mv_directory_t *directory, unsigned nodes);
+
 /** MvDirectory_Version() - Version of the configuration in force, or 0. */
 uint64_t MvDirectory_Version(const mv_directory_t *directory);
 
--- a/packages/tags/src/directory.c
+++ b/packages/tags/src/directory.c
@@ -18,7 +18,7 @@
 {
     mv_routing_t *routing = g_new0(mv_routing_t, 1);
     routing->routes = g_array_new(FALSE, TRUE, sizeof(mv_route_t));
-    routing->limits = g_array_new(FALSE, TRUE, sizeof(mv_connection_limit_t));
+    routing->limits = g_array_new(FALSE, TRUE, sizeof(mv_service_limits_t));
     return routing;
 }
 
@@ -294,6 +294,12 @@
     directory->local_nodes = MAX(nodes, 1);
 }
 
+void
+MvDirectory_SetNodes(mv_directory_t *directory, unsigned nodes)
+{
+    directory->nodes = nodes;
+}
+
 uint64_t
 MvDirectory_Version(const mv_directory_t *directory)
 {
--- a/packages/tags/src/directory_private.h
+++ b/packages/tags/src/directory_private.h
@@ -50,6 +50,7 @@
  * @history: services that the routes named before
  * @evacuated: evacuated data centres: time of the order by name
  * @local_nodes: entry VMs of the own data centre
+ * @nodes: entry VMs of all data centres, 0 while it is not known
  */
 struct mv_directory {
     mv_directory_settings_t settings;
@@ -61,6 +62,7 @@
     mv_route_history_t *history;
     GHashTable *evacuated;
     unsigned local_nodes;
+    unsigned nodes;
 };
 
 /** MvDirectory_TakesNew() - The server announced that it takes new flows. */
--- a/packages/tags/src/flows.c
+++ b/packages/tags/src/flows.c
@@ -150,6 +150,7 @@
     flow->tag = health->tag;
     if (flow->syn_count++ == 0) {
         flow->told_at = now;
+        health->warmup.used_at = now;
     }
     flow->syn_sent_at = now;
     flow->syn_timeout = MvDataCentreHealth_SynTimeout(health->dc_health);
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -21,6 +21,7 @@
 
 #include "ended.h"
 #include "table.h"
+#include "warmup.h"
 
 /** Interval at which other nodes are told the server of a flow that has not
  * opened: the first time well before the caller retransmits its SYN (200 ms),
@@ -89,6 +90,7 @@
  * @back_off: length of the next back-off after missing answers
  * @signs: what callers' packets show of its life
  * @has_ended: it has ended, at the last check of ended_flows.c
+ * @warmup: schedule of new flows while it warms up
  * @history: outcomes of its requests, as seen by this node
  * @unreported: outcomes that have not been reported to the other nodes of the
  *              data centre
@@ -113,6 +115,7 @@
     mv_time_t back_off;
     mv_server_signs_t signs;
     bool has_ended;
+    mv_warmup_t warmup;
     mv_outcome_history_t history;
     mv_outcome_counts_t unreported;
     mv_outcome_counts_t peer_counts;
--- a/packages/tags/src/health.c
+++ b/packages/tags/src/health.c
@@ -64,6 +64,7 @@
         health->server = server->server.id;
         health->dc_health = find_data_centre(forwarder, server->data_centre);
         health->back_off = MIN_BACK_OFF;
+        health->warmup.phase = g_rand_double(forwarder->random);
         g_hash_table_insert(forwarder->server_health, key, health);
         forget_silence(health->dc_health);
     }
--- a/packages/tags/src/placement.c
+++ b/packages/tags/src/placement.c
@@ -88,12 +88,22 @@
     *best = (choice_t){(int)position, is_avoided, cost, equals};
 }
 
+/* Whether the server bears a new flow of this node while it warms up. */
+static bool
+bears_flow(const mv_table_service_t *service, const mv_table_server_t *server,
+           const mv_server_health_t *health, mv_time_t now)
+{
+    return now >= server->warmup_until || !service->has_warmup_limit ||
+           MvWarmup_MayTake(&health->warmup, now, service->warmup_share);
+}
+
 int
 MvPlacement_Choose(mv_forwarder_t *forwarder, mv_time_t now, unsigned service)
 {
     const mv_table_service_t *entry = &forwarder->table->services[service];
     candidates_t count = count_candidates(forwarder, entry, now);
     bool are_vanished_running = count.vanished > count.announced;
+    bool has_left_out = false;
     choice_t best = {.position = -1};
     for (unsigned i = 0; i < entry->count; i++) {
         unsigned position = entry->servers[i];
@@ -107,9 +117,15 @@
         if (!is_usable || health->outstanding >= entry->flow_limit) {
             continue;
         }
+        if (!bears_flow(entry, server, health, now)) {
+            has_left_out = true;
+            continue;
+        }
         update_choice(forwarder, &best, position,
                       MvServerHealth_IsAvoided(health, now),
                       cost_of(server, health, now));
     }
+    MvCounters_Add(forwarder->counters, MV_COUNTER_WARMUP_LIMITED,
+                   has_left_out);
     return best.position;
 }
--- a/packages/tags/src/snapshot.c
+++ b/packages/tags/src/snapshot.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "directory_private.h"
+#include "warmup.h"
 
 /**
  * struct builder - State while a snapshot is built.
@@ -220,15 +221,21 @@
 static void
 set_limits(const builder_t *builder)
 {
-    const GArray *limits = builder->directory->routing->limits;
-    for (unsigned i = 0; i < limits->len; i++) {
-        const mv_connection_limit_t *limit =
-            &g_array_index(limits, mv_connection_limit_t, i);
-        int position = find_service(builder, limit->service);
-        if (position >= 0) {
-            g_array_index(builder->services, mv_table_service_t, position)
-                .flow_limit = limit->flows;
+    const mv_directory_t *directory = builder->directory;
+    const GArray *all = directory->routing->limits;
+    for (unsigned i = 0; i < all->len; i++) {
+        const mv_service_limits_t *limits =
+            &g_array_index(all, mv_service_limits_t, i);
+        int position = find_service(builder, limits->service);
+        if (position < 0) {
+            continue;
         }
+        mv_table_service_t *service =
+            &g_array_index(builder->services, mv_table_service_t, position);
+        service->flow_limit = limits->flows;
+        service->has_warmup_limit = limits->warmup_rate > 0;
+        service->warmup_share =
+            MvWarmup_Share(limits->warmup_rate, directory->nodes);
     }
 }
 
--- a/packages/tags/src/table.h
+++ b/packages/tags/src/table.h
@@ -44,6 +44,9 @@
  * struct mv_table_service - Servers of one service with @takes_new set.
  * @name: its name
  * @flow_limit: maximum number of outstanding flows of one server
+ * @warmup_share: new flows a second that this node may send to a server that
+ *                warms up, when @has_warmup_limit is set
+ * @has_warmup_limit: such servers bear a limited number of new flows
  * @evacuated_count: servers that do not take new flows only because their data
  *                   centre is evacuated
  * @count: entries in @servers
@@ -52,6 +55,8 @@
 typedef struct mv_table_service {
     char name[MV_NAME_MAX];
     uint32_t flow_limit;
+    double warmup_share;
+    bool has_warmup_limit;
     unsigned evacuated_count;
     unsigned count;
     unsigned *servers;
--- a/packages/tags/test/tags_test.cc
+++ b/packages/tags/test/tags_test.cc
@@ -705,7 +705,7 @@
     route.share_count = 1;
     g_strlcpy(route.shares[0].service, "booking", MV_NAME_MAX);
     g_array_append_val(routing->routes, route);
-    mv_connection_limit_t limit = {};
+    mv_service_limits_t limit = {};
     g_strlcpy(limit.service, "booking", MV_NAME_MAX);
     limit.flows = 4;
     g_array_append_val(routing->limits, limit);
