Soak: evacuations, changes of a route's services, dark services, a restored store

Four kinds of fault more, in series with restarts, and a planted fault for three of them (evacuated, shares, restored); callers use a route whose service changes. Three planted faults of ended.c had survived: a server that answers each request the second time, a SYN to a replaced server, and retries while a service is silent have tests now.

--- a/packages/tags/test/ended_test.cc
+++ b/packages/tags/test/ended_test.cc
@@ -222,12 +222,20 @@
 /* Guards against the reset of a flow whose server lives. */
 TEST(Ended, AServerThatLivesKeepsItsFlows)
 {
-    enum { ANSWERS, OUTAGE, DRAINING_OUTAGE, SILENT, REPLACED_BUT_ANSWERS };
+    enum {
+        ANSWERS,
+        ANSWERS_REPEATED,
+        OUTAGE,
+        DRAINING_OUTAGE,
+        SILENT,
+        REPLACED_BUT_ANSWERS
+    };
     struct {
         const char *what;
         int kind;
     } const cases[] = {
         {"its entry was deleted, and it answers", ANSWERS},
+        {"likewise, and every request is lost once", ANSWERS_REPEATED},
         {"its entry lapsed in an outage of the store", OUTAGE},
         {"likewise while it drains", DRAINING_OUTAGE},
         {"it is silent, and announced", SILENT},
@@ -258,8 +266,15 @@
             mv_flow_verdict_t verdict =
                 world.send(port, world.tags[port], true, acknowledged);
             ASSERT_EQ(verdict.kind, MV_FLOW_FORWARD) << c.what << i;
+            if (c.kind == ANSWERS_REPEATED) {
+                world.advance(200 * MV_MILLISECOND);
+                verdict =
+                    world.send(port, world.tags[port], true, acknowledged);
+                ASSERT_EQ(verdict.kind, MV_FLOW_FORWARD) << c.what << i;
+            }
             world.advance(30 * MV_MILLISECOND);
-            if (c.kind == ANSWERS || c.kind == REPLACED_BUT_ANSWERS) {
+            if (c.kind == ANSWERS || c.kind == ANSWERS_REPEATED ||
+                c.kind == REPLACED_BUT_ANSWERS) {
                 acknowledged += 2000;
                 world.send(port, world.tags[port], false, acknowledged);
             }
@@ -269,6 +284,47 @@
     }
 }
 
+/* Guards against callers that lose a retry, or wait until their timeout, since
+ * the server that was sent their SYN has ended. */
+TEST(Ended, ASynToAReplacedServerIsPlacedAnew)
+{
+    ended_world world;
+    uint16_t port = 1;
+    while (world.open(port).server != 2) {
+        world.send_next(port, 0, kPort, true);
+        port++;
+    }
+    world.replace(2, 50);
+    world.sent.clear();
+    world.advance(150 * MV_MILLISECOND);
+    ASSERT_FALSE(world.sent.empty());
+    EXPECT_EQ(world.sent[0].port(), port);
+    EXPECT_NE(world.sent[0].verdict.server, 2u);
+    EXPECT_TRUE(world.resets.empty());
+    /* The caller's own retransmission goes to the new server as well. */
+    mv_flow_verdict_t again = world.open(port, kPort, 1);
+    EXPECT_EQ(again.kind, MV_FLOW_FORWARD);
+    EXPECT_EQ(again.server, world.sent[0].verdict.server);
+}
+
+/* Guards against callers that lose all their retries within a second, while no
+ * server answers and the service may return before their timeout. */
+TEST(Ended, NoSynIsRefusedWhileAServiceIsSilent)
+{
+    ended_world world;
+    for (uint16_t port = 1; port <= 6; port++) {
+        world.open(port);
+        world.advance(50 * MV_MILLISECOND);
+    }
+    world.advance(200 * MV_MILLISECOND);
+    for (uint16_t port = 100; port < 160; port++) {
+        ASSERT_EQ(world.open(port).kind, MV_FLOW_FORWARD) << port;
+        world.advance(200 * MV_MILLISECOND);
+        EXPECT_EQ(world.open(port, kPort, 1).kind, MV_FLOW_FORWARD) << port;
+        world.advance(100 * MV_MILLISECOND);
+    }
+}
+
 /* Guards against callers that wait for a server which had ended before this
  * node started, and against the reset of flows of a server which this node has
  * not learned of yet. */
--- a/test/soak/platform_standin.py
+++ b/test/soak/platform_standin.py
@@ -87,6 +87,7 @@
         self.rng = rng
         self.items, self.history, self.leases = {}, [], {}
         self.revision, self.compacted_revision, self.calls = 1, 0, 0
+        self.era, self.copies = 1, []
         self.fault_of_node = {}
         self.changed = asyncio.Event()
 
@@ -104,6 +105,21 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def save(self, keep_s):
+        """Keeps a copy of the state, and forgets those older than keep_s."""
+        now = time.monotonic()
+        self.copies = [c for c in self.copies if now - c[0] < keep_s]
+        self.copies.append((now, self.revision, dict(self.items)))
+
+    def restore(self, has_new_era=True):
+        """Comes back from the oldest copy: revisions go back."""
+        _, self.revision, items = self.copies[0]
+        self.items, self.history, self.copies = dict(items), [], []
+        self.compacted_revision = self.revision
+        self.era += has_new_era
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def compact(self):
         """Drops the history: a watch from an older revision is answered by 410."""
         self.compacted_revision, self.history = self.revision, []
@@ -138,7 +154,8 @@
             if fault == "lost" and method == "POST":
                 await asyncio.sleep(3600)
             text = json.dumps(answer).encode()
-            writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\n\r\n".encode() + text)
+            writer.write(f"HTTP/1.1 {status} X\r\nStore-Era: {self.era}\r\n"
+                         f"Content-Length: {len(text)}\r\n\r\n".encode() + text)
             await writer.drain()
 
     async def handle_request(self, path, query, body):
@@ -165,7 +182,7 @@
     async def watch(self, prefix, after, wait):
         deadline = time.monotonic() + wait
         while True:
-            if after < self.compacted_revision:
+            if not self.compacted_revision <= after <= self.revision:
                 return 410, {}
             events = [i for i in self.history if i["rev"] > after and i["key"].startswith(prefix)]
             remaining = deadline - time.monotonic()
@@ -219,7 +236,8 @@
             return
         if intended not in (0, self.id):
             return
-        if self.soak.service_of(packet.dst, packet.dport) not in (self.service, None):
+        services = self.soak.services_of(packet.dst, packet.dport)
+        if services and self.service not in services:
             self.soak.record_violation("crossing", f"{self.key} of service {self.service} received "
                                        f"a packet for {packet.dst}:{packet.dport} of another service")
             return
@@ -315,10 +333,11 @@
                     return "silent"
                 if answer.flags & RST:
                     return "reset"
-                service = self.soak.service_of(host, port)
-                if service and answer.data.decode() != f"{service} {request.data.decode()}":
-                    self.soak.record_violation("answer", f"got {answer.data}, expected "
-                                               f"'{service} {request.data.decode()}'")
+                services = self.soak.services_of(host, port)
+                expected = [f"{service} {request.data.decode()}" for service in services]
+                if services and answer.data.decode() not in expected:
+                    self.soak.record_violation("answer", f"got {answer.data}, expected one of "
+                                               f"{expected}")
                 await asyncio.sleep(pause)
             self.soak.send(Packet(ACK | FIN, 3, answer.seq, self.address, sport, host, port,
                                   answer.echo))
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -29,9 +29,12 @@
 HOST = "198.18.0.1"
 ROUTES = {8443: "booking", 8080: "docs"}
 EXTRA_PORT = 9000  # the route that the fault "change" adds and removes
+SHARED_PORT = 8444  # the route whose service the fault "shares" replaces
+COPY_AGE_S = 3.0  # age of the copy from which the store is restored
 # Faults that --plant plants into the stand-ins: the run must fail with each.
 # Most are named after the kind of violation that they cause.
-PLANTS = ["leaving", "config", "tag", "bytes", "crossing", "twice", "answer", "recovery"]
+PLANTS = ["leaving", "config", "tag", "bytes", "crossing", "twice", "answer", "recovery",
+          "evacuated", "shares", "restored"]
 SETTINGS = """[node]
 forwarding = tags
 name = node-{i}
@@ -116,7 +119,7 @@
 class Soak:
     """One run: nodes, stand-ins, faults and the violations seen.
 
-    executions maps each request to the servers that ran it; service_by_port
+    executions maps each request to the servers that ran it; services_by_port
     has all routes that the configuration may have in the run.
     """
 
@@ -128,8 +131,10 @@
         self.store = Store(self.rng)
         self.nodes = [Node(self, i) for i in range(options.nodes)]
         self.servers, self.callers = [], []
-        self.routes, self.version = dict(ROUTES), 0
-        self.service_by_port = {EXTRA_PORT: "docs", **ROUTES}
+        self.routes, self.version = {SHARED_PORT: "booking", **ROUTES}, 0
+        self.services_by_port = {EXTRA_PORT: ["docs"], SHARED_PORT: ["booking", "docs"],
+                                 **{port: [service] for port, service in ROUTES.items()}}
+        self.evacuated_at = {}  # by zone
         self.violations, self.outcomes = collections.Counter(), collections.Counter()
         self.violation_texts, self.executions = [], {}
         self.disturbed_until, self.store_disturbed_until = 0.0, 0.0
@@ -141,8 +146,8 @@
         if len(self.violation_texts) < 20:
             self.violation_texts.append(f"{kind}: {what}")
 
-    def service_of(self, host, port):
-        return self.service_by_port.get(port) if host == HOST else None
+    def services_of(self, host, port):
+        return self.services_by_port.get(port, []) if host == HOST else []
 
     def kill_processes(self):
         """Kills the daemons that still run, also after an exception."""
@@ -166,6 +171,13 @@
             self.record_violation("leaving", f"{server.key} got a new flow {draining_s:.1f} s "
                                   f"after it announced draining, limit {DRAIN_LIMIT_S:g} s")
 
+        evacuated_s = (server.zone in self.evacuated_at
+                       and time.monotonic() - self.evacuated_at[server.zone])
+        if (evacuated_s and evacuated_s > DRAIN_LIMIT_S + 0.3
+                and self.undisturbed_for(FLOW_RECOVERY_LIMIT_S)):
+            self.record_violation("evacuated", f"{server.key} got a new flow {evacuated_s:.1f} s "
+                                  f"after its zone was evacuated, limit {DRAIN_LIMIT_S:g} s")
+
     def record_execution(self, request, server):
         self.executions.setdefault(request, []).append(server.key)
         if len(self.executions[request]) > 1:
@@ -213,7 +225,7 @@
         FLOW_RECOVERY_LIMIT_S before, when the flow began or when it ended, or
         one of the store came meanwhile."""
         while time.monotonic() < deadline:
-            port = self.rng.choice(list(ROUTES))
+            port = self.rng.choice([*ROUTES, SHARED_PORT])
             keeps_open = self.rng.random() < 0.2
             began = time.monotonic()
             disturbed_until = self.disturbed_until
@@ -411,11 +423,79 @@
             self.write_config()
         self.extra_changed_at = time.monotonic()
 
+    async def shares(self, rng):
+        """Another service takes the new flows of SHARED_PORT; open flows stay."""
+        if self.plant == "shares":
+            del self.routes[SHARED_PORT]
+            self.write_config()
+        before = self.routes.get(SHARED_PORT, "booking")
+        self.routes[SHARED_PORT] = "docs" if before == "booking" else "booking"
+        self.write_config()
+
+    async def evacuate(self, rng):
+        """A zone is evacuated for some seconds.  An order that is in force is
+        taken back first, so that a zone is left."""
+        zone = rng.choice(["z0", "z1"])
+        for other in list(self.evacuated_at):
+            self.store.write(f"op/evacuate/{other}", None)
+            del self.evacuated_at[other]
+        self.store.write(f"op/evacuate/{'x' if self.plant == 'evacuated' else zone}", b"{}")
+        began = self.evacuated_at[zone] = time.monotonic()
+        await asyncio.sleep(rng.uniform(4.0, 8.0) if not self.plant else 30.0)
+        if self.evacuated_at.get(zone) == began:
+            del self.evacuated_at[zone]
+            self.store.write(f"op/evacuate/{zone}", None)
+
+    async def restore(self, rng):
+        """The store comes back from a copy some seconds old.  Up to 1.5 s
+        later the operator and the servers have written again what it lacks."""
+        if not self.store.copies:
+            return
+        self.store_disturbed_until = max(self.store_disturbed_until, time.monotonic() + 2.0)
+        if self.plant == "restored":
+            # Changes that are lost, so that revisions go far back.
+            for _ in range(200):
+                self.write_config()
+            await asyncio.sleep(1.0)
+        self.store.restore(self.plant != "restored")
+        await asyncio.sleep(rng.uniform(0.2, 0.5))
+        self.write_config()
+        for zone in ("z0", "z1"):
+            order = b"{}" if zone in self.evacuated_at else None
+            self.store.write(f"op/evacuate/{zone}", order)
+        for server in self.servers:
+            await asyncio.sleep(rng.uniform(0.0, 0.1))
+            if server.alive:
+                server.announce("draining" if server.draining_at else "ready")
+        running = {server.key for server in self.servers}
+        for key in list(self.store.items):
+            if key.startswith("servers/") and key not in running:
+                self.store.write(key, None)
+
+    async def dark(self, rng):
+        """All servers of a service end without a word, and start again at
+        their addresses 3 s later, under open flows."""
+        service = rng.choice(["booking", "docs"])
+        self.extend_disturbance(4.0)
+        ended = [s for s in self.servers if s.alive and s.service == service and not s.draining_at]
+        for server in ended:
+            server.alive = False
+            server.transport.close()
+        await asyncio.sleep(3.0)
+        for server in ended:
+            self.store.write(server.key, None)
+            self.servers.remove(server)
+            self.next_id += 1
+            successor = Server(self, self.next_id, service, server.zone, server.address)
+            await successor.start()
+            self.servers.append(successor)
+
     # Course of a run
 
     async def probe_until(self, deadline):
         while time.monotonic() < deadline:
             await asyncio.gather(*(node.probe() for node in self.nodes))
+            self.store.save(COPY_AGE_S)
             await asyncio.sleep(0.3)
 
     def schedule(self, seconds, seed):
@@ -423,12 +503,18 @@
         fault).  The plan depends on the arguments and options alone, not on
         timing, so that a seed repeats it."""
         kinds = ["change", "leave", "roll", "change", "kill", "pause", "store_fault", "forget",
-                 "start_alone", "crash", "lose", "change", "kill_all", "blackout"]
+                 "start_alone", "crash", "lose", "change", "kill_all", "blackout", "shares",
+                 "evacuate", "restore", "dark"]
         if self.plant:
             # One fault, by default a change of the configuration, and then
             # the rest of the run without any, so that the planted fault shows.
-            kind = {"leaving": "leave", "recovery": "kill_all"}.get(self.plant, "change")
+            kind = {"leaving": "leave", "recovery": "kill_all", "evacuated": "evacuate",
+                    "shares": "shares"}.get(self.plant, "change")
             print(f"  0.00 {kind}, planted: {self.plant}")
+            if self.plant == "restored":
+                return [(4.0, "restore", 0.5), (6.0, "change", 0.5), (seconds, "forget", 0.5)]
+            if self.plant == "shares":
+                return [(6.0, "shares", 0.5), (seconds, "forget", 0.5)]
             return [(0.0, kind, 0.5), (seconds, "forget", 0.5)]
         if self.only:
             kinds = [self.only]
