Leaving the data centre: each node decides when it pays, and how much

Cause: a constant (REMOTE_COST) decided, by a node's own flows, idle ones included; it knew neither the way nor the work, the bytes or the room elsewhere.

Change: spill.c compares expected times here and there with the price of the bytes, and gives the part of a service's new flows that leaves, in proportion to the gain, limited by the room elsewhere. Switched on by placement.remote_megabyte_ms; without it nothing changes.

--- a/packages/masticvaned/src/settings.c
+++ b/packages/masticvaned/src/settings.c
@@ -7,6 +7,8 @@
 #define MAX_PACKET_THREADS 64
 #define MAX_FLOW_ENTRIES (1 << 28)
 #define MAX_SECONDS 86400
+#define MAX_PRICE_MS 1000000
+#define NO_PRICE (-1)
 #define MAX_LINES_PER_SECOND 1000000
 #define MAX_BYTES_PER_SECOND 1000000000
 
@@ -235,6 +237,10 @@
         read_seconds(reader, "limits", "stop_seconds", 6 * MV_SECOND);
     settings->flow_retention =
         read_seconds(reader, "limits", "flow_seconds", MV_MINUTE);
+    int64_t price_ms = read_number(reader, "placement", "remote_megabyte_ms",
+                                   0, MAX_PRICE_MS, NO_PRICE);
+    settings->megabyte_price =
+        price_ms == NO_PRICE ? MV_NEVER : price_ms * MV_MILLISECOND;
 }
 
 static void
--- a/packages/masticvaned/src/settings.h
+++ b/packages/masticvaned/src/settings.h
@@ -38,7 +38,8 @@
  * @forwarding: forwarding mode; with MV_FORWARDING_TAGS only @name, @self's
  *              address and control port, @data_centre, the ports for packets,
  *              health, metrics and replicas, @bootstrap_peers, @stop_limit,
- *              @flow_retention, the store and the log are read
+ *              @flow_retention, @megabyte_price, the store and the log are
+ *              read
  * @name: name of this entry VM
  * @path: the file that the settings were read from
  * @health_port: TCP port at which the fabric checks whether this node accepts
@@ -49,6 +50,8 @@
  *                   fetches a replica while the store is unreachable at start
  * @flow_retention: time for which a backend server is kept for its open flows
  *                  after its announcement was withdrawn
+ * @megabyte_price: waiting that a megabyte between data centres is worth,
+ *                  MV_NEVER when not set
  * @line_budget: most log lines a second, 0 for no limit
  * @byte_budget: most log bytes a second, 0 for no limit
  * @flow_sample: log the decisions about one flow in this many, 0 to log only
@@ -81,6 +84,7 @@
     uint16_t replica_port;
     char *bootstrap_peers;
     mv_time_t flow_retention;
+    mv_time_t megabyte_price;
     unsigned line_budget;
     unsigned byte_budget;
     unsigned flow_sample;
--- a/packages/masticvaned/src/tags_packets.c
+++ b/packages/masticvaned/src/tags_packets.c
@@ -432,6 +432,8 @@
     packets->loop = MvLoop_Create(packets->pool, 2);
     packets->forwarder = MvForwarder_Create(&forwarder_ops, packets,
                                             &daemon->counters, g_random_int());
+    MvForwarder_SetMegabytePrice(packets->forwarder,
+                                 daemon->settings->megabyte_price);
     packets->started = packets->loop && open_socket(packets, error) &&
                        MvThread_Start(&packets->thread, run, packets);
     if (!packets->started) {
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -558,6 +558,15 @@
  */
 void MvForwarder_SetLogSampling(mv_forwarder_t *forwarder, unsigned one_in);
 
+/**
+ * MvForwarder_SetMegabytePrice() - Let the forwarder decide how many new flows
+ * leave the own data centre.
+ * @price: waiting that a megabyte between data centres is worth; MV_NEVER, as
+ *         in a new forwarder, to leave it when all servers of the own one have
+ *         a flow of this node for each slot
+ */
+void MvForwarder_SetMegabytePrice(mv_forwarder_t *forwarder, mv_time_t price);
+
 /**
  * MvForwarder_SwapTable() - Use @table from now on.
  * @table: new table, owned by the forwarder
--- a/packages/tags/src/exchanges.c
+++ b/packages/tags/src/exchanges.c
@@ -42,6 +42,15 @@
     return profile;
 }
 
+double
+MvExchange_AnswerBytes(const mv_forwarder_t *forwarder,
+                       const mv_flow_name_t *name)
+{
+    const mv_answer_profile_t *profile = g_hash_table_lookup(
+        forwarder->profiles, MvTable_AddressKey(name->address, name->port));
+    return profile ? profile->length_quartile : 0;
+}
+
 /* Moves @estimate towards the @quantile of all samples. */
 static void
 update_quantile(double *estimate, unsigned *samples, double quantile,
@@ -140,6 +149,19 @@
     }
 }
 
+static void
+note_answer_time(mv_forwarder_t *forwarder, const mv_flow_t *flow,
+                 mv_time_t now, mv_time_t took)
+{
+    int position = MvTable_Server(forwarder->table, flow->tag);
+    if (position < 0) {
+        return;
+    }
+    const mv_table_server_t *server = &forwarder->table->servers[position];
+    MvSpill_NoteAnswer(&MvService_Load(forwarder, server->service)->spill, now,
+                       server->data_centre, took);
+}
+
 static void
 update_answer(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now,
               uint32_t acknowledged)
@@ -162,6 +184,7 @@
             count_outcome(forwarder, flow, now, false);
         }
         exchange->first_byte_after = took;
+        note_answer_time(forwarder, flow, now, took);
         MvFlow_SetPendingService(flow, NULL);
         update_quantile(&profile->time_quartile, &profile->time_samples,
                         1 - QUANTILE, (double)took);
--- a/packages/tags/src/flows.c
+++ b/packages/tags/src/flows.c
@@ -151,6 +151,8 @@
     if (flow->syn_count++ == 0) {
         flow->told_at = now;
         health->warmup.used_at = now;
+        MvCounters_Add(forwarder->counters, MV_COUNTER_FLOWS_REMOTE,
+                       !forwarder->table->servers[position].is_local);
     }
     flow->syn_sent_at = now;
     flow->syn_timeout = MvDataCentreHealth_SynTimeout(health->dc_health);
--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -45,6 +45,7 @@
     forwarder->profiles = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     forwarder->unknown_tags = MvUnknownTags_Create();
     forwarder->due_at = MV_NEVER;
+    forwarder->megabyte_price = MV_NEVER;
     MvList_Init(&forwarder->awaiting_answer);
     MvList_Init(&forwarder->offered);
     MvList_Init(&forwarder->held);
@@ -105,6 +106,12 @@
     forwarder->log_sample = one_in;
 }
 
+void
+MvForwarder_SetMegabytePrice(mv_forwarder_t *forwarder, mv_time_t price)
+{
+    forwarder->megabyte_price = price;
+}
+
 /* Logs a packet that was dropped or refused.  Queued SYNs and late
  * retransmissions are normal and are not logged; a flow whose server did not
  * answer has been logged with its entry. */
@@ -329,7 +336,7 @@
         return store_flow(forwarder, now, route, packet, name, bytes, length,
                           MV_FLOW_QUEUED);
     }
-    int position = MvPlacement_Choose(forwarder, now, service);
+    int position = MvPlacement_Choose(forwarder, now, service, name);
     if (position < 0 && MvService_IsEvacuated(forwarder, service)) {
         return (mv_flow_verdict_t){.kind = MV_FLOW_RESET,
                                    .reason = MV_COUNTER_FLOWS_EVACUATED};
@@ -558,6 +565,24 @@
     return health ? health->outstanding : 0;
 }
 
+/* Services of which a part of the new flows leaves the data centre. */
+static json_t *
+dump_spills(const mv_forwarder_t *forwarder)
+{
+    json_t *spills = json_object();
+    GHashTableIter iter;
+    gpointer name = NULL;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iter, forwarder->services);
+    while (g_hash_table_iter_next(&iter, &name, &value)) {
+        const mv_service_load_t *load = value;
+        if (load->spill.away > 0) {
+            json_object_set_new(spills, name, json_real(load->spill.away));
+        }
+    }
+    return spills;
+}
+
 json_t *
 MvForwarder_Dump(const mv_forwarder_t *forwarder, mv_time_t now)
 {
@@ -577,8 +602,8 @@
                       (json_int_t)health->failures, "silent",
                       (int)MvServerHealth_IsSilent(health, now)));
     }
-    return json_pack("{s:I,s:I,s:o}", "version",
+    return json_pack("{s:I,s:I,s:o,s:o}", "version",
                      (json_int_t)(table ? table->version : 0), "flows",
-                     (json_int_t)MvForwarder_FlowCount(forwarder), "servers",
-                     servers);
+                     (json_int_t)MvForwarder_FlowCount(forwarder), "away",
+                     dump_spills(forwarder), "servers", servers);
 }
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -7,6 +7,8 @@
  * held_syns.c    SYNs that another node may have sent to a server
  * offers.c       flows that nodes tell each other before they have opened
  * placement.c    choice of the server for a new flow
+ * data_centre_choice.c  choice of the data centre before, when leaving the own
+ *                one has a price
  * flow_queue.c   queue of late flows that wait for a free slot
  * health.c       detection of servers and data centres that do not answer
  * exchanges.c    requests and answers in open flows
@@ -20,6 +22,7 @@
 #define MV_TAGS_FORWARDER_PRIVATE_H
 
 #include "ended.h"
+#include "spill.h"
 #include "table.h"
 #include "warmup.h"
 
@@ -294,6 +297,8 @@
  * @random: random numbers for the choice between servers of equal cost and for
  *          load shedding
  * @log_sample: one flow in this many is logged, 0 for rare decisions only
+ * @megabyte_price: waiting that a megabyte between data centres is worth,
+ *                  MV_NEVER when leaving has no price
  * @foreign_flow_at: arrival of the last packet that showed a flow opened
  *                   through another node, or 0
  * @due_at: latest time of the next call of MvForwarder_Timer()
@@ -328,6 +333,7 @@
     mv_counters_t *counters;
     GRand *random;
     unsigned log_sample;
+    mv_time_t megabyte_price;
     mv_time_t foreign_flow_at;
     mv_time_t due_at;
     mv_time_t queueing_since;
@@ -456,13 +462,27 @@
 mv_time_t
 MvDataCentreHealth_SynTimeout(const mv_data_centre_health_t *dc_health);
 
+/** MvExchange_AnswerBytes() - Usual length of an answer to such a flow. */
+double MvExchange_AnswerBytes(const mv_forwarder_t *forwarder,
+                              const mv_flow_name_t *name);
+
+/**
+ * MvDataCentre_Choose() - Choose the data centre whose servers may take a new
+ * flow.
+ *
+ * Return: hash of its name; 0 when the own one, or all others, have no server
+ * that is expected to answer, so that there is no choice.
+ */
+uint32_t MvDataCentre_Choose(mv_forwarder_t *forwarder, mv_time_t now,
+                             unsigned service, const mv_flow_name_t *name);
+
 /**
  * MvPlacement_Choose() - Choose the server for a new flow.
  *
  * Return: position in the table, or -1 when the service has no usable server.
  */
 int MvPlacement_Choose(mv_forwarder_t *forwarder, mv_time_t now,
-                       unsigned service);
+                       unsigned service, const mv_flow_name_t *name);
 
 /** MvFlowName_Hash() - Hash of a &struct mv_flow_name, for GHashTable. */
 guint MvFlowName_Hash(gconstpointer key);
@@ -591,6 +611,8 @@
  * @pending_flows: flows that wait for the server or for an answer
  * @unanswered_flows: flows whose SYN was not answered in time, since a server
  *                    last answered anything
+ * @spill: how much of its new flows leaves the own data centre
+ * @is_spilling: that has been logged
  * @link: in the list of loads with queued flows, during MvFlowQueue_Run()
  * @candidate: its queued flow that goes first in the current pass of
  *             MvFlowQueue_Run() over the queue
@@ -603,6 +625,8 @@
     mv_admission_t admission;
     unsigned pending_flows;
     unsigned unanswered_flows;
+    mv_spill_t spill;
+    bool is_spilling;
     mv_list_t link;
     mv_flow_t *candidate;
     bool must_wait;
--- a/packages/tags/src/placement.c
+++ b/packages/tags/src/placement.c
@@ -97,8 +97,11 @@
            MvWarmup_MayTake(&health->warmup, now, service->warmup_share);
 }
 
-int
-MvPlacement_Choose(mv_forwarder_t *forwarder, mv_time_t now, unsigned service)
+/* Return: position of the best server of @data_centre, or of all when it is 0;
+ * -1 for none. */
+static choice_t
+choose_server(mv_forwarder_t *forwarder, mv_time_t now, unsigned service,
+              uint32_t data_centre)
 {
     const mv_table_service_t *entry = &forwarder->table->services[service];
     candidates_t count = count_candidates(forwarder, entry, now);
@@ -114,7 +117,8 @@
                           now - health->last_contact_at < RECENT_CONTACT;
         bool is_usable = server->usable_until == MV_NEVER ||
                          (is_running && now < server->usable_until);
-        if (!is_usable || health->outstanding >= entry->flow_limit) {
+        if (!is_usable || health->outstanding >= entry->flow_limit ||
+            (data_centre > 0 && server->data_centre != data_centre)) {
             continue;
         }
         if (!bears_flow(entry, server, health, now)) {
@@ -127,5 +131,20 @@
     }
     MvCounters_Add(forwarder->counters, MV_COUNTER_WARMUP_LIMITED,
                    has_left_out);
+    return best;
+}
+
+int
+MvPlacement_Choose(mv_forwarder_t *forwarder, mv_time_t now, unsigned service,
+                   const mv_flow_name_t *name)
+{
+    uint32_t data_centre =
+        forwarder->megabyte_price == MV_NEVER
+            ? 0
+            : MvDataCentre_Choose(forwarder, now, service, name);
+    choice_t best = choose_server(forwarder, now, service, data_centre);
+    if (data_centre > 0 && (best.position < 0 || best.is_avoided)) {
+        best = choose_server(forwarder, now, service, 0);
+    }
     return best.position;
 }
--- a/packages/tags/src/syn_retries.c
+++ b/packages/tags/src/syn_retries.c
@@ -118,7 +118,7 @@
         return false;
     }
     unsigned service = MvFlow_ChooseService(route, &flow->name);
-    int position = MvPlacement_Choose(forwarder, now, service);
+    int position = MvPlacement_Choose(forwarder, now, service, &flow->name);
     if (position < 0 && MvService_IsEvacuated(forwarder, service)) {
         refuse_stored(forwarder, flow, now, MV_COUNTER_FLOWS_EVACUATED);
         return true;
@@ -141,7 +141,7 @@
 has_alternative(mv_forwarder_t *forwarder, const mv_flow_t *flow,
                 mv_time_t now, unsigned service, bool must_answer)
 {
-    int position = MvPlacement_Choose(forwarder, now, service);
+    int position = MvPlacement_Choose(forwarder, now, service, &flow->name);
     if (position < 0) {
         return false;
     }
@@ -176,9 +176,10 @@
                  unsigned service)
 {
     int position = MvTable_Server(forwarder->table, flow->tag);
-    int successor = needs_successor(forwarder, flow)
-                        ? MvPlacement_Choose(forwarder, now, service)
-                        : -1;
+    int successor =
+        needs_successor(forwarder, flow)
+            ? MvPlacement_Choose(forwarder, now, service, &flow->name)
+            : -1;
     if (successor >= 0) {
         forget_offer(flow);
         return send_again(forwarder, flow, now, (unsigned)successor);
