--- a/packages/tags/src/exchanges.c
+++ b/packages/tags/src/exchanges.c
@@ -96,6 +96,19 @@
                           exchange->requested_at, answered);
 }
 
+static void
+note_answer_time(mv_forwarder_t *forwarder, const mv_flow_t *flow,
+                 mv_time_t now, mv_time_t took)
+{
+    int position = MvTable_Server(forwarder->table, flow->tag);
+    if (position < 0) {
+        return;
+    }
+    const mv_table_server_t *server = &forwarder->table->servers[position];
+    MvSpill_NoteAnswer(&MvService_Load(forwarder, server->service)->spill, now,
+                       server->data_centre, took);
+}
+
 static void
 note_delay(mv_forwarder_t *forwarder, const mv_flow_t *flow, mv_time_t now,
            bool answered)
@@ -116,6 +129,10 @@
         forwarder, forwarder->table->servers[position].service, now,
         health->dc_health->smoothed + flow->exchange.first_byte_after,
         route->route.target_latency, answered);
+    /* A full server refuses soon: that is no fast answer. */
+    if (!answered && route->route.target_latency > 0) {
+        note_answer_time(forwarder, flow, now, route->route.target_latency);
+    }
 }
 
 static mv_server_signs_t *
@@ -149,19 +166,6 @@
     }
 }
 
-static void
-note_answer_time(mv_forwarder_t *forwarder, const mv_flow_t *flow,
-                 mv_time_t now, mv_time_t took)
-{
-    int position = MvTable_Server(forwarder->table, flow->tag);
-    if (position < 0) {
-        return;
-    }
-    const mv_table_server_t *server = &forwarder->table->servers[position];
-    MvSpill_NoteAnswer(&MvService_Load(forwarder, server->service)->spill, now,
-                       server->data_centre, took);
-}
-
 static void
 update_answer(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now,
               uint32_t acknowledged)
