Names: liveness, candidates, stale lines

ended.c's evidence is called liveness, as the field does; data_centre_choice.c's data centres are candidates; route_history.c's lines that are of no use are stale. No statement changed.

--- a/packages/tags/src/data_centre_choice.c
+++ b/packages/tags/src/data_centre_choice.c
@@ -8,47 +8,48 @@
 #define LOGGED_AWAY 0.05
 
 /**
- * struct site - A data centre with servers that may take a flow.
+ * struct candidate - A data centre with servers that may take a flow.
  * @data_centre: hash of its name
  * @is_home: it is the own one
  * @slots: slots of these servers
  * @cost: expected time until the answer, with the price of travel and bytes
  */
-typedef struct site {
+typedef struct candidate {
     uint32_t data_centre;
     bool is_home;
     unsigned slots;
     mv_time_t cost;
-} site_t;
+} candidate_t;
 
-typedef struct sites {
+typedef struct candidates {
     unsigned count;
-    site_t all[MV_SPILL_DATA_CENTRES];
-} sites_t;
+    candidate_t all[MV_SPILL_DATA_CENTRES];
+} candidates_t;
 
-static site_t *
-find_or_add(sites_t *sites, const mv_table_server_t *server)
+static candidate_t *
+find_or_add(candidates_t *candidates, const mv_table_server_t *server)
 {
-    for (unsigned i = 0; i < sites->count; i++) {
-        if (sites->all[i].data_centre == server->data_centre) {
-            return &sites->all[i];
+    for (unsigned i = 0; i < candidates->count; i++) {
+        if (candidates->all[i].data_centre == server->data_centre) {
+            return &candidates->all[i];
         }
     }
-    if (sites->count == MV_SPILL_DATA_CENTRES) {
+    if (candidates->count == MV_SPILL_DATA_CENTRES) {
         return NULL;
     }
-    site_t *site = &sites->all[sites->count++];
-    *site = (site_t){.data_centre = server->data_centre,
-                     .is_home = server->is_local};
-    return site;
+    candidate_t *candidate = &candidates->all[candidates->count++];
+    *candidate = (candidate_t){.data_centre = server->data_centre,
+                               .is_home = server->is_local};
+    return candidate;
 }
 
-static sites_t
-list_sites(const mv_forwarder_t *forwarder, unsigned service, mv_time_t now)
+static candidates_t
+list_candidates(const mv_forwarder_t *forwarder, unsigned service,
+                mv_time_t now)
 {
     const mv_table_t *table = forwarder->table;
     const mv_table_service_t *entry = &table->services[service];
-    sites_t sites = {.count = 0};
+    candidates_t candidates = {.count = 0};
     for (unsigned i = 0; i < entry->count; i++) {
         const mv_table_server_t *server = &table->servers[entry->servers[i]];
         const mv_server_health_t *health =
@@ -57,12 +58,12 @@
             MvServerHealth_IsAvoided(health, now)) {
             continue;
         }
-        site_t *site = find_or_add(&sites, server);
-        if (site) {
-            site->slots += server->server.slots;
+        candidate_t *candidate = find_or_add(&candidates, server);
+        if (candidate) {
+            candidate->slots += server->server.slots;
         }
     }
-    return sites;
+    return candidates;
 }
 
 /* Time from a SYN to the caller's next packet, 0 when none has been seen. */
@@ -76,34 +77,35 @@
 
 static mv_time_t
 cost_of(const mv_forwarder_t *forwarder, const mv_spill_t *spill,
-        const site_t *site, mv_time_t now, const mv_flow_name_t *name)
+        const candidate_t *candidate, mv_time_t now,
+        const mv_flow_name_t *name)
 {
-    mv_time_t cost = MvSpill_AnswerTime(spill, now, site->data_centre) +
-                     handshake_time(forwarder, site->data_centre);
-    if (site->is_home) {
+    mv_time_t cost = MvSpill_AnswerTime(spill, now, candidate->data_centre) +
+                     handshake_time(forwarder, candidate->data_centre);
+    if (candidate->is_home) {
         return cost;
     }
     double megabytes = MvExchange_AnswerBytes(forwarder, name) / MEGABYTE;
     return cost + (mv_time_t)(megabytes * (double)forwarder->megabyte_price);
 }
 
-/* Return: a remote site, the cheaper ones and those with more slots more
+/* Return: a remote candidate, the cheaper ones and those with more slots more
  * often, so that nodes do not all choose the same one. */
-static const site_t *
-draw_remote(const mv_forwarder_t *forwarder, const sites_t *sites)
+static const candidate_t *
+draw_remote(const mv_forwarder_t *forwarder, const candidates_t *candidates)
 {
     double weights[MV_SPILL_DATA_CENTRES] = {0};
     double all = 0;
-    for (unsigned i = 0; i < sites->count; i++) {
-        const site_t *site = &sites->all[i];
-        double cost = (double)MAX(site->cost, 1);
-        weights[i] = site->is_home ? 0 : site->slots / (cost * cost);
+    for (unsigned i = 0; i < candidates->count; i++) {
+        const candidate_t *candidate = &candidates->all[i];
+        double cost = (double)MAX(candidate->cost, 1);
+        weights[i] = candidate->is_home ? 0 : candidate->slots / (cost * cost);
         all += weights[i];
     }
     double point = g_rand_double(forwarder->random) * all;
-    const site_t *chosen = NULL;
-    for (unsigned i = 0; i < sites->count && point >= 0; i++) {
-        chosen = weights[i] > 0 ? &sites->all[i] : chosen;
+    const candidate_t *chosen = NULL;
+    for (unsigned i = 0; i < candidates->count && point >= 0; i++) {
+        chosen = weights[i] > 0 ? &candidates->all[i] : chosen;
         point -= weights[i];
     }
     return chosen;
@@ -131,17 +133,18 @@
     const mv_table_route_t *route =
         MvTable_Route(forwarder->table, name->address, name->port);
     mv_service_load_t *load = MvService_Load(forwarder, service);
-    sites_t sites = list_sites(forwarder, service, now);
-    const site_t *home = NULL;
-    const site_t *best = NULL;
-    for (unsigned i = 0; i < sites.count; i++) {
-        site_t *site = &sites.all[i];
-        site->cost = cost_of(forwarder, &load->spill, site, now, name);
-        if (site->is_home) {
-            home = site;
+    candidates_t candidates = list_candidates(forwarder, service, now);
+    const candidate_t *home = NULL;
+    const candidate_t *best = NULL;
+    for (unsigned i = 0; i < candidates.count; i++) {
+        candidate_t *candidate = &candidates.all[i];
+        candidate->cost =
+            cost_of(forwarder, &load->spill, candidate, now, name);
+        if (candidate->is_home) {
+            home = candidate;
         }
-        else if (!best || site->cost < best->cost) {
-            best = site;
+        else if (!best || candidate->cost < best->cost) {
+            best = candidate;
         }
     }
     if (!home || !best) {
@@ -156,8 +159,8 @@
     };
     double away = MvSpill_Update(&load->spill, now, &prospects);
     log_change(forwarder, load);
-    const site_t *chosen = g_rand_double(forwarder->random) < away
-                               ? draw_remote(forwarder, &sites)
-                               : home;
+    const candidate_t *chosen = g_rand_double(forwarder->random) < away
+                                    ? draw_remote(forwarder, &candidates)
+                                    : home;
     return chosen->data_centre;
 }
--- a/packages/tags/src/ended.c
+++ b/packages/tags/src/ended.c
@@ -24,37 +24,36 @@
 #define UNKNOWN_TAG_LIFETIME (20 * MV_SECOND)
 
 void
-MvServerSigns_NoteLife(mv_server_signs_t *signs, mv_time_t now)
+MvLiveness_NoteAnswer(mv_liveness_t *liveness, mv_time_t now)
 {
-    *signs = (mv_server_signs_t){.life_at = now};
+    *liveness = (mv_liveness_t){.answered_at = now};
 }
 
 void
-MvServerSigns_NoteRequest(mv_server_signs_t *signs, mv_time_t now,
-                          bool is_repeat)
+MvLiveness_NoteRequest(mv_liveness_t *liveness, mv_time_t now, bool is_repeat)
 {
-    signs->repeats += is_repeat;
-    if (signs->unanswered_since == 0) {
-        signs->unanswered_since = now;
+    liveness->repeats += is_repeat;
+    if (liveness->unanswered_since == 0) {
+        liveness->unanswered_since = now;
     }
 }
 
 bool
-MvServerSigns_HasEnded(const mv_server_signs_t *signs, mv_time_t now,
-                       mv_time_t ended_at, bool is_replaced)
+MvLiveness_HasEnded(const mv_liveness_t *liveness, mv_time_t now,
+                    mv_time_t ended_at, bool is_replaced)
 {
     if (now < ended_at) {
         return false;
     }
     if (is_replaced) {
         return now - ended_at >= CONFIRMATION_TIME &&
-               signs->life_at < ended_at + TRAVEL_TIME &&
-               (signs->life_at < ended_at ||
-                now - signs->life_at >= LIFE_TIME);
+               liveness->answered_at < ended_at + TRAVEL_TIME &&
+               (liveness->answered_at < ended_at ||
+                now - liveness->answered_at >= LIFE_TIME);
     }
-    return signs->unanswered_since > 0 &&
-           now - signs->unanswered_since >= SILENCE_TIME &&
-           signs->repeats >= MIN_REPEATS;
+    return liveness->unanswered_since > 0 &&
+           now - liveness->unanswered_since >= SILENCE_TIME &&
+           liveness->repeats >= MIN_REPEATS;
 }
 
 /* Unknown tags */
--- a/packages/tags/src/ended.h
+++ b/packages/tags/src/ended.h
@@ -17,37 +17,37 @@
 #include "masticvane/tags.h"
 
 /**
- * struct mv_server_signs - What the callers' packets show of one server.
- * @life_at: time at which a caller last showed that it had received something
- *           new from the server, 0 for never
+ * struct mv_liveness - What the callers' packets show of one server.
+ * @answered_at: time at which a caller last showed that it had received
+ *               something new from the server, 0 for never
  * @unanswered_since: arrival of the oldest request since then, 0 when there is
  *                    none
  * @repeats: number of requests that callers have sent again since then, each
  *           one a time-out of theirs without an acknowledgement
  */
-typedef struct mv_server_signs {
-    mv_time_t life_at;
+typedef struct mv_liveness {
+    mv_time_t answered_at;
     mv_time_t unanswered_since;
     unsigned repeats;
-} mv_server_signs_t;
+} mv_liveness_t;
 
-/** MvServerSigns_NoteLife() - A caller received something from the server. */
-void MvServerSigns_NoteLife(mv_server_signs_t *signs, mv_time_t now);
+/** MvLiveness_NoteAnswer() - A caller received something from the server. */
+void MvLiveness_NoteAnswer(mv_liveness_t *liveness, mv_time_t now);
 
 /**
- * MvServerSigns_NoteRequest() - A packet with data goes to the server.
+ * MvLiveness_NoteRequest() - A packet with data goes to the server.
  * @is_repeat: the caller has sent it before
  */
-void MvServerSigns_NoteRequest(mv_server_signs_t *signs, mv_time_t now,
-                               bool is_repeat);
+void MvLiveness_NoteRequest(mv_liveness_t *liveness, mv_time_t now,
+                            bool is_repeat);
 
 /**
- * MvServerSigns_HasEnded() - Whether a server has ended.
+ * MvLiveness_HasEnded() - Whether a server has ended.
  * @ended_at: time from which the store shows that it has, or MV_NEVER
  * @is_replaced: it does so since a later incarnation has the server's address
  */
-bool MvServerSigns_HasEnded(const mv_server_signs_t *signs, mv_time_t now,
-                            mv_time_t ended_at, bool is_replaced);
+bool MvLiveness_HasEnded(const mv_liveness_t *liveness, mv_time_t now,
+                         mv_time_t ended_at, bool is_replaced);
 
 /** typedef mv_unknown_tags_t - Tags of packets that name no known server. */
 typedef struct mv_unknown_tags mv_unknown_tags_t;
--- a/packages/tags/src/ended_flows.c
+++ b/packages/tags/src/ended_flows.c
@@ -14,9 +14,9 @@
                   mv_time_t now)
 {
     const mv_table_server_t *server = &forwarder->table->servers[position];
-    return MvServerSigns_HasEnded(
-        &forwarder->health_by_position[position]->signs, now, server->ended_at,
-        server->is_replaced);
+    return MvLiveness_HasEnded(
+        &forwarder->health_by_position[position]->liveness, now,
+        server->ended_at, server->is_replaced);
 }
 
 mv_flow_verdict_t
--- a/packages/tags/src/exchanges.c
+++ b/packages/tags/src/exchanges.c
@@ -122,7 +122,7 @@
     const mv_server_health_t *health = forwarder->health_by_position[position];
     /* A server without any sign of life is not overloaded but silent. */
     if (flow->exchange.answer_bytes == 0 &&
-        health->signs.life_at < flow->exchange.requested_at) {
+        health->liveness.answered_at < flow->exchange.requested_at) {
         return;
     }
     MvAdmission_NoteAnswer(
@@ -135,12 +135,12 @@
     }
 }
 
-static mv_server_signs_t *
-signs_of(const mv_forwarder_t *forwarder, const mv_flow_t *flow)
+static mv_liveness_t *
+liveness_of(const mv_forwarder_t *forwarder, const mv_flow_t *flow)
 {
     int position = MvTable_Server(forwarder->table, flow->tag);
     return position < 0 ? NULL
-                        : &forwarder->health_by_position[position]->signs;
+                        : &forwarder->health_by_position[position]->liveness;
 }
 
 /* The service of an open flow whose server is known. */
@@ -157,12 +157,12 @@
 note_request(const mv_forwarder_t *forwarder, const mv_flow_t *flow,
              mv_time_t now)
 {
-    mv_server_signs_t *signs = signs_of(forwarder, flow);
+    mv_liveness_t *liveness = liveness_of(forwarder, flow);
     const mv_exchange_t *exchange = &flow->exchange;
     bool is_repeat = exchange->answer_bytes == 0 &&
                      now - exchange->requested_at >= MIN_REPEAT_TIME;
-    if (signs) {
-        MvServerSigns_NoteRequest(signs, now, is_repeat);
+    if (liveness) {
+        MvLiveness_NoteRequest(liveness, now, is_repeat);
     }
 }
 
@@ -176,9 +176,9 @@
         length <= (int32_t)exchange->answer_bytes) {
         return;
     }
-    mv_server_signs_t *signs = signs_of(forwarder, flow);
-    if (signs) {
-        MvServerSigns_NoteLife(signs, now);
+    mv_liveness_t *liveness = liveness_of(forwarder, flow);
+    if (liveness) {
+        MvLiveness_NoteAnswer(liveness, now);
         MvService_NoteAnswer(forwarder, service_of(forwarder, flow));
     }
     if (exchange->answer_bytes == 0 && length > END_BYTES) {
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -15,7 +15,7 @@
  * admission.c    refusal of new flows under overload
  * failing.c      outlier detection: servers that fail requests which the
  *                other servers of their service answer
- * ended.c        signs that a server has ended
+ * ended.c        evidence that a server has ended
  * ended_flows.c  reset of the open flows of such servers
  */
 #ifndef MV_TAGS_FORWARDER_PRIVATE_H
@@ -91,7 +91,7 @@
  * @trial_until: deadline of the trial flow that is sent after a back-off;
  *               until then no other flow is sent
  * @back_off: length of the next back-off after missing answers
- * @signs: what callers' packets show of its life
+ * @liveness: what callers' packets show of it
  * @has_ended: it has ended, at the last check of ended_flows.c
  * @warmup: schedule of new flows while it warms up
  * @history: outcomes of its requests, as seen by this node
@@ -116,7 +116,7 @@
     mv_time_t silent_until;
     mv_time_t trial_until;
     mv_time_t back_off;
-    mv_server_signs_t signs;
+    mv_liveness_t liveness;
     bool has_ended;
     mv_warmup_t warmup;
     mv_outcome_history_t history;
--- a/packages/tags/src/health.c
+++ b/packages/tags/src/health.c
@@ -122,7 +122,7 @@
         forwarder->ops->event(forwarder->context, MV_EVENT_DATA_CENTRE_ANSWERS,
                               health->server, dc_health->data_centre);
     }
-    MvServerSigns_NoteLife(&health->signs, now);
+    MvLiveness_NoteAnswer(&health->liveness, now);
     health->last_contact_at = now;
     health->failures = 0;
     health->silent_until = 0;
--- a/packages/tags/src/placement.c
+++ b/packages/tags/src/placement.c
@@ -97,8 +97,8 @@
            MvWarmup_MayTake(&health->warmup, now, service->warmup_share);
 }
 
-/* Return: the best server of @data_centre, or of all when it is 0; its position
- * is -1 when there is none. */
+/* Return: the best server of @data_centre, or of all when it is 0; position -1
+ * when there is none. */
 static choice_t
 choose_server(mv_forwarder_t *forwarder, mv_time_t now, unsigned service,
               uint32_t data_centre)
--- a/packages/tags/src/route_history.c
+++ b/packages/tags/src/route_history.c
@@ -39,14 +39,14 @@
  * @all: all of them
  * @count: length of @all
  * @by_route: GPtrArray of former_service_t by address and port
- * @has_useless_lines: the record has lines that are not in @all
+ * @has_stale_lines: the record has lines that are not in @all
  */
 struct mv_route_history {
     mv_time_t retention;
     mv_list_t all;
     unsigned count;
     GHashTable *by_route;
-    bool has_useless_lines;
+    bool has_stale_lines;
 };
 
 mv_route_history_t *
@@ -86,7 +86,7 @@
 {
     gpointer key = MvTable_AddressKey(former->address, former->port);
     GPtrArray *services = g_hash_table_lookup(history->by_route, key);
-    history->has_useless_lines |= former->is_recorded;
+    history->has_stale_lines |= former->is_recorded;
     g_ptr_array_remove(services, former);
     if (services->len == 0) {
         g_hash_table_remove(history->by_route, key);
@@ -282,7 +282,7 @@
         return false;
     }
     if (is_void(routing, address, port, service, version)) {
-        history->has_useless_lines = true;
+        history->has_stale_lines = true;
         return true;
     }
     former_service_t *former =
@@ -338,7 +338,7 @@
     {
         MV_CONTAINER_OF(item, former_service_t, link)->is_recorded = false;
     }
-    history->has_useless_lines = false;
+    history->has_stale_lines = false;
     for (char **line = lines; *line; line++) {
         are_valid = (!**line || merge_line(history, now, &indexed, *line)) &&
                     are_valid;
@@ -373,7 +373,7 @@
             return MV_HISTORY_UNRECORDED;
         }
     }
-    return history->has_useless_lines && history->count == 0
+    return history->has_stale_lines && history->count == 0
                ? MV_HISTORY_OUTDATED
                : MV_HISTORY_RECORDED;
 }
--- a/packages/tags/test/ended_test.cc
+++ b/packages/tags/test/ended_test.cc
@@ -114,7 +114,7 @@
     const mv_time_t ms = MV_MILLISECOND;
     struct {
         const char *what;
-        mv_server_signs_t signs;
+        mv_liveness_t liveness;
         mv_time_t ended_at;
         bool is_replaced;
         bool has_ended;
@@ -170,7 +170,7 @@
     };
     for (const auto &c : cases) {
         EXPECT_EQ(
-            MvServerSigns_HasEnded(&c.signs, now, c.ended_at, c.is_replaced),
+            MvLiveness_HasEnded(&c.liveness, now, c.ended_at, c.is_replaced),
             c.has_ended)
             << c.what;
     }
