--- a/review/standins-2/sim.py
+++ b/review/standins-2/sim.py
@@ -84,7 +84,7 @@
 
 class Store:
     """The platform's store.  fault is None, "silent", "busy" or "reset"; fault_of
-    has one for the calls from an address."""
+    has one for the calls of a node."""
 
     LATENCY_S = 0.004
     PAGE_ITEMS = 500
@@ -94,6 +94,7 @@
         self.items, self.history, self.leases = {}, [], {}
         self.revision, self.compacted = 1, 0
         self.fault, self.fault_of, self.era = None, {}, None
+        self.watched_by = {}   # node -> time of its last watch that was answered
         self.changed = asyncio.Event()
         self.next_lease = 77000
         self.connections = set()
@@ -119,14 +120,14 @@
 
     async def client(self, reader, writer):
         self.connections.add(writer)
-        peer = writer.get_extra_info("peername")[0]
+        node = self.world.owner_of(writer.get_extra_info("peername")[1])
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 method, target, _ = head.split("\r\n")[0].split(" ")
                 found = re.search(r"content-length: *(\d+)", head.lower())
                 body = await reader.readexactly(int(found.group(1))) if found else b""
-                fault = self.fault or self.fault_of.get(peer)
+                fault = self.fault or self.fault_of.get(node)
                 if fault == "silent":
                     await asyncio.sleep(3600)
                 if fault == "reset":
@@ -137,7 +138,7 @@
                 fields = dict(part.split("=", 1) for part in query.split("&") if part)
                 status, answer = ((503, {}) if fault == "busy" else await self.answer(
                     method, path, fields, json.loads(body or b"{}")))
-                fault = self.fault or self.fault_of.get(peer)
+                fault = self.fault or self.fault_of.get(node)
                 if fault == "silent":
                     await asyncio.sleep(3600)
                 text = json.dumps(answer).encode()
@@ -145,6 +146,8 @@
                 writer.write(f"HTTP/1.1 {status} X\r\n{era}Content-Type: application/json\r\n"
                              f"Content-Length: {len(text)}\r\n\r\n".encode() + text)
                 await writer.drain()
+                if path == "/v1/kv-watch":
+                    self.watched_by[node] = time.monotonic()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError, OSError):
             pass
         finally:
@@ -358,6 +361,8 @@
 
     def send(self, packet):
         node = self.world.node_for(self.zone, packet)
+        if packet.flags & SYN:
+            self.world.syn_nodes[(packet.src, packet.sport, packet.dst, packet.dport)].add(node)
         if node:
             self.transport.sendto(packet.pack(), (node.ip, PACKETS_PORT))
         return node
@@ -547,6 +552,7 @@
                 self.nodes.append(Node(self, i + 1, zone, f"127.{self.net}.{z + 1}.{i + 10}"))
         self.violations, self.tasks, self.outcomes = [], set(), collections.Counter()
         self.request_count, self.version, self.next_endpoint = 0, 0, 0x7f3a9100
+        self.syn_nodes = collections.defaultdict(set)  # flow -> nodes that took its SYNs
         self.flow_endpoint, self.runs, self.hooks = {}, collections.Counter(), {}
         self.serves = {}   # port -> services that any configuration allowed
 
@@ -618,6 +624,23 @@
         flow = f"{packet.src}|{packet.sport}|{packet.dst}|{packet.dport}".encode()
         return ready[zlib.crc32(flow) % len(ready)]
 
+    def owner_of(self, port):
+        """The node whose process has the local TCP port: all nodes call the
+        store from one loopback address."""
+        with open("/proc/net/tcp") as table:
+            rows = [line.split() for line in table.readlines()[1:]]
+        inodes = {f"socket:[{row[9]}]" for row in rows
+                  if int(row[1].split(":")[1], 16) == port
+                  and int(row[2].split(":")[1], 16) == STORE_PORT}
+        for node in self.nodes:
+            folder = f"/proc/{node.process.pid}/fd" if node.process else ""
+            try:
+                if any(os.readlink(f"{folder}/{fd}") in inodes for fd in os.listdir(folder)):
+                    return node
+            except OSError:
+                pass
+        return None
+
     async def probe(self):
         while True:
             await asyncio.gather(*(n.probe() for n in self.nodes), asyncio.sleep(0.5))
