--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,4 @@
 #!/bin/bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-exec python3 review/9/play.py
+PYTHONDONTWRITEBYTECODE=1 exec python3 review/9/play.py
