--- a/packages/masticvaned/src/tags_status.c
+++ b/packages/masticvaned/src/tags_status.c
@@ -45,6 +45,10 @@
     MvCounters_ExposeGauge(
         body, "servers_usable", "announced backend servers that do not leave",
         (double)MvDirectory_UsableServers(control->directory));
+    MvCounters_ExposeGauge(
+        body, "servers_unnamed",
+        "announced backend servers whose service no configuration names",
+        (double)MvDirectory_UnnamedServers(control->directory));
     MvCounters_ExposeGauge(
         body, "data_centres_evacuated",
         "data centres whose backend servers get no new flows by order",
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -179,6 +179,9 @@
  * A server under the same key with another @id, @started_at or @service is
  * another incarnation; the previous one gets no new flows.
  *
+ * An announcement counts as soon as a configuration names its service, in a
+ * route or a limit.  Until then nothing follows from it for other servers.
+ *
  * Return: &mv_log_event_t to log, or 0 when nothing has to be logged.
  */
 int MvDirectory_Announce(mv_directory_t *directory, mv_time_t now,
@@ -298,9 +301,17 @@
 /**
  * MvDirectory_UsableServers() - Number of announced servers that do not leave,
  * those of evacuated data centres included.
+ *
+ * Counts servers whose service the configuration named at the last snapshot.
  */
 size_t MvDirectory_UsableServers(const mv_directory_t *directory);
 
+/**
+ * MvDirectory_UnnamedServers() - Number of announcements whose service no
+ * configuration named at the last snapshot; they are not used.
+ */
+size_t MvDirectory_UnnamedServers(const mv_directory_t *directory);
+
 /**
  * MvDirectory_Table() - Make a snapshot.
  *
--- a/packages/tags/src/directory.c
+++ b/packages/tags/src/directory.c
@@ -169,11 +169,6 @@
     if (incarnation) {
         /* A new incarnation under the same key has replaced the old one. */
         incarnation->server.state = MV_SERVER_DRAINING;
-        if (server->id == incarnation->server.id &&
-            server->started_at > incarnation->server.started_at &&
-            incarnation->server.started_at > 0) {
-            incarnation->replaced_at = now;
-        }
         withdraw(incarnation, now);
     }
     incarnation = find_incarnation(directory, key, server);
@@ -349,12 +344,25 @@
     {
         const mv_incarnation_t *incarnation =
             MV_CONTAINER_OF(item, mv_incarnation_t, link);
-        count += incarnation->is_announced &&
+        count += incarnation->is_announced && incarnation->is_named &&
                  incarnation->server.state == MV_SERVER_READY;
     }
     return count;
 }
 
+size_t
+MvDirectory_UnnamedServers(const mv_directory_t *directory)
+{
+    size_t count = 0;
+    MV_LIST_FOREACH(item, &directory->incarnations)
+    {
+        const mv_incarnation_t *incarnation =
+            MV_CONTAINER_OF(item, mv_incarnation_t, link);
+        count += incarnation->is_announced && !incarnation->is_named;
+    }
+    return count;
+}
+
 void
 MvDirectory_DropExpired(mv_directory_t *directory, mv_time_t now)
 {
--- a/packages/tags/src/directory_private.h
+++ b/packages/tags/src/directory_private.h
@@ -14,6 +14,13 @@
  * struct mv_incarnation - One incarnation of a server, as announced under one
  * key.
  *
+ * Invariant: an entry whose service no configuration names is no server.  It
+ * is in no snapshot, and nothing follows from it for any other incarnation.
+ *
+ * Invariant: an incarnation counts as replaced from the moment when the store
+ * shows a later one at its address or under its key, until it shows this one
+ * without a later one: a server that lives announces itself again.
+ *
  * Another writer may announce the same id under a second key: that is another
  * incarnation with the same tag, which the first one keeps (index_tag() of
  * snapshot.c).
@@ -22,10 +29,11 @@
  * @server: the announcement
  * @tag: the server's tag
  * @is_announced: the announcement exists
+ * @is_named: the configuration names its service, or a route did so within the
+ *            retention period; as of the last snapshot
  * @withdrawn_at: time at which it was withdrawn, later by the store's outages
  *                since then
- * @replaced_at: time at which a later incarnation was first seen at its
- *               address, 0 for never
+ * @replaced_at: time since which it counts as replaced, 0 when it does not
  * @drains_until: until then it counts as draining, though an older state of it
  *                came back with a restored store
  * @warmup_until: end of its warm-up
@@ -36,6 +44,7 @@
     mv_server_t server;
     uint32_t tag;
     bool is_announced;
+    bool is_named;
     mv_time_t withdrawn_at;
     mv_time_t replaced_at;
     mv_time_t drains_until;
--- a/packages/tags/src/ended_flows.c
+++ b/packages/tags/src/ended_flows.c
@@ -36,6 +36,11 @@
 MvFlow_HandleUnknownTag(mv_forwarder_t *forwarder, mv_time_t now, uint32_t tag)
 {
     mv_flow_verdict_t verdict = {.reason = MV_COUNTER_PACKETS_UNKNOWN_TAG};
+    if (g_hash_table_contains(forwarder->table->unnamed_tags,
+                              GUINT_TO_POINTER(tag))) {
+        verdict.reason = MV_COUNTER_PACKETS_FOREIGN_TAG;
+        return verdict;
+    }
     if (tag > 0 && MvUnknownTags_HasEnded(forwarder->unknown_tags, now, tag,
                                           forwarder->table->in_touch_since)) {
         verdict.kind = MV_FLOW_RESET;
--- a/packages/tags/src/route_history.c
+++ b/packages/tags/src/route_history.c
@@ -410,3 +410,15 @@
     }
     return count;
 }
+
+void
+MvRouteHistory_AddServices(const mv_route_history_t *history,
+                           GHashTable *names)
+{
+    MV_LIST_FOREACH(item, &history->all)
+    {
+        former_service_t *former =
+            MV_CONTAINER_OF(item, former_service_t, link);
+        g_hash_table_add(names, former->service);
+    }
+}
--- a/packages/tags/src/route_history.h
+++ b/packages/tags/src/route_history.h
@@ -84,4 +84,11 @@
                                  uint32_t address, uint16_t port,
                                  const char *services[MV_FORMER_SERVICES]);
 
+/**
+ * MvRouteHistory_AddServices() - Former services of all routes.
+ * @names: set to which their names are added; the names are owned by @history
+ */
+void MvRouteHistory_AddServices(const mv_route_history_t *history,
+                                GHashTable *names);
+
 #endif
--- a/packages/tags/src/table.c
+++ b/packages/tags/src/table.c
@@ -70,6 +70,7 @@
     }
     g_hash_table_unref(table->by_address);
     g_hash_table_unref(table->by_tag);
+    g_hash_table_unref(table->unnamed_tags);
     g_free(table->servers);
     g_free(table->services);
     g_free(table->routes);
--- a/packages/tags/src/table.h
+++ b/packages/tags/src/table.h
@@ -89,7 +89,7 @@
  * @flow_idle: idle time after which a flow entry may be dropped
  * @local_nodes: entry VMs of the own data centre, this one included
  * @server_count: entries in @servers
- * @servers: all known servers
+ * @servers: all known servers, whose services are named
  * @service_count: entries in @services
  * @services: all known services
  * @route_count: entries in @routes
@@ -97,6 +97,9 @@
  * @by_address: &struct mv_table_route by address and port, see
  *              MvTable_AddressKey()
  * @by_tag: position of a server plus one, by tag
+ * @unnamed_tags: set of the tags of entries whose service no configuration
+ *                names, as far as this node knows: they may be of servers of a
+ *                route's former service, so that their flows are not reset
  */
 struct mv_table {
     uint64_t version;
@@ -113,6 +116,7 @@
     mv_table_route_t *routes;
     GHashTable *by_address;
     GHashTable *by_tag;
+    GHashTable *unnamed_tags;
 };
 
 /** MvTable_Route() - Route of an address and port, or NULL. */
--- a/packages/tags/test/disagreement_test.cc
+++ b/packages/tags/test/disagreement_test.cc
@@ -129,6 +129,7 @@
             routes[8443] = "docs";
         }
         notify([routes, v = version](tags_world &node) {
+            node.listed_services = {"booking", "docs"};
             node.route(v, routes);
         });
     }
--- a/packages/tags/test/ended_test.cc
+++ b/packages/tags/test/ended_test.cc
@@ -22,6 +22,7 @@
         for (uint64_t id = 1; id <= 3; id++) {
             announce(server(id, "booking", "casa"));
         }
+        listed_services = {"docs"};
         route(5, {{kPort, "booking"}});
         publish();
     }
@@ -101,6 +102,17 @@
         publish();
     }
 
+    /* Another writer announces, under the key of server @under, the address of
+     * server @id for a service that no configuration names. */
+    void
+    announce_unnamed(uint64_t id, uint64_t under)
+    {
+        mv_server_t entry = server(under, "audit", "casa");
+        entry.address = server(id, "booking", "casa").address;
+        entry.started_at = 1000000;
+        announce(entry);
+    }
+
     std::map<uint16_t, uint32_t> tags;
 };
 
@@ -228,7 +240,9 @@
         OUTAGE,
         DRAINING_OUTAGE,
         SILENT,
-        REPLACED_BUT_ANSWERS
+        REPLACED_BUT_ANSWERS,
+        UNNAMED_AT_ITS_ADDRESS,
+        UNNAMED_UNDER_ITS_KEY
     };
     struct {
         const char *what;
@@ -240,6 +254,11 @@
         {"likewise while it drains", DRAINING_OUTAGE},
         {"it is silent, and announced", SILENT},
         {"another writer claims its address", REPLACED_BUT_ANSWERS},
+        {"likewise, for a service that no configuration names, and it is "
+         "silent",
+         UNNAMED_AT_ITS_ADDRESS},
+        {"likewise under its key, until it announces itself again",
+         UNNAMED_UNDER_ITS_KEY},
     };
     for (const auto &c : cases) {
         ended_world world;
@@ -253,6 +272,13 @@
         if (c.kind == REPLACED_BUT_ANSWERS) {
             world.replace(2, 50);
         }
+        else if (c.kind == UNNAMED_AT_ITS_ADDRESS ||
+                 c.kind == UNNAMED_UNDER_ITS_KEY) {
+            world.announce_unnamed(2,
+                                   c.kind == UNNAMED_UNDER_ITS_KEY ? 2 : 50);
+            world.publish();
+            world.announce(world.server(2, "booking", "casa"));
+        }
         else if (c.kind != SILENT) {
             world.withdraw(2);
         }
@@ -284,6 +310,36 @@
     }
 }
 
+/* Guards against a server that gets no new flows, and loses those opened
+ * through other nodes, for good: an incarnation whose clock was ahead had its
+ * address before, crashed, and its entry has been removed since. */
+TEST(Ended, AServerIsNotReplacedByAnEntryThatIsGone)
+{
+    ended_world world;
+    mv_server_t first = world.server(50, "booking", "casa");
+    mv_server_t second = world.server(4, "booking", "casa");
+    first.address = second.address;
+    first.started_at = second.started_at + 1200;
+    world.announce(first);
+    world.publish();
+    world.advance(MV_SECOND);
+    world.announce(second);
+    world.publish();
+    world.advance(2 * MV_SECOND);
+    world.withdraw(50);
+    world.publish();
+    world.advance(MV_SECOND);
+    EXPECT_EQ(world.send(500, MvServer_Tag(&second), true, 1).kind,
+              MV_FLOW_FORWARD);
+    world.advance(MV_SECOND);
+    EXPECT_TRUE(world.resets.empty());
+    std::set<uint64_t> used;
+    for (uint16_t port = 100; port < 130; port++) {
+        used.insert(world.open(port).server);
+    }
+    EXPECT_EQ(used.count(4), 1u);
+}
+
 /* Guards against callers that lose a retry, or wait until their timeout, since
  * the server that was sent their SYN has ended. */
 TEST(Ended, ASynToAReplacedServerIsPlacedAnew)
--- a/packages/tags/test/tags_world.cc
+++ b/packages/tags/test/tags_world.cc
@@ -141,6 +141,12 @@
         g_strlcpy(route.shares[0].service, service.c_str(), MV_NAME_MAX);
         g_array_append_val(routing->routes, route);
     }
+    for (const std::string &service : listed_services) {
+        mv_service_limits_t limits = {};
+        limits.flows = UINT32_MAX;
+        g_strlcpy(limits.service, service.c_str(), MV_NAME_MAX);
+        g_array_append_val(routing->limits, limits);
+    }
     MvDirectory_SetRouting(directory, now, routing);
 }
 
