--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -709,6 +709,10 @@
 
 /**
  * struct mv_store_entry - Decoded entry of the store.
+ *
+ * Invariant: an announcement is decoded only if it is whole: each field that a
+ * server writes is there and of its type, and the key has the form of a
+ * server's.  What another writer leaves names no server.
  * @kind: &enum mv_store_entry_kind
  * @is_decoded: the value could be decoded, at least in part
  * @server: the announcement, when @kind is MV_STORE_ENTRY_SERVER and
--- a/packages/tags/src/directory_private.h
+++ b/packages/tags/src/directory_private.h
@@ -23,7 +23,8 @@
  *
  * Another writer may announce the same id under a second key: that is another
  * incarnation with the same tag, which the first one keeps (index_tag() of
- * snapshot.c).
+ * snapshot.c).  If one of them says that the server drains, it gets no new
+ * flows by any of them.
  * @link: in the list of all incarnations
  * @key: key of the announcement
  * @server: the announcement
--- a/packages/tags/src/snapshot.c
+++ b/packages/tags/src/snapshot.c
@@ -41,6 +41,17 @@
     return builder->services->len - 1;
 }
 
+/* Whether one of two announcements of the same incarnation says that it
+ * drains.  A server that drains never takes new flows again, so the other one
+ * is an old copy. */
+static bool
+is_draining_copy(const mv_server_t *left, const mv_server_t *right)
+{
+    return left->id == right->id && left->started_at == right->started_at &&
+           (left->state == MV_SERVER_DRAINING ||
+            right->state == MV_SERVER_DRAINING);
+}
+
 /* When two incarnations have the same tag, the older one keeps it and the
  * newer one gets no new flows. */
 static void
@@ -57,6 +68,10 @@
              server->server.id < holder->server.id);
         owner = is_older ? position : (unsigned)holder_position;
         (is_older ? holder : server)->takes_new = false;
+        if (is_draining_copy(&holder->server, &server->server)) {
+            holder->takes_new = false;
+            server->takes_new = false;
+        }
     }
     g_hash_table_insert(table->by_tag, GUINT_TO_POINTER(server->tag),
                         GINT_TO_POINTER((int)owner + 1));
--- a/packages/tags/test/tags_test.cc
+++ b/packages/tags/test/tags_test.cc
@@ -834,6 +834,41 @@
     }
 }
 
+/* Guards against new flows to a server that drains, by an old copy of its
+ * entry under another key, whichever of the keys goes first. */
+TEST(DuplicateIds, ACopyKeepsNoDrainingServerInUse)
+{
+    struct {
+        const char *what;
+        bool is_copy_first;
+        bool is_withdrawn;
+    } const cases[] = {
+        {"the copy comes later", false, false},
+        {"the copy comes first", true, false},
+        {"the copy comes later, and the server has left", false, true},
+        {"the copy comes first, and the server has left", true, true},
+    };
+    for (const auto &c : cases) {
+        tags_world world;
+        mv_server_t server = world.server(7, "booking", "casa");
+        MvDirectory_Announce(world.directory, world.now,
+                             c.is_copy_first ? "x-7" : "i-7", &server);
+        MvDirectory_Announce(world.directory, world.now,
+                             c.is_copy_first ? "i-7" : "x-7", &server);
+        world.announce(world.server(8, "booking", "casa"));
+        world.route(1, {{443, "booking"}});
+        server.state = MV_SERVER_DRAINING;
+        MvDirectory_Announce(world.directory, world.now, "i-7", &server);
+        if (c.is_withdrawn) {
+            MvDirectory_Withdraw(world.directory, world.now, "i-7");
+        }
+        world.publish();
+        for (uint16_t port = 1; port < 20; port++) {
+            EXPECT_EQ(world.open(port).server, 8u) << c.what;
+        }
+    }
+}
+
 /* The first key's incarnation is freed a minute after its withdrawal, while
  * the second key is still announced. */
 TEST(DuplicateIds, TheSecondKeyOutlivesTheFirst)
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -34,7 +34,8 @@
                    bytes([198, 18, 0, 1]), 40001, 7, 0)
 add(5, "opening", head)
 add(5, "data", bytes([8]) + head[1:4] + bytes([0, 3]) + head[6:] + b"abc")
-add(6, "announcement", b'{"service":"a","address":"10.0.0.9:80","zone":"z","slots":2,"state":"ready","born":17}')
+add(6, "announcement", b'{"service":"a","address":"10.0.0.9:80","zone":"z","version":"v1","slots":2,"state":"ready","warmup_left_ms":0,"seq":1,"born":17}')
+add(6, "part", b'{"service":"a","address":"10.0.0.9:80","zone":"z","slots":2,"state":"ready","born":17}')
 add(6, "routes", b'{"version":7,"routes":[{"host":"198.18.0.1","prefix":"/8443/","service":"a"}],"limits":{}}')
 add(7, "delta", bytes([0, 0x94, 0, 5, 1, 0x91, 0x93, 0xc4, 1]) + b"k" + bytes([5, 0xc4, 1]) + b"v")
 P
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -382,7 +382,8 @@
             server.announce = lambda state: None
             self.store.write(f"servers/i-{server.id:08x}", json.dumps({
                 "service": server.service, "address": f"{server.address}:8000",
-                "zone": server.zone, "slots": 8, "state": "ready", "born": server.id}).encode())
+                "zone": server.zone, "version": "v1", "slots": 8, "state": "ready",
+                "warmup_left_ms": 0, "seq": 1, "born": server.id}).encode())
         else:
             await asyncio.sleep(DRAIN_LIMIT_S + 2.5)
             server.shut_down()
