Removed servers: the grace counts from when the node last knew of them

Cause: two times added up. A neighbour learns of a removal within 2.8 s; a server that vanished without draining gets new flows for 2.2 s more while it answers, as announcements lapse in outages of the store, and these counted from the news.

Change: a node knows up to when its replica lacks no change of the store, by its own calls or by heartbeats, which tell the age of their sender's replica. The grace counts from there, and from the news when a call of this node has failed since or is late (an outage), or the store was restored. 5004 logs the time as unseen_ms.

Tests changed: RelayFaults also erases a server; nodes that are themselves cut off from the store are left out of that check, as they are not in touch.

--- a/packages/masticvaned/src/tags_cluster.c
+++ b/packages/masticvaned/src/tags_cluster.c
@@ -15,16 +15,6 @@
 #define OTHER_WRITE_MIN_DELAY (2 * MV_SECOND)
 #define OTHER_WRITE_MAX_DELAY (6 * MV_SECOND)
 
-/* @event is 0 when there is nothing to log. */
-static void
-log_server(mv_tags_control_t *control, int event, const mv_store_item_t *item)
-{
-    if (event) {
-        MvLog_Write(control->daemon.log, (mv_log_event_t)event,
-                    "server=%s revision=%" PRIu64, item->key, item->revision);
-    }
-}
-
 static void
 apply_routing(mv_tags_control_t *control, mv_routing_t *routing,
               uint64_t revision)
@@ -119,14 +109,45 @@
     control->store_era = era;
 }
 
+/* @item: deleted, or it names no server any more */
+static void
+withdraw_server(mv_tags_control_t *control, const mv_store_item_t *item)
+{
+    mv_time_t boot = MvClock_Boot();
+    mv_time_t now = g_get_monotonic_time();
+    mv_time_t unseen_for = now - MvFanout_DateRemoval(control->fanout, now);
+    int event = MvDirectory_Withdraw(control->directory, boot,
+                                     boot - unseen_for, item->key);
+    if (event) {
+        MvLog_Write(control->daemon.log, (mv_log_event_t)event,
+                    "server=%s revision=%" PRIu64 " unseen_ms=%" PRId64,
+                    item->key, item->revision, unseen_for / MV_MILLISECOND);
+    }
+}
+
+static void
+apply_server(mv_tags_control_t *control, const mv_store_entry_t *entry,
+             const mv_store_item_t *item)
+{
+    if (!entry->is_decoded) {
+        withdraw_server(control, item);
+        return;
+    }
+    int event = MvDirectory_Announce(control->directory, MvClock_Boot(),
+                                     item->key, &entry->server);
+    if (event) {
+        MvLog_Write(control->daemon.log, (mv_log_event_t)event,
+                    "server=%s revision=%" PRIu64, item->key, item->revision);
+    }
+}
+
 void
 MvTagsCluster_ApplyItem(void *context, const mv_store_item_t *item)
 {
     mv_tags_control_t *control = context;
     GError *error = NULL;
     mv_time_t now = g_get_monotonic_time();
-    mv_time_t boot = MvClock_Boot();
-    note_era(control, boot, item->revision);
+    note_era(control, MvClock_Boot(), item->revision);
     mv_store_entry_t entry = MvPlatform_Decode(
         item->key, item->deleted ? NULL : item->value, item->length, &error);
     if (entry.kind) {
@@ -154,12 +175,7 @@
         apply_evacuation(control, &entry, item->revision);
     }
     if (entry.kind == MV_STORE_ENTRY_SERVER) {
-        int event =
-            entry.is_decoded
-                ? MvDirectory_Announce(control->directory, boot, item->key,
-                                       &entry.server)
-                : MvDirectory_Withdraw(control->directory, boot, item->key);
-        log_server(control, event, item);
+        apply_server(control, &entry, item);
     }
 }
 
--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -33,9 +33,6 @@
 #define OUTAGE_REPORT_INTERVAL (500 * MV_MILLISECOND)
 /* Time that the traffic thread has to write its state for a dump. */
 #define DUMP_WAIT (200 * MV_MILLISECOND)
-/* Servers whose announcements expired while the store was unreachable announce
- * themselves again within this time after it returns. */
-#define REANNOUNCE_LIMIT (2200 * MV_MILLISECOND)
 
 static volatile sig_atomic_t stop_signals;
 static volatile sig_atomic_t dump_signals;
@@ -331,7 +328,7 @@
 {
     const mv_settings_t *settings = control->daemon.settings;
     mv_directory_settings_t directory = {.retention = settings->flow_retention,
-                                         .vanished_grace = REANNOUNCE_LIMIT};
+                                         .vanished_grace = MV_REANNOUNCE_TIME};
     mv_follower_settings_t follower = MvFollowerSettings_Default();
     g_strlcpy(directory.data_centre, settings->data_centre, MV_NAME_MAX);
     control->directory = MvDirectory_Create(&directory);
--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -271,6 +271,19 @@
  */
 mv_time_t MvFollower_LastContact(const mv_follower_t *follower);
 
+/**
+ * MvFollower_CompleteAt() - Time up to which the calls of this node have shown
+ * every change of the store, or 0.
+ */
+mv_time_t MvFollower_CompleteAt(const mv_follower_t *follower);
+
+/**
+ * MvFollower_HasFailedSince() - Whether the store did not answer a call of
+ * this node after @since, or is late to answer one.
+ */
+bool MvFollower_HasFailedSince(const mv_follower_t *follower, mv_time_t since,
+                               mv_time_t now);
+
 /** MvFollower_IsComplete() - Whether a full list has been applied. */
 bool MvFollower_IsComplete(const mv_follower_t *follower);
 
@@ -475,6 +488,24 @@
 /** MvFanout_IsWatching() - Whether this node watches the store. */
 bool MvFanout_IsWatching(const mv_fanout_t *fanout);
 
+/**
+ * MvFanout_CompleteAt() - Time before which the store made no change that the
+ * replica of this node lacks, 0 while it is not known.
+ *
+ * Follows from own calls and from heartbeats, which tell it of their sender.
+ */
+mv_time_t MvFanout_CompleteAt(const mv_fanout_t *fanout);
+
+/**
+ * MvFanout_DateRemoval() - Time from which the removal of a key counts that is
+ * being applied.
+ *
+ * Return: MvFanout_CompleteAt(): the key existed then, and may have been
+ * removed at any time since.  After an outage of the store, as seen by calls
+ * of this node, @now: until then, what lapsed could not be written again.
+ */
+mv_time_t MvFanout_DateRemoval(const mv_fanout_t *fanout, mv_time_t now);
+
 /**
  * MvFanout_Staleness() - Time since the last reply of the store, or since the
  * last heartbeat of an up-to-date node, whichever is shorter.
--- a/packages/replica/src/fanout.c
+++ b/packages/replica/src/fanout.c
@@ -27,6 +27,8 @@
 #define PULL_DELAY (50 * MV_MILLISECOND)
 /* Records of nodes that start together change the tree once. */
 #define TREE_UPDATE_INTERVAL (100 * MV_MILLISECOND)
+/* A heartbeat tells ages of the replica below this limit. */
+#define MAX_TOLD_AGE (30 * MV_SECOND)
 
 typedef struct peer {
     mv_node_record_t record;
@@ -36,6 +38,18 @@
     bool is_lost;
 } peer_t;
 
+/**
+ * struct completeness - What other nodes have told of the store.
+ *
+ * Invariant: every change that the store made before @time has a revision of
+ * at most @revision.  A replica that is complete up to @revision lacks none of
+ * them.
+ */
+typedef struct completeness {
+    mv_time_t time;
+    uint64_t revision;
+} completeness_t;
+
 struct mv_fanout {
     mv_fanout_settings_t settings;
     mv_replica_t *replica;
@@ -60,6 +74,8 @@
     mv_time_t behind_since;
     mv_node_id_t pull_from; /* peer that reported it */
     mv_time_t pull_at;
+    completeness_t reached; /* this replica is complete up to its revision */
+    completeness_t told;    /* latest one, possibly not reached yet */
 };
 
 mv_fanout_settings_t
@@ -273,12 +289,61 @@
                           .version = MvReplica_Revision(fanout->replica)};
 }
 
+/* Return: the latest one that this replica has reached. */
+static completeness_t
+latest_reached(const mv_fanout_t *fanout)
+{
+    bool is_told_reached =
+        MvReplica_Revision(fanout->replica) >= fanout->told.revision;
+    return is_told_reached ? fanout->told : fanout->reached;
+}
+
+mv_time_t
+MvFanout_CompleteAt(const mv_fanout_t *fanout)
+{
+    return MAX(MvFollower_CompleteAt(fanout->follower),
+               latest_reached(fanout).time);
+}
+
+mv_time_t
+MvFanout_DateRemoval(const mv_fanout_t *fanout, mv_time_t now)
+{
+    mv_time_t complete_at = MvFanout_CompleteAt(fanout);
+    bool had_outage =
+        MvFollower_HasFailedSince(fanout->follower, complete_at, now);
+    return had_outage ? now : complete_at;
+}
+
+static void
+note_completeness(mv_fanout_t *fanout, mv_time_t time, uint64_t revision)
+{
+    fanout->reached = latest_reached(fanout);
+    if (time > fanout->told.time) {
+        fanout->told = (completeness_t){time, revision};
+    }
+}
+
+/* In a heartbeat, the target field is 0 when the sender is not fresh, else the
+ * age of its replica in milliseconds plus one. */
+static uint32_t
+encode_age(mv_time_t age)
+{
+    return (uint32_t)(MIN(age, MAX_TOLD_AGE) / MV_MILLISECOND) + 1;
+}
+
+static mv_time_t
+decode_age(uint32_t target)
+{
+    return (mv_time_t)(target - 1) * MV_MILLISECOND;
+}
+
 static mv_message_t
-make_heartbeat(const mv_fanout_t *fanout, bool fresh)
+make_heartbeat(const mv_fanout_t *fanout, mv_time_t now, bool fresh)
 {
     mv_message_t message = make_message(fanout, MV_MESSAGE_REPLICA_HEARTBEAT);
-    /* In a heartbeat, the target field carries the sender's freshness. */
-    message.target = fresh;
+    if (fresh) {
+        message.target = encode_age(now - MvFanout_CompleteAt(fanout));
+    }
     return message;
 }
 
@@ -349,7 +414,7 @@
 static void
 send_heartbeats(mv_fanout_t *fanout, mv_time_t now, bool fresh)
 {
-    mv_message_t message = make_heartbeat(fanout, fresh);
+    mv_message_t message = make_heartbeat(fanout, now, fresh);
     fanout->next_heartbeat = now + fanout->settings.heartbeat_interval;
     send_to_subscribers(fanout, now, &message);
 }
@@ -455,6 +520,10 @@
     record_revision(fanout, now, peer, message->version);
     if (peer_is_fresh) {
         fanout->heard_at = now;
+        mv_time_t age = decode_age(message->target);
+        if (age < MAX_TOLD_AGE) {
+            note_completeness(fanout, now - age, message->version);
+        }
     }
     if (ranks_before(fanout, peer) &&
         MvSource_HandleHeartbeat(&fanout->source, now, peer->record.id,
@@ -474,13 +543,14 @@
     }
     /* A subscriber that gave way must look for another source. */
     if (dismissed != MV_NO_NODE) {
-        mv_message_t dismissal = make_heartbeat(fanout, false);
+        mv_message_t dismissal = make_heartbeat(fanout, now, false);
         send_to(fanout, dismissed, &dismissal);
     }
     /* A subscriber that searches for a source asks several nodes: it learns
      * the revision from the answer and pulls from one of them. */
     if (message->target) {
-        mv_message_t answer = make_heartbeat(fanout, is_fresh(fanout, now));
+        mv_message_t answer =
+            make_heartbeat(fanout, now, is_fresh(fanout, now));
         send_to(fanout, peer->record.id, &answer);
     }
     else if (message->version < MvReplica_Revision(fanout->replica)) {
--- a/packages/replica/src/follower.c
+++ b/packages/replica/src/follower.c
@@ -2,6 +2,9 @@
 #include "masticvane/replica.h"
 
 #define WHOLE_STORE ""
+/* A call that is answered this much later than it should be shows that the
+ * store has an outage. */
+#define LATE_REPLY_TIME (300 * MV_MILLISECOND)
 
 typedef enum phase {
     PHASE_LIST,
@@ -19,10 +22,17 @@
     bool is_complete;
     bool is_reachable;
     bool requires_fresh_list;
-    bool needs_contact; /* the next watch returns soon */
-    mv_time_t now;      /* of the last timer call */
-    bool has_reply;     /* since the last timer call */
-    mv_time_t delay;    /* the next timer call adds it to its time */
+    bool needs_contact;    /* the next watch returns soon */
+    mv_time_t now;         /* of the last timer call */
+    bool has_reply;        /* since the last timer call */
+    bool has_failure;      /* since the last timer call */
+    bool has_watched;      /* since the last timer call */
+    mv_time_t delay;       /* the next timer call adds it to its time */
+    mv_time_t complete_at; /* see MvFollower_CompleteAt() */
+    mv_time_t list_began;  /* call of the first page */
+    mv_time_t watch_until; /* the store answers the last watch until then */
+    mv_time_t reply_due;   /* of the outstanding call */
+    mv_time_t failed_at;   /* last failure, 0 for none */
     mv_time_t next_call;
     mv_time_t last_contact;
     mv_time_t failing_since; /* 0 while calls succeed */
@@ -93,6 +103,7 @@
 {
     double jitter = g_rand_double_range(follower->random, 0.5, 1.5);
     follower->is_reachable = false;
+    follower->has_failure = true;
     follower->delay = (mv_time_t)(jitter * (double)follower->back_off);
     follower->back_off =
         MIN(2 * follower->back_off, follower->settings.max_back_off);
@@ -108,14 +119,16 @@
     MvReplicaList_Finish(g_steal_pointer(&follower->list), follower->now);
     follower->phase = PHASE_WATCH;
     follower->is_complete = true;
+    /* A stale list may be older than the call of its first page. */
+    if (follower->requires_fresh_list) {
+        follower->complete_at = follower->list_began;
+    }
     follower->requires_fresh_list = false;
 }
 
 static void
-handle_list_reply(void *context, const mv_store_items_t *items)
+apply_list_reply(mv_follower_t *follower, const mv_store_items_t *items)
 {
-    mv_follower_t *follower = context;
-    follower->is_calling = false;
     /* A page without a key to continue from must not pass for the last one. */
     bool is_stuck = items->more && items->count == 0;
     if (items->outcome != MV_STORE_DONE || is_stuck) {
@@ -135,11 +148,18 @@
     end_list(follower);
 }
 
+/* The call counts as outstanding until its reply has been applied. */
 static void
-handle_watch_reply(void *context, const mv_store_items_t *items)
+handle_list_reply(void *context, const mv_store_items_t *items)
 {
     mv_follower_t *follower = context;
+    apply_list_reply(follower, items);
     follower->is_calling = false;
+}
+
+static void
+apply_watch_reply(mv_follower_t *follower, const mv_store_items_t *items)
+{
     if (items->outcome == MV_STORE_REFUSED) {
         /* The list must not be stale, or it could be older than the
          * replica. */
@@ -157,17 +177,28 @@
         MvReplica_Apply(follower->replica, follower->now, &items->items[i]);
     }
     MvReplica_Advance(follower->replica, items->revision);
+    follower->has_watched = true;
     if (items->count > 0) {
         follower->delay = follower->settings.coalesce_delay;
     }
 }
 
+static void
+handle_watch_reply(void *context, const mv_store_items_t *items)
+{
+    mv_follower_t *follower = context;
+    apply_watch_reply(follower, items);
+    follower->is_calling = false;
+}
+
 static void
 list_next_page(mv_follower_t *follower)
 {
     if (!follower->list) {
         follower->list = MvReplicaList_Create(follower->replica);
+        follower->list_began = follower->now;
     }
+    follower->reply_due = follower->now + LATE_REPLY_TIME;
     /* The first list may be stale: the watch returns the changes since its
      * oldest page. */
     bool stale = !follower->is_complete && !follower->requires_fresh_list;
@@ -183,6 +214,8 @@
                             ? follower->settings.contact_timeout
                             : follower->settings.watch_timeout;
     follower->needs_contact = false;
+    follower->watch_until = follower->now + timeout;
+    follower->reply_due = follower->watch_until + LATE_REPLY_TIME;
     follower->store->ops->watch(follower->store, WHOLE_STORE,
                                 MvReplica_Revision(follower->replica), timeout,
                                 handle_watch_reply, follower);
@@ -198,6 +231,15 @@
         follower->last_contact = now;
         follower->has_reply = false;
     }
+    if (follower->has_watched) {
+        /* The reply may have been read late, after a pause. */
+        follower->complete_at = MIN(now, follower->watch_until);
+        follower->has_watched = false;
+    }
+    if (follower->has_failure) {
+        follower->failed_at = now;
+        follower->has_failure = false;
+    }
     if (follower->is_reachable) {
         follower->failing_since = 0;
     }
@@ -244,6 +286,20 @@
     return follower->last_contact;
 }
 
+mv_time_t
+MvFollower_CompleteAt(const mv_follower_t *follower)
+{
+    return follower->complete_at;
+}
+
+bool
+MvFollower_HasFailedSince(const mv_follower_t *follower, mv_time_t since,
+                          mv_time_t now)
+{
+    bool is_late = follower->is_calling && now > follower->reply_due;
+    return is_late || follower->has_failure || follower->failed_at > since;
+}
+
 bool
 MvFollower_IsComplete(const mv_follower_t *follower)
 {
--- a/packages/replica/test/fanout_sim.cc
+++ b/packages/replica/test/fanout_sim.cc
@@ -2,6 +2,8 @@
 
 #include <cstring>
 
+#include "masticvane/tags.h"
+
 namespace {
 
 const mv_time_t kStep = 10 * MV_MILLISECOND;
@@ -12,6 +14,9 @@
 /* A message without its blob has 36 bytes of framing and about 24 bytes of
  * other fields. */
 const size_t kDatagramOverheadBytes = 60;
+/* Longest way of a reply and of the heartbeats that tell of it: what a node
+ * knows is that much older than it thinks. */
+const mv_time_t kTravelTime = 100 * MV_MILLISECOND;
 
 fanout_sim_node *
 node_of(mv_store_t *store)
@@ -186,6 +191,18 @@
 
 /* Callbacks of the node */
 
+void
+note_removal(fanout_sim_node *node, const char *key)
+{
+    const mv_time_t now = node->sim->now;
+    auto erased = node->sim->erased_at.find(key);
+    if (erased != node->sim->erased_at.end() &&
+        MvFanout_CompleteAt(node->fanout) > erased->second + kTravelTime) {
+        node->wrong_claims++;
+    }
+    node->removed_at[key] = MvFanout_DateRemoval(node->fanout, now);
+}
+
 void
 changed(void *context, const mv_store_item_t *item)
 {
@@ -201,6 +218,7 @@
         node->sim->has_reverted = true;
     }
     if (item->deleted) {
+        note_removal(node, item->key);
         node->values.erase(item->key);
     }
     else {
@@ -353,6 +371,8 @@
     MvFollower_Destroy(node->follower);
     MvReplica_Destroy(node->replica);
     node->values.clear();
+    node->changed_at.clear();
+    node->removed_at.clear();
 }
 
 void
@@ -377,6 +397,7 @@
 fanout_sim::erase(const std::string &key)
 {
     items[key] = {"", ++revision, true};
+    erased_at[key] = now;
 }
 
 void
@@ -474,6 +495,20 @@
     }
 }
 
+mv_time_t
+fanout_sim::used_until(int index, const std::string &key) const
+{
+    const fanout_sim_node &node = *nodes[index];
+    if (node.values.count(key)) {
+        return MV_NEVER;
+    }
+    if (!node.changed_at.count(key)) {
+        return 0;
+    }
+    return MAX(node.changed_at.at(key),
+               node.removed_at.at(key) + MV_REANNOUNCE_TIME);
+}
+
 std::vector<int>
 fanout_sim::watchers() const
 {
--- a/packages/replica/test/fanout_sim.h
+++ b/packages/replica/test/fanout_sim.h
@@ -43,6 +43,10 @@
     mv_registration_t *registration;
     std::map<std::string, std::string> values;
     std::map<std::string, mv_time_t> changed_at;
+    /* Times from which removals count, as this node dated them. */
+    std::map<std::string, mv_time_t> removed_at;
+    /* Removals at a time before which the node claimed to know them all. */
+    int wrong_claims;
     /* Peers whose heartbeats stopped and have not resumed. */
     std::set<mv_node_id_t> lost_peers;
     mv_time_t longest_silence;
@@ -73,6 +77,10 @@
     };
     copy_t save() const;
     void restore(const copy_t &copy);
+    /* Time until which a node sends new flows to the server announced under
+     * @key, which answers and whose announcement was erased; MV_NEVER while
+     * the node does not know, 0 when it never knew the server. */
+    mv_time_t used_until(int index, const std::string &key) const;
     /* Nodes that currently watch the store. */
     std::vector<int> watchers() const;
     uint64_t calls() const;
@@ -96,6 +104,8 @@
     /* The store's history contains the changes from this revision on. */
     uint64_t history_start = 0;
     std::map<std::string, item_t> items;
+    /* When keys were erased. */
+    std::map<std::string, mv_time_t> erased_at;
     std::vector<pending_watch_t> pending_watches;
     std::vector<std::unique_ptr<fanout_sim_node>> nodes;
     /* Probability that a datagram is lost. */
--- a/packages/replica/test/fanout_test.cc
+++ b/packages/replica/test/fanout_test.cc
@@ -67,6 +67,37 @@
     }
 }
 
+/* Guards against the sum of two times: until a node learns that a server's
+ * announcement was removed, and for which it then goes on using the server as
+ * one whose announcement may have lapsed in an outage. */
+TEST_P(Watchers, RemovedServerIsNotUsedAfterLimit)
+{
+    for (mv_time_t delay_after_fault = 0;
+         delay_after_fault <= 1500 * MV_MILLISECOND;
+         delay_after_fault += 100 * MV_MILLISECOND) {
+        fanout_sim sim(8);
+        sim.write("server", "1");
+        sim.run(kSettleTime);
+        ASSERT_EQ(sim.watchers().size(), 1u);
+        int watcher = sim.watchers()[0];
+        GetParam().begin(sim, watcher);
+        sim.run(delay_after_fault);
+        sim.erase("server");
+        mv_time_t erased_at = sim.now;
+        sim.run(2 * kPropagationLimit);
+        for (auto &node : sim.nodes) {
+            if (node->index == watcher || !node->alive) {
+                continue;
+            }
+            EXPECT_LE(sim.used_until(node->index, "server") - erased_at,
+                      kPropagationLimit)
+                << GetParam().name << ", removed " << delay_after_fault
+                << " us after it, node " << node->index;
+            EXPECT_EQ(node->wrong_claims, 0) << GetParam().name;
+        }
+    }
+}
+
 const fault_t kFaults[] = {
     {"none", [](fanout_sim &, int) {}},
     {"killed", [](fanout_sim &sim, int i) { sim.stop(i); }},
@@ -202,6 +233,89 @@
     EXPECT_EQ(sim.watchers().size(), 1u);
 }
 
+/* Guards against servers that live but get no new flows after an outage of the
+ * store, in which their announcements lapsed and could not be written again.
+ */
+TEST(Fanout, ServersHaveTimeToReturnAfterAStoreOutage)
+{
+    for (store_access fault :
+         {store_access::no_reply, store_access::refused}) {
+        for (mv_time_t span = 4 * MV_SECOND; span <= 7 * MV_SECOND;
+             span += 300 * MV_MILLISECOND) {
+            fanout_sim sim(12, 2);
+            sim.write("server", "1");
+            sim.run(kSettleTime);
+            for (auto &node : sim.nodes) {
+                node->access = fault;
+            }
+            sim.run(span);
+            sim.erase("server");
+            for (auto &node : sim.nodes) {
+                node->access = store_access::reachable;
+            }
+            mv_time_t returned_at = sim.now;
+            sim.run(kSettleTime);
+            for (auto &node : sim.nodes) {
+                EXPECT_GE(sim.used_until(node->index, "server") - returned_at,
+                          2 * MV_SECOND)
+                    << "outage of " << span << " us, node " << node->index;
+            }
+        }
+    }
+}
+
+/* Guards against a node that takes older knowledge for newer, and thereby uses
+ * servers that are gone for too long. */
+TEST(Fanout, ClaimsOfCompletenessAreTrueUnderRandomFaults)
+{
+    for (uint32_t seed = 1; seed <= 20; seed++) {
+        fanout_sim sim(10, 2, seed);
+        GRand *random = g_rand_new_with_seed(seed);
+        for (int step = 1; step <= 120; step++) {
+            std::string key =
+                "server/" + std::to_string(g_rand_int_range(random, 0, 4));
+            if (g_rand_int_range(random, 0, 2)) {
+                sim.write(key, std::to_string(step));
+            }
+            else {
+                sim.erase(key);
+            }
+            int i = g_rand_int_range(random, 0, 10);
+            switch (g_rand_int_range(random, 0, 7)) {
+            case 0:
+                sim.stop(i);
+                sim.start(i);
+                break;
+            case 1:
+                sim.nodes[i]->access = store_access::no_reply;
+                break;
+            case 2:
+                sim.nodes[i]->access = store_access::refused;
+                break;
+            case 3:
+                sim.compact_history();
+                break;
+            case 4:
+                sim.cut_links.insert({i, (i + 2) % 10});
+                break;
+            case 5:
+                sim.loss = 0.1 * g_rand_int_range(random, 0, 3);
+                break;
+            default:
+                for (auto &node : sim.nodes) {
+                    node->access = store_access::reachable;
+                }
+                sim.cut_links.clear();
+            }
+            sim.run(g_rand_int_range(random, 50, 900) * MV_MILLISECOND);
+        }
+        for (const auto &node : sim.nodes) {
+            EXPECT_EQ(node->wrong_claims, 0) << "seed " << seed;
+        }
+        g_rand_free(random);
+    }
+}
+
 TEST(Fanout, OutageDoesNotCauseThunderingHerd)
 {
     fanout_sim sim(60, 3);
--- a/packages/replica/test/relay_test.cc
+++ b/packages/replica/test/relay_test.cc
@@ -202,6 +202,7 @@
     for (mv_time_t delay : delays) {
         fanout_sim sim(nodes);
         sim.write("number/1", "1");
+        sim.write("server", "1");
         sim.run(kSettleTime);
         ASSERT_EQ(sim.watchers().size(), 1u);
         const std::vector<int> ranked = by_rank(sim);
@@ -212,13 +213,25 @@
         fault.begin(sim, ranked);
         sim.run(delay * MV_MILLISECOND);
         sim.write("number/1", "2");
+        sim.erase("server");
+        const mv_time_t changed_at = sim.now;
         sim.run(fault.limit);
         int late = 0;
+        int used_late = 0;
         for (const auto &node : sim.nodes) {
-            late += node->alive && !exempt.count(node->index) &&
-                    node->values["number/1"] != "2";
+            if (!node->alive || exempt.count(node->index)) {
+                continue;
+            }
+            late += node->values["number/1"] != "2";
+            /* A node that is cut off from the store is not in touch: this
+             * limit does not hold for it. */
+            used_late += node->access == store_access::reachable &&
+                         sim.used_until(node->index, "server") - changed_at >
+                             fault.limit;
         }
         EXPECT_EQ(late, 0) << "change " << delay << " ms after the fault";
+        EXPECT_EQ(used_late, 0) << "new flows to a server that was removed "
+                                << delay << " ms after the fault";
         EXPECT_FALSE(sim.has_reverted);
     }
 }
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -149,6 +149,10 @@
 /** typedef mv_table_t - Immutable snapshot for the traffic thread. */
 typedef struct mv_table mv_table_t;
 
+/** Servers whose announcements lapsed while the store was unreachable announce
+ * themselves again within this time after it returns. */
+#define MV_REANNOUNCE_TIME (2200 * MV_MILLISECOND)
+
 /**
  * struct mv_directory_settings - Settings of the directory.
  * @data_centre: name of the data centre of this node
@@ -190,12 +194,15 @@
 /**
  * MvDirectory_Withdraw() - The announcement under @key was deleted or names no
  * server any more.
+ * @removed_at: earliest time at which that may have happened, @now after an
+ *              outage of the store: @vanished_grace of the settings counts
+ * from there
  *
  * Return: &mv_log_event_t to log, or 0 when no server was announced under
  * @key.
  */
 int MvDirectory_Withdraw(mv_directory_t *directory, mv_time_t now,
-                         const char *key);
+                         mv_time_t removed_at, const char *key);
 
 /**
  * MvDirectory_SetRouting() - Use a configuration when its version is newer.
--- a/packages/tags/src/directory.c
+++ b/packages/tags/src/directory.c
@@ -131,10 +131,12 @@
 }
 
 static void
-withdraw(mv_incarnation_t *incarnation, mv_time_t now)
+withdraw(const mv_directory_t *directory, mv_incarnation_t *incarnation,
+         mv_time_t now, mv_time_t removed_at)
 {
     incarnation->is_announced = false;
     incarnation->withdrawn_at = now;
+    incarnation->grace_until = removed_at + directory->settings.vanished_grace;
 }
 
 static int
@@ -169,7 +171,7 @@
     if (incarnation) {
         /* A new incarnation under the same key has replaced the old one. */
         incarnation->server.state = MV_SERVER_DRAINING;
-        withdraw(incarnation, now);
+        withdraw(directory, incarnation, now, now);
     }
     incarnation = find_incarnation(directory, key, server);
     if (!incarnation) {
@@ -180,14 +182,17 @@
 }
 
 int
-MvDirectory_Withdraw(mv_directory_t *directory, mv_time_t now, const char *key)
+MvDirectory_Withdraw(mv_directory_t *directory, mv_time_t now,
+                     mv_time_t removed_at, const char *key)
 {
     mv_incarnation_t *incarnation =
         g_hash_table_lookup(directory->announced, key);
     if (!incarnation) {
         return 0;
     }
-    withdraw(incarnation, now);
+    /* What a restored store lacks can only be written again from now on. */
+    bool is_restoring = now < directory->restored_until;
+    withdraw(directory, incarnation, now, is_restoring ? now : removed_at);
     g_hash_table_remove(directory->announced, key);
     return MV_EVENT_ENDPOINT_GONE;
 }
@@ -308,10 +313,11 @@
     {
         mv_incarnation_t *incarnation =
             MV_CONTAINER_OF(item, mv_incarnation_t, link);
-        mv_time_t absent_for = now - incarnation->withdrawn_at;
         if (!incarnation->is_announced &&
-            absent_for < directory->settings.vanished_grace + span) {
+            now - span < incarnation->grace_until) {
+            mv_time_t absent_for = now - incarnation->withdrawn_at;
             incarnation->withdrawn_at += MIN(span, absent_for);
+            incarnation->grace_until += MIN(span, absent_for);
             changed = true;
         }
     }
--- a/packages/tags/src/directory_private.h
+++ b/packages/tags/src/directory_private.h
@@ -21,6 +21,11 @@
  * shows a later one at its address or under its key, until it shows this one
  * without a later one: a server that lives announces itself again.
  *
+ * Invariant: no new flow goes to a server later than @vanished_grace of the
+ * settings after the store removed its announcement, or later than a node in
+ * touch learns of it, whichever is later.  Outages of the store do not count,
+ * as no server can announce itself again then.
+ *
  * Another writer may announce the same id under a second key: that is another
  * incarnation with the same tag, which the first one keeps (index_tag() of
  * snapshot.c).  If one of them says that the server drains, it gets no new
@@ -32,8 +37,10 @@
  * @is_announced: the announcement exists
  * @is_named: the configuration names its service, or a route did so within the
  *            retention period; as of the last snapshot
- * @withdrawn_at: time at which it was withdrawn, later by the store's outages
- *                since then
+ * @withdrawn_at: time at which this node learned that it was withdrawn, later
+ *                by the store's outages since then
+ * @grace_until: until then new flows may go to it after it was withdrawn;
+ *               likewise later by the store's outages
  * @replaced_at: time since which it counts as replaced, 0 when it does not
  * @drains_until: until then it counts as draining, though an older state of it
  *                came back with a restored store
@@ -47,6 +54,7 @@
     bool is_announced;
     bool is_named;
     mv_time_t withdrawn_at;
+    mv_time_t grace_until;
     mv_time_t replaced_at;
     mv_time_t drains_until;
     mv_time_t warmup_until;
--- a/packages/tags/src/snapshot.c
+++ b/packages/tags/src/snapshot.c
@@ -187,14 +187,12 @@
 }
 
 static mv_time_t
-ended_at(const mv_directory_t *directory, const mv_incarnation_t *incarnation)
+ended_at(const mv_incarnation_t *incarnation)
 {
     if (incarnation->replaced_at > 0) {
         return incarnation->replaced_at;
     }
-    return incarnation->is_announced ? MV_NEVER
-                                     : incarnation->withdrawn_at +
-                                           directory->settings.vanished_grace;
+    return incarnation->is_announced ? MV_NEVER : incarnation->grace_until;
 }
 
 static void
@@ -227,10 +225,9 @@
             .is_evacuated = is_evacuated,
             .usable_until = incarnation->is_announced
                                 ? MV_NEVER
-                                : incarnation->withdrawn_at +
-                                      directory->settings.vanished_grace,
+                                : incarnation->grace_until,
             .warmup_until = incarnation->warmup_until,
-            .ended_at = ended_at(directory, incarnation),
+            .ended_at = ended_at(incarnation),
             .is_replaced = incarnation->replaced_at > 0,
         };
         index_tag(table, table->server_count++);
--- a/packages/tags/test/ended_test.cc
+++ b/packages/tags/test/ended_test.cc
@@ -277,6 +277,8 @@
             world.announce_unnamed(2,
                                    c.kind == UNNAMED_UNDER_ITS_KEY ? 2 : 50);
             world.publish();
+            world.advance(MV_SECOND);
+            ASSERT_TRUE(world.resets.empty()) << c.what;
             world.announce(world.server(2, "booking", "casa"));
         }
         else if (c.kind != SILENT) {
--- a/packages/tags/test/odd_entries_test.cc
+++ b/packages/tags/test/odd_entries_test.cc
@@ -137,7 +137,7 @@
     {
         std::string key = "odd-" + std::to_string(pick(6));
         if (pick(4) == 0) {
-            MvDirectory_Withdraw(odd.directory, odd.now, key.c_str());
+            MvDirectory_Withdraw(odd.directory, odd.now, odd.now, key.c_str());
             return;
         }
         const mv_server_t &server = servers[1 + (uint64_t)pick(kServers)];
--- a/packages/tags/test/tags_test.cc
+++ b/packages/tags/test/tags_test.cc
@@ -685,6 +685,43 @@
     }
 }
 
+/* Guards against new flows to a server that was removed long before this node
+ * learned of it: the time that this took counts towards the grace period. */
+TEST(Vanished, TheGracePeriodCountsFromTheRemoval)
+{
+    struct {
+        const char *what;
+        mv_time_t removed_before;
+        bool is_restored;
+        mv_time_t used_for;
+    } const cases[] = {
+        {"just now", 0, false, 2 * MV_SECOND},
+        {"a while ago", 1500 * MV_MILLISECOND, false, 500 * MV_MILLISECOND},
+        {"longer ago than the grace period", 9 * MV_SECOND, false, 0},
+        {"at an unknown time, by a store restored from a copy", 9 * MV_SECOND,
+         true, 2 * MV_SECOND},
+    };
+    for (const auto &c : cases) {
+        tags_world world;
+        world.announce(world.server(1, "booking", "casa"));
+        world.route(1, {{443, "booking"}});
+        if (c.is_restored) {
+            MvDirectory_NoteStoreRestored(world.directory, world.now);
+        }
+        world.now += c.is_restored ? MV_SECOND : MV_MINUTE;
+        MvDirectory_Withdraw(world.directory, world.now,
+                             world.now - c.removed_before, "server-1");
+        world.publish();
+        mv_time_t used_for = 0;
+        for (uint16_t port = 1; world.open(port).kind == MV_FLOW_FORWARD;
+             port++) {
+            world.now += 10 * MV_MILLISECOND;
+            used_for += 10 * MV_MILLISECOND;
+        }
+        EXPECT_EQ(used_for, c.used_for) << c.what;
+    }
+}
+
 TEST_F(Tags, AnIdleServerThatVanishesAloneGetsNoNewFlows)
 {
     world.advance(1100 * MV_MILLISECOND);
@@ -825,7 +862,8 @@
         MvDirectory_Announce(world.directory, world.now, c.first, &good);
         MvDirectory_Announce(world.directory, world.now, c.second, &odd);
         if (c.withdrawn) {
-            MvDirectory_Withdraw(world.directory, world.now, c.withdrawn);
+            MvDirectory_Withdraw(world.directory, world.now, world.now,
+                                 c.withdrawn);
         }
         world.route(1, {{443, "booking"}});
         world.now += 30 * MV_SECOND;
@@ -860,7 +898,7 @@
         server.state = MV_SERVER_DRAINING;
         MvDirectory_Announce(world.directory, world.now, "i-7", &server);
         if (c.is_withdrawn) {
-            MvDirectory_Withdraw(world.directory, world.now, "i-7");
+            MvDirectory_Withdraw(world.directory, world.now, world.now, "i-7");
         }
         world.publish();
         for (uint16_t port = 1; port < 20; port++) {
@@ -877,7 +915,7 @@
     mv_server_t server = world.server(7, "booking", "casa");
     MvDirectory_Announce(world.directory, world.now, "i-7", &server);
     MvDirectory_Announce(world.directory, world.now, "x-7", &server);
-    MvDirectory_Withdraw(world.directory, world.now, "i-7");
+    MvDirectory_Withdraw(world.directory, world.now, world.now, "i-7");
     world.route(1, {{443, "booking"}});
     world.now += 2 * MV_MINUTE;
     world.publish();
--- a/packages/tags/test/tags_world.cc
+++ b/packages/tags/test/tags_world.cc
@@ -122,7 +122,7 @@
 void
 tags_world::withdraw(uint64_t id)
 {
-    MvDirectory_Withdraw(directory, now, key_of(id).c_str());
+    MvDirectory_Withdraw(directory, now, now, key_of(id).c_str());
 }
 
 void
