ended_test: an unnamed entry over a server's key stays until it would do harm

The planted fault "an unnamed service's entry over a server's key replaces nothing" survived: the server announced itself again before its flows could be reset. The entry now stays for 1.5 s; the test is red with the fault and green without it.

--- a/packages/tags/test/ended_test.cc
+++ b/packages/tags/test/ended_test.cc
@@ -277,7 +277,7 @@
             world.announce_unnamed(2,
                                    c.kind == UNNAMED_UNDER_ITS_KEY ? 2 : 50);
             world.publish();
-            world.advance(MV_SECOND);
+            world.advance(1500 * MV_MILLISECOND);
             ASSERT_TRUE(world.resets.empty()) << c.what;
             world.announce(world.server(2, "booking", "casa"));
         }
