--- a/packages/masticvaned/src/tags_cluster.c
+++ b/packages/masticvaned/src/tags_cluster.c
@@ -56,15 +56,23 @@
     }
 }
 
+static void
+note_unreadable(mv_tags_control_t *control, const mv_store_item_t *item,
+                const char *why)
+{
+    MvCounters_Add(&control->daemon.counters, MV_COUNTER_ITEMS_UNREADABLE, 1);
+    MvLog_Write(control->daemon.log, MV_EVENT_ITEM_UNREADABLE,
+                "revision=%" PRIu64 " why=\"%s\"", item->revision, why);
+}
+
 static void
 apply_route_history(mv_tags_control_t *control, const mv_store_item_t *item)
 {
     if (!MvDirectory_MergeRouteHistory(control->directory, MvClock_Boot(),
                                        item->deleted ? NULL : item->value)) {
-        MvLog_Write(control->daemon.log, MV_EVENT_ITEM_UNREADABLE,
-                    "revision=%" PRIu64
-                    " why=\"%s: a line names no route and service\"",
-                    item->revision, item->key);
+        note_unreadable(control, item,
+                        MV_ROUTE_HISTORY_KEY
+                        ": a line names no route and service");
     }
 }
 
@@ -163,9 +171,7 @@
         control->table_outdated = true;
     }
     if (error) {
-        MvLog_Write(control->daemon.log, MV_EVENT_ITEM_UNREADABLE,
-                    "revision=%" PRIu64 " why=\"%s\"", item->revision,
-                    error->message);
+        note_unreadable(control, item, error->message);
         g_clear_error(&error);
     }
     if (entry.routing) {
