Soak: another writer's odd entries as a kind of trouble

Change: the fault "stray" leaves one to eight odd entries (a field missing or of another type, an unnamed service or state, keys that name no server, bytes that are no JSON) with the id or the address of servers, and takes them away later; no flow may fail. Planted fault "stray": whole entries of named services at the servers' addresses.

--- a/test/soak/platform_standin.py
+++ b/test/soak/platform_standin.py
@@ -211,10 +211,12 @@
     def announce(self, state):
         if state == "draining":
             self.draining_at = time.monotonic()
-        self.soak.store.write(self.key, json.dumps({
-            "service": self.service, "address": f"{self.address}:8000", "zone": self.zone,
-            "version": "v1", "slots": 8, "state": state, "warmup_left_ms": 0, "seq": 1,
-            "born": self.id}).encode())
+        self.soak.store.write(self.key, json.dumps(self.entry(state)).encode())
+
+    def entry(self, state):
+        return {"service": self.service, "address": f"{self.address}:8000", "zone": self.zone,
+                "version": "v1", "slots": 8, "state": state, "warmup_left_ms": 0, "seq": 1,
+                "born": self.id}
 
     def shut_down(self):
         self.alive = False
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -34,7 +34,9 @@
 # Faults that --plant plants into the stand-ins: the run must fail with each.
 # Most are named after the kind of violation that they cause.
 PLANTS = ["leaving", "config", "tag", "bytes", "crossing", "twice", "answer", "recovery",
-          "evacuated", "shares", "restored"]
+          "evacuated", "shares", "restored", "stray"]
+# Started later than any server of a run.
+LATER_START = 10**9
 SETTINGS = """[node]
 forwarding = tags
 name = node-{i}
@@ -380,10 +382,8 @@
             self.store.write(f"servers/i-{server.id:08x}", None)
             server.draining_at = time.monotonic() - 10
             server.announce = lambda state: None
-            self.store.write(f"servers/i-{server.id:08x}", json.dumps({
-                "service": server.service, "address": f"{server.address}:8000",
-                "zone": server.zone, "version": "v1", "slots": 8, "state": "ready",
-                "warmup_left_ms": 0, "seq": 1, "born": server.id}).encode())
+            self.store.write(f"servers/i-{server.id:08x}",
+                             json.dumps(server.entry("ready")).encode())
         else:
             await asyncio.sleep(DRAIN_LIMIT_S + 2.5)
             server.shut_down()
@@ -491,6 +491,46 @@
             await successor.start()
             self.servers.append(successor)
 
+    def stray_entry(self, rng, server):
+        """Return: key and value of an odd entry with the id or the address of
+        server: a field missing or of another type, a service or state that
+        isn't named, a key that names no server, or bytes that aren't JSON."""
+        entry = server.entry(rng.choice(["ready", "draining"]))
+        entry["born"] += rng.choice([0, LATER_START])
+        key = rng.choice([f"servers/i-{server.id:08x}-{server.id:08x}",
+                          f"servers/x-{LATER_START + rng.randrange(99):08x}"])
+        oddity = rng.choice(["missing", "type", "service", "state", "key", "bytes"])
+        if oddity == "missing":
+            del entry[rng.choice(sorted(entry))]
+        elif oddity == "type":
+            entry[rng.choice(sorted(entry))] = rng.choice([None, True, {}, [1]])
+        elif oddity == "service":
+            entry["service"] = "audit"
+        elif oddity == "state":
+            entry["state"] = "new"
+        elif oddity == "key":
+            key = rng.choice([f"servers/old/i-{server.id:08x}", f"servers/\udcff-{server.id:08x}",
+                              "servers/", f"servers/\0-{server.id:08x}"])
+        value = b"\xff{" if oddity == "bytes" else json.dumps(entry).encode()
+        return key, value
+
+    async def stray(self, rng):
+        """Another writer leaves odd entries among those of the servers for
+        some seconds; no flow may fail."""
+        keys = []
+        for _ in range(rng.randint(1, 8)):
+            server = rng.choice(self.servers)
+            key, value = self.stray_entry(rng, server)
+            if self.plant == "stray":
+                key = f"servers/x-{LATER_START + len(keys):08x}"
+                value = json.dumps(server.entry("ready") | {"born": LATER_START}).encode()
+            self.store.write(key, value)
+            keys.append(key)
+            await asyncio.sleep(rng.uniform(0.0, 0.3))
+        await asyncio.sleep(rng.uniform(1.0, 5.0))
+        for key in keys:
+            self.store.write(key, None)
+
     # Course of a run
 
     async def probe_until(self, deadline):
@@ -505,12 +545,12 @@
         timing, so that a seed repeats it."""
         kinds = ["change", "leave", "roll", "change", "kill", "pause", "store_fault", "forget",
                  "start_alone", "crash", "lose", "change", "kill_all", "blackout", "shares",
-                 "evacuate", "restore", "dark"]
+                 "evacuate", "restore", "dark", "stray"]
         if self.plant:
             # One fault, by default a change of the configuration, and then
             # the rest of the run without any, so that the planted fault shows.
             kind = {"leaving": "leave", "recovery": "kill_all", "evacuated": "evacuate",
-                    "shares": "shares"}.get(self.plant, "change")
+                    "shares": "shares", "stray": "stray"}.get(self.plant, "change")
             print(f"  0.00 {kind}, planted: {self.plant}")
             if self.plant == "restored":
                 return [(4.0, "restore", 0.5), (6.0, "change", 0.5), (seconds, "forget", 0.5)]
