Replica and directory: completeness and succession as modules of their own

What heartbeats tell of the sender's replica is completeness.c, which announcements name a server and which have been replaced is succession.c; the random faults of two tests of fanout_test stand once.

--- a/packages/replica/src/fanout.c
+++ b/packages/replica/src/fanout.c
@@ -14,6 +14,7 @@
  * from a subscription that the subscriber knows more fetches the changes. */
 #include <string.h>
 
+#include "completeness.h"
 #include "source.h"
 #include "subscribers.h"
 
@@ -27,8 +28,6 @@
 #define PULL_DELAY (50 * MV_MILLISECOND)
 /* Records of nodes that start together change the tree once. */
 #define TREE_UPDATE_INTERVAL (100 * MV_MILLISECOND)
-/* A heartbeat tells ages of the replica below this limit. */
-#define MAX_TOLD_AGE (30 * MV_SECOND)
 
 typedef struct peer {
     mv_node_record_t record;
@@ -38,18 +37,6 @@
     bool is_lost;
 } peer_t;
 
-/**
- * struct completeness - What other nodes have told of the store.
- *
- * Invariant: every change that the store made before @time has a revision of
- * at most @revision.  A replica that is complete up to @revision lacks none of
- * them.
- */
-typedef struct completeness {
-    mv_time_t time;
-    uint64_t revision;
-} completeness_t;
-
 struct mv_fanout {
     mv_fanout_settings_t settings;
     mv_replica_t *replica;
@@ -74,8 +61,7 @@
     mv_time_t behind_since;
     mv_node_id_t pull_from; /* peer that reported it */
     mv_time_t pull_at;
-    completeness_t reached; /* this replica is complete up to its revision */
-    completeness_t told;    /* latest one, possibly not reached yet */
+    mv_completeness_t completeness;
 };
 
 mv_fanout_settings_t
@@ -289,20 +275,12 @@
                           .version = MvReplica_Revision(fanout->replica)};
 }
 
-/* Return: the latest one that this replica has reached. */
-static completeness_t
-latest_reached(const mv_fanout_t *fanout)
-{
-    bool is_told_reached =
-        MvReplica_Revision(fanout->replica) >= fanout->told.revision;
-    return is_told_reached ? fanout->told : fanout->reached;
-}
-
 mv_time_t
 MvFanout_CompleteAt(const mv_fanout_t *fanout)
 {
+    uint64_t revision = MvReplica_Revision(fanout->replica);
     return MAX(MvFollower_CompleteAt(fanout->follower),
-               latest_reached(fanout).time);
+               MvCompleteness_Time(&fanout->completeness, revision));
 }
 
 mv_time_t
@@ -314,35 +292,15 @@
     return had_outage ? now : complete_at;
 }
 
-static void
-note_completeness(mv_fanout_t *fanout, mv_time_t time, uint64_t revision)
-{
-    fanout->reached = latest_reached(fanout);
-    if (time > fanout->told.time) {
-        fanout->told = (completeness_t){time, revision};
-    }
-}
-
-/* In a heartbeat, the target field is 0 when the sender is not fresh, else the
- * age of its replica in milliseconds plus one. */
-static uint32_t
-encode_age(mv_time_t age)
-{
-    return (uint32_t)(MIN(age, MAX_TOLD_AGE) / MV_MILLISECOND) + 1;
-}
-
-static mv_time_t
-decode_age(uint32_t target)
-{
-    return (mv_time_t)(target - 1) * MV_MILLISECOND;
-}
-
+/* The target field of a heartbeat is 0 when the sender is not fresh, else the
+ * encoded age of its replica. */
 static mv_message_t
 make_heartbeat(const mv_fanout_t *fanout, mv_time_t now, bool fresh)
 {
     mv_message_t message = make_message(fanout, MV_MESSAGE_REPLICA_HEARTBEAT);
     if (fresh) {
-        message.target = encode_age(now - MvFanout_CompleteAt(fanout));
+        message.target =
+            MvCompleteness_EncodeAge(now - MvFanout_CompleteAt(fanout));
     }
     return message;
 }
@@ -511,6 +469,19 @@
     peer->last_heartbeat = now;
 }
 
+/* @heartbeat: of a fresh node */
+static void
+note_completeness(mv_fanout_t *fanout, mv_time_t now,
+                  const mv_message_t *heartbeat)
+{
+    mv_time_t age = MvCompleteness_DecodeAge(heartbeat->target);
+    if (age != MV_NEVER) {
+        MvCompleteness_Note(&fanout->completeness,
+                            MvReplica_Revision(fanout->replica), now - age,
+                            heartbeat->version);
+    }
+}
+
 static void
 handle_heartbeat(mv_fanout_t *fanout, mv_time_t now, peer_t *peer,
                  const mv_message_t *message)
@@ -520,10 +491,7 @@
     record_revision(fanout, now, peer, message->version);
     if (peer_is_fresh) {
         fanout->heard_at = now;
-        mv_time_t age = decode_age(message->target);
-        if (age < MAX_TOLD_AGE) {
-            note_completeness(fanout, now - age, message->version);
-        }
+        note_completeness(fanout, now, message);
     }
     if (ranks_before(fanout, peer) &&
         MvSource_HandleHeartbeat(&fanout->source, now, peer->record.id,
--- a/packages/replica/test/fanout_test.cc
+++ b/packages/replica/test/fanout_test.cc
@@ -9,6 +9,36 @@
 const mv_time_t kPropagationLimit = 2800 * MV_MILLISECOND;
 const mv_time_t kSettleTime = 5 * MV_SECOND;
 
+/* One of the faults, or the end of all, in a simulation of ten nodes. */
+void
+inject_random_fault(fanout_sim &sim, GRand *random)
+{
+    int i = g_rand_int_range(random, 0, 10);
+    switch (g_rand_int_range(random, 0, 6)) {
+    case 0:
+        sim.stop(i);
+        sim.start(i);
+        break;
+    case 1:
+        sim.nodes[i]->access = store_access::no_reply;
+        break;
+    case 2:
+        sim.nodes[i]->access = store_access::refused;
+        break;
+    case 3:
+        sim.compact_history();
+        break;
+    case 4:
+        sim.cut_links.insert({i, (i + 2) % 10});
+        break;
+    default:
+        for (auto &node : sim.nodes) {
+            node->access = store_access::reachable;
+        }
+        sim.cut_links.clear();
+    }
+}
+
 } // namespace
 
 TEST(Fanout, OneWatchingNodeUpdatesDataCentre)
@@ -271,6 +301,7 @@
     for (uint32_t seed = 1; seed <= 20; seed++) {
         fanout_sim sim(10, 2, seed);
         GRand *random = g_rand_new_with_seed(seed);
+        sim.loss = 0.1;
         for (int step = 1; step <= 120; step++) {
             std::string key =
                 "server/" + std::to_string(g_rand_int_range(random, 0, 4));
@@ -280,33 +311,7 @@
             else {
                 sim.erase(key);
             }
-            int i = g_rand_int_range(random, 0, 10);
-            switch (g_rand_int_range(random, 0, 7)) {
-            case 0:
-                sim.stop(i);
-                sim.start(i);
-                break;
-            case 1:
-                sim.nodes[i]->access = store_access::no_reply;
-                break;
-            case 2:
-                sim.nodes[i]->access = store_access::refused;
-                break;
-            case 3:
-                sim.compact_history();
-                break;
-            case 4:
-                sim.cut_links.insert({i, (i + 2) % 10});
-                break;
-            case 5:
-                sim.loss = 0.1 * g_rand_int_range(random, 0, 3);
-                break;
-            default:
-                for (auto &node : sim.nodes) {
-                    node->access = store_access::reachable;
-                }
-                sim.cut_links.clear();
-            }
+            inject_random_fault(sim, random);
             sim.run(g_rand_int_range(random, 50, 900) * MV_MILLISECOND);
         }
         for (const auto &node : sim.nodes) {
@@ -337,30 +342,7 @@
         sim.loss = 0.1;
         for (int step = 1; step <= 60; step++) {
             sim.write("number/1", std::to_string(step));
-            int i = g_rand_int_range(random, 0, 10);
-            switch (g_rand_int_range(random, 0, 6)) {
-            case 0:
-                sim.stop(i);
-                sim.start(i);
-                break;
-            case 1:
-                sim.nodes[i]->access = store_access::no_reply;
-                break;
-            case 2:
-                sim.nodes[i]->access = store_access::refused;
-                break;
-            case 3:
-                sim.compact_history();
-                break;
-            case 4:
-                sim.cut_links.insert({i, (i + 2) % 10});
-                break;
-            default:
-                for (auto &node : sim.nodes) {
-                    node->access = store_access::reachable;
-                }
-                sim.cut_links.clear();
-            }
+            inject_random_fault(sim, random);
             sim.run(g_rand_int_range(random, 50, 900) * MV_MILLISECOND);
         }
         EXPECT_FALSE(sim.has_reverted) << "seed " << seed;
--- a/packages/tags/src/directory_private.h
+++ b/packages/tags/src/directory_private.h
@@ -2,7 +2,8 @@
  * DOC: State of the directory, shared by its source files.
  *
  * directory.c     servers, routes and evacuations, as the store announces them
- * snapshot.c      the immutable snapshot for the traffic thread
+ * succession.c    which announcements name a server, which of them are
+ * replaced snapshot.c      the immutable snapshot for the traffic thread
  */
 #ifndef MV_TAGS_DIRECTORY_PRIVATE_H
 #define MV_TAGS_DIRECTORY_PRIVATE_H
@@ -106,6 +107,18 @@
 bool MvDirectory_IsEvacuated(const mv_directory_t *directory,
                              const char *data_centre, mv_time_t now);
 
+/**
+ * MvDirectory_NoteNamed() - Note which announcements are of a service that the
+ * configuration names, or named within the retention period.
+ */
+void MvDirectory_NoteNamed(const mv_directory_t *directory);
+
+/**
+ * MvDirectory_NoteReplaced() - Note which incarnations a later one has
+ * replaced.  To be called after MvDirectory_NoteNamed().
+ */
+void MvDirectory_NoteReplaced(const mv_directory_t *directory, mv_time_t now);
+
 /** MvDirectory_DropExpired() - Free incarnations that were withdrawn long ago.
  */
 void MvDirectory_DropExpired(mv_directory_t *directory, mv_time_t now);
--- a/packages/tags/src/snapshot.c
+++ b/packages/tags/src/snapshot.c
@@ -77,115 +77,6 @@
                         GINT_TO_POINTER((int)owner + 1));
 }
 
-static gpointer
-address_of(const mv_incarnation_t *incarnation)
-{
-    return MvTable_AddressKey(incarnation->server.address,
-                              incarnation->server.port);
-}
-
-/* Services of the configuration in force, and those that routes named before
- * while their open flows go on.  Return: a set of names, owned by @directory.
- */
-static GHashTable *
-named_services(const mv_directory_t *directory)
-{
-    const mv_routing_t *routing = directory->routing;
-    GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
-    for (unsigned i = 0; i < routing->limits->len; i++) {
-        g_hash_table_add(
-            names,
-            g_array_index(routing->limits, mv_service_limits_t, i).service);
-    }
-    for (unsigned i = 0; i < routing->routes->len; i++) {
-        mv_route_t *route = &g_array_index(routing->routes, mv_route_t, i);
-        for (unsigned s = 0; s < route->share_count; s++) {
-            g_hash_table_add(names, route->shares[s].service);
-        }
-    }
-    MvRouteHistory_AddServices(directory->history, names);
-    return names;
-}
-
-static void
-note_named(const mv_directory_t *directory)
-{
-    GHashTable *names = named_services(directory);
-    MV_LIST_FOREACH(item, &directory->incarnations)
-    {
-        mv_incarnation_t *incarnation =
-            MV_CONTAINER_OF(item, mv_incarnation_t, link);
-        incarnation->is_named =
-            g_hash_table_contains(names, incarnation->server.service);
-    }
-    g_hash_table_unref(names);
-}
-
-/* @other: NULL for none; a start that is not announced is 0 */
-static bool
-started_after(const mv_incarnation_t *incarnation,
-              const mv_incarnation_t *other)
-{
-    return !other || incarnation->server.started_at > other->server.started_at;
-}
-
-/* Return: the latest start of a server at each address, of those that the
- * store shows: &struct mv_incarnation by address. */
-static GHashTable *
-find_holders(const mv_directory_t *directory)
-{
-    GHashTable *holders = g_hash_table_new(NULL, NULL);
-    MV_LIST_FOREACH(item, &directory->incarnations)
-    {
-        mv_incarnation_t *incarnation =
-            MV_CONTAINER_OF(item, mv_incarnation_t, link);
-        gpointer address = address_of(incarnation);
-        if (incarnation->is_announced && incarnation->is_named &&
-            started_after(incarnation,
-                          g_hash_table_lookup(holders, address))) {
-            g_hash_table_insert(holders, address, incarnation);
-        }
-    }
-    return holders;
-}
-
-/* @successor: what the store shows in the place of @incarnation, or NULL */
-static bool
-is_replaced_by(const mv_incarnation_t *incarnation,
-               const mv_incarnation_t *successor)
-{
-    return successor && successor->is_named &&
-           incarnation->server.started_at > 0 &&
-           started_after(successor, incarnation);
-}
-
-/* Notes which incarnations a later one has replaced.  Two processes never have
- * the same address, or the same key, at a time. */
-static void
-note_replaced(const mv_directory_t *directory, mv_time_t now)
-{
-    GHashTable *holders = find_holders(directory);
-    MV_LIST_FOREACH(item, &directory->incarnations)
-    {
-        mv_incarnation_t *incarnation =
-            MV_CONTAINER_OF(item, mv_incarnation_t, link);
-        bool is_replaced =
-            is_replaced_by(
-                incarnation,
-                g_hash_table_lookup(holders, address_of(incarnation))) ||
-            is_replaced_by(
-                incarnation,
-                g_hash_table_lookup(directory->announced, incarnation->key));
-        if (is_replaced && incarnation->replaced_at == 0) {
-            incarnation->replaced_at = now;
-        }
-        else if (!is_replaced && incarnation->is_announced) {
-            incarnation->replaced_at = 0;
-        }
-    }
-    g_hash_table_unref(holders);
-}
-
 static mv_time_t
 ended_at(const mv_incarnation_t *incarnation)
 {
@@ -351,8 +242,8 @@
 {
     MvDirectory_DropExpired(directory, now);
     MvRouteHistory_Expire(directory->history, now);
-    note_named(directory);
-    note_replaced(directory, now);
+    MvDirectory_NoteNamed(directory);
+    MvDirectory_NoteReplaced(directory, now);
     remove_ended_evacuations(directory, now);
     mv_table_t *table = g_new0(mv_table_t, 1);
     builder_t builder = {
