Removed servers: unseen_ms ends at the node's start; comments

The line 5004 of a node that never knew the announcement logged the machine's uptime; it now logs the time since the node's start.

--- a/packages/masticvaned/src/tags_cluster.c
+++ b/packages/masticvaned/src/tags_cluster.c
@@ -127,9 +127,11 @@
     int event = MvDirectory_Withdraw(control->directory, boot,
                                      boot - unseen_for, item->key);
     if (event) {
+        mv_time_t uptime = now - control->started_at;
         MvLog_Write(control->daemon.log, (mv_log_event_t)event,
                     "server=%s revision=%" PRIu64 " unseen_ms=%" PRId64,
-                    item->key, item->revision, unseen_for / MV_MILLISECOND);
+                    item->key, item->revision,
+                    MIN(unseen_for, uptime) / MV_MILLISECOND);
     }
 }
 
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -194,9 +194,9 @@
 /**
  * MvDirectory_Withdraw() - The announcement under @key was deleted or names no
  * server any more.
- * @removed_at: earliest time at which that may have happened, @now after an
- *              outage of the store: @vanished_grace of the settings counts
- * from there
+ * @removed_at: earliest time at which that may have happened, from which
+ *              @vanished_grace of the settings counts; @now after an outage
+ *              of the store
  *
  * Return: &mv_log_event_t to log, or 0 when no server was announced under
  * @key.
--- a/packages/tags/src/directory_private.h
+++ b/packages/tags/src/directory_private.h
@@ -2,8 +2,8 @@
  * DOC: State of the directory, shared by its source files.
  *
  * directory.c     servers, routes and evacuations, as the store announces them
- * succession.c    which announcements name a server, which of them are
- * replaced snapshot.c      the immutable snapshot for the traffic thread
+ * succession.c    which announcements name a server, or a replaced one
+ * snapshot.c      the immutable snapshot for the traffic thread
  */
 #ifndef MV_TAGS_DIRECTORY_PRIVATE_H
 #define MV_TAGS_DIRECTORY_PRIVATE_H
