Outages: a node that lost its source has not seen one of the store

Callers would have seen: new flows at a server up to 4 s after its announcement was removed, from nodes in touch whose source was killed shortly after.

Cause: a node without contact for 1.5 s reported an outage of the store to the directory, which prolonged the grace of servers that had vanished before. A node has no contact either while it looks for a new source.

Change: MvFanout_TakeOutage() decides in the replica what the daemon decided: no contact, and a call of this node has failed or is late since. The simulation of fanout_test and relay_test now has a directory at each node, and asks it.

Why it works: a node whose calls the store answers has no evidence of an outage.

--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -27,10 +27,6 @@
 /* CLOCK_BOOTTIME and CLOCK_MONOTONIC differ by more than this only after the
  * VM was paused. */
 #define MIN_PAUSE (300 * MV_MILLISECOND)
-/* Longest normal time without contact; a watch responds every second. */
-#define CONTACT_TIMEOUT (1500 * MV_MILLISECOND)
-/* Outages of the store are reported to the directory in steps of this time. */
-#define OUTAGE_REPORT_INTERVAL (500 * MV_MILLISECOND)
 /* Time that the traffic thread has to write its state for a dump. */
 #define DUMP_WAIT (200 * MV_MILLISECOND)
 
@@ -214,8 +210,9 @@
 track_knowledge(mv_tags_control_t *control, mv_time_t now, mv_time_t age)
 {
     mv_time_t behind_since = MvFanout_BehindSince(control->fanout);
-    bool is_behind = behind_since > 0 && now - behind_since > CONTACT_TIMEOUT;
-    bool is_in_touch = age < CONTACT_TIMEOUT && !is_behind &&
+    bool is_behind =
+        behind_since > 0 && now - behind_since > MV_CONTACT_TIMEOUT;
+    bool is_in_touch = age < MV_CONTACT_TIMEOUT && !is_behind &&
                        MvReplica_Revision(control->replica) > 0;
     if (is_in_touch == (control->in_touch_since != MV_NEVER)) {
         return;
@@ -224,10 +221,10 @@
     control->table_outdated = true;
 }
 
-/* Publishes the time of the last contact, and reports time without contact to
+/* Publishes the time of the last contact, and reports outages of the store to
  * the directory: servers whose announcements vanished cannot announce
- * themselves again until the store returns.  Called in every iteration of the
- * loop. */
+ * themselves again until it returns.  Called in every iteration of the loop.
+ */
 static void
 track_store_contact(mv_tags_control_t *control, mv_time_t now)
 {
@@ -235,20 +232,9 @@
     __atomic_store_n(&control->daemon.last_contact_at, now - age,
                      __ATOMIC_RELAXED);
     track_knowledge(control, now, age);
-    if (age < CONTACT_TIMEOUT) {
-        control->no_contact_since = 0;
-        return;
-    }
-    if (control->no_contact_since == 0) {
-        control->no_contact_since = now - CONTACT_TIMEOUT;
-    }
-    mv_time_t outage = now - control->no_contact_since;
-    if (outage < OUTAGE_REPORT_INTERVAL) {
-        return;
-    }
-    control->no_contact_since = now;
-    if (MvDirectory_NoteStoreOutage(control->directory, MvClock_Boot(),
-                                    outage)) {
+    mv_time_t outage = MvFanout_TakeOutage(control->fanout, now);
+    if (outage > 0 && MvDirectory_NoteStoreOutage(control->directory,
+                                                  MvClock_Boot(), outage)) {
         control->table_outdated = true;
     }
 }
--- a/packages/masticvaned/src/tags_control.h
+++ b/packages/masticvaned/src/tags_control.h
@@ -33,8 +33,6 @@
  * @store_era: era of the newest item that was applied, when @has_era is set
  * @in_touch_since: since when this node has had contact without a gap, on the
  *                  clock that counts suspension; MV_NEVER while it has none
- * @no_contact_since: start of the time without contact that was not reported
- *                    to the directory yet, 0 while there is contact
  * @suspended_time: CLOCK_BOOTTIME minus CLOCK_MONOTONIC, which grows while the
  *                  VM is paused; 0 before the first check
  */
@@ -74,7 +72,6 @@
     uint64_t store_era;
     bool has_era;
     mv_time_t in_touch_since;
-    mv_time_t no_contact_since;
     mv_time_t suspended_time;
 } mv_tags_control_t;
 
--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -409,6 +409,10 @@
                             mv_time_t silence);
 } mv_fanout_ops_t;
 
+/** Longest normal time without contact with the store or an up-to-date node; a
+ * watch responds every second. */
+#define MV_CONTACT_TIMEOUT (1500 * MV_MILLISECOND)
+
 /** typedef mv_fanout_t - State of the change distribution at this node. */
 typedef struct mv_fanout mv_fanout_t;
 
@@ -506,6 +510,17 @@
  */
 mv_time_t MvFanout_DateRemoval(const mv_fanout_t *fanout, mv_time_t now);
 
+/**
+ * MvFanout_TakeOutage() - Outage of the store that no earlier call returned.
+ *
+ * The store counts as down from the last contact on while there is none for
+ * longer than %MV_CONTACT_TIMEOUT and a call of this node has failed or is
+ * late.  A node that merely lost its source has not seen an outage.
+ *
+ * Return: its length up to @now, or 0.
+ */
+mv_time_t MvFanout_TakeOutage(mv_fanout_t *fanout, mv_time_t now);
+
 /**
  * MvFanout_Staleness() - Time since the last reply of the store, or since the
  * last heartbeat of an up-to-date node, whichever is shorter.
--- a/packages/replica/src/fanout.c
+++ b/packages/replica/src/fanout.c
@@ -28,6 +28,8 @@
 #define PULL_DELAY (50 * MV_MILLISECOND)
 /* Records of nodes that start together change the tree once. */
 #define TREE_UPDATE_INTERVAL (100 * MV_MILLISECOND)
+/* Outages of the store are reported in steps of this time. */
+#define OUTAGE_REPORT_INTERVAL (500 * MV_MILLISECOND)
 
 typedef struct peer {
     mv_node_record_t record;
@@ -62,6 +64,7 @@
     mv_node_id_t pull_from; /* peer that reported it */
     mv_time_t pull_at;
     mv_completeness_t completeness;
+    mv_time_t outage_reported_at; /* end of the last reported part, or 0 */
 };
 
 mv_fanout_settings_t
@@ -629,6 +632,23 @@
            MAX(MvFollower_LastContact(fanout->follower), fanout->heard_at);
 }
 
+mv_time_t
+MvFanout_TakeOutage(mv_fanout_t *fanout, mv_time_t now)
+{
+    mv_time_t contact_at = now - MvFanout_Staleness(fanout, now);
+    if (now - contact_at < MV_CONTACT_TIMEOUT) {
+        fanout->outage_reported_at = 0;
+        return 0;
+    }
+    mv_time_t span = now - MAX(contact_at, fanout->outage_reported_at);
+    if (span < OUTAGE_REPORT_INTERVAL ||
+        !MvFollower_HasFailedSince(fanout->follower, contact_at, now)) {
+        return 0;
+    }
+    fanout->outage_reported_at = now;
+    return span;
+}
+
 bool
 MvFanout_IsWatching(const mv_fanout_t *fanout)
 {
--- a/packages/replica/test/fanout_sim.cc
+++ b/packages/replica/test/fanout_sim.cc
@@ -2,7 +2,11 @@
 
 #include <cstring>
 
-#include "masticvane/tags.h"
+extern "C" {
+#include "table.h"
+}
+
+const char *const kServerKey = "server";
 
 namespace {
 
@@ -192,15 +196,72 @@
 /* Callbacks of the node */
 
 void
-note_removal(fanout_sim_node *node, const char *key)
+check_claim(fanout_sim_node *node, const char *key)
 {
-    const mv_time_t now = node->sim->now;
     auto erased = node->sim->erased_at.find(key);
     if (erased != node->sim->erased_at.end() &&
         MvFanout_CompleteAt(node->fanout) > erased->second + kTravelTime) {
         node->wrong_claims++;
     }
-    node->removed_at[key] = MvFanout_DateRemoval(node->fanout, now);
+}
+
+mv_directory_t *
+create_directory()
+{
+    mv_directory_settings_t settings = {};
+    settings.retention = MV_MINUTE;
+    settings.vanished_grace = MV_REANNOUNCE_TIME;
+    mv_directory_t *directory = MvDirectory_Create(&settings);
+    mv_routing_t *routing = MvRouting_Create();
+    mv_service_limits_t limits = {};
+    g_strlcpy(limits.service, "booking", MV_NAME_MAX);
+    g_array_append_val(routing->limits, limits);
+    routing->version = 1;
+    MvDirectory_SetRouting(directory, 0, routing);
+    return directory;
+}
+
+void
+update_use(fanout_sim_node *node)
+{
+    mv_table_t *table = MvDirectory_Table(node->directory, node->sim->now);
+    node->usable_until =
+        table->server_count > 0 ? table->servers[0].usable_until : 0;
+    MvTable_Destroy(table);
+}
+
+/* As the daemon does with the announcement of a server. */
+void
+apply_server(fanout_sim_node *node, const mv_store_item_t *item)
+{
+    const mv_time_t now = node->sim->now;
+    mv_server_t server = {};
+    server.id = 1;
+    server.started_at = 1;
+    g_strlcpy(server.service, "booking", MV_NAME_MAX);
+    if (item->deleted) {
+        MvDirectory_Withdraw(node->directory, now,
+                             MvFanout_DateRemoval(node->fanout, now),
+                             item->key);
+    }
+    else {
+        MvDirectory_Announce(node->directory, now, item->key, &server);
+    }
+    update_use(node);
+}
+
+void
+note_use(fanout_sim_node *node)
+{
+    const mv_time_t now = node->sim->now;
+    mv_time_t outage = MvFanout_TakeOutage(node->fanout, now);
+    if (outage > 0 &&
+        MvDirectory_NoteStoreOutage(node->directory, now, outage)) {
+        update_use(node);
+    }
+    if (now < node->usable_until) {
+        node->last_used_at = now;
+    }
 }
 
 void
@@ -218,13 +279,16 @@
         node->sim->has_reverted = true;
     }
     if (item->deleted) {
-        note_removal(node, item->key);
+        check_claim(node, item->key);
         node->values.erase(item->key);
     }
     else {
         node->values[item->key] = item->value;
     }
     node->changed_at[item->key] = node->sim->now;
+    if (!strcmp(item->key, kServerKey)) {
+        apply_server(node, item);
+    }
 }
 
 fanout_sim_node *
@@ -349,6 +413,9 @@
     node->frozen_until = 0;
     node->alive = true;
     node->is_registered = false;
+    node->directory = create_directory();
+    node->usable_until = 0;
+    node->last_used_at = 0;
     node->replica = MvReplica_Create(changed, node);
     node->follower =
         MvFollower_Create(&follower, &node->store, node->replica, random);
@@ -370,9 +437,9 @@
     MvFanout_Destroy(node->fanout);
     MvFollower_Destroy(node->follower);
     MvReplica_Destroy(node->replica);
+    MvDirectory_Destroy(node->directory);
     node->values.clear();
     node->changed_at.clear();
-    node->removed_at.clear();
 }
 
 void
@@ -490,25 +557,12 @@
             }
             MvFanout_Timer(node->fanout, now);
             MvFollower_Timer(node->follower, now);
+            note_use(node.get());
         }
         serve_watches();
     }
 }
 
-mv_time_t
-fanout_sim::used_until(int index, const std::string &key) const
-{
-    const fanout_sim_node &node = *nodes[index];
-    if (node.values.count(key)) {
-        return MV_NEVER;
-    }
-    if (!node.changed_at.count(key)) {
-        return 0;
-    }
-    return MAX(node.changed_at.at(key),
-               node.removed_at.at(key) + MV_REANNOUNCE_TIME);
-}
-
 std::vector<int>
 fanout_sim::watchers() const
 {
--- a/packages/replica/test/fanout_sim.h
+++ b/packages/replica/test/fanout_sim.h
@@ -13,6 +13,10 @@
 #include <vector>
 
 #include "masticvane/replica.h"
+#include "masticvane/tags.h"
+
+/* Key of the announcement of a server that always answers. */
+extern const char *const kServerKey;
 
 /* How the store responds to a node: with replies, not at all, or by refusing
  * its connections. */
@@ -41,10 +45,14 @@
     mv_follower_t *follower;
     mv_fanout_t *fanout;
     mv_registration_t *registration;
+    /* Has the server that is announced under kServerKey. */
+    mv_directory_t *directory;
+    /* New flows go to that server until then, as far as is known. */
+    mv_time_t usable_until;
+    /* Last time at which new flows went to it, 0 for never. */
+    mv_time_t last_used_at;
     std::map<std::string, std::string> values;
     std::map<std::string, mv_time_t> changed_at;
-    /* Times from which removals count, as this node dated them. */
-    std::map<std::string, mv_time_t> removed_at;
     /* Removals at a time before which the node claimed to know them all. */
     int wrong_claims;
     /* Peers whose heartbeats stopped and have not resumed. */
@@ -77,10 +85,6 @@
     };
     copy_t save() const;
     void restore(const copy_t &copy);
-    /* Time until which a node sends new flows to the server announced under
-     * @key, which answers and whose announcement was erased; MV_NEVER while
-     * the node does not know, 0 when it never knew the server. */
-    mv_time_t used_until(int index, const std::string &key) const;
     /* Nodes that currently watch the store. */
     std::vector<int> watchers() const;
     uint64_t calls() const;
--- a/packages/replica/test/fanout_test.cc
+++ b/packages/replica/test/fanout_test.cc
@@ -102,27 +102,26 @@
  * one whose announcement may have lapsed in an outage. */
 TEST_P(Watchers, RemovedServerIsNotUsedAfterLimit)
 {
-    for (mv_time_t delay_after_fault = 0;
-         delay_after_fault <= 1500 * MV_MILLISECOND;
-         delay_after_fault += 100 * MV_MILLISECOND) {
+    const mv_time_t earliest = 2500 * MV_MILLISECOND;
+    for (mv_time_t fault_at = 0; fault_at <= 4 * MV_SECOND;
+         fault_at += 100 * MV_MILLISECOND) {
         fanout_sim sim(8);
-        sim.write("server", "1");
+        sim.write(kServerKey, "");
         sim.run(kSettleTime);
         ASSERT_EQ(sim.watchers().size(), 1u);
         int watcher = sim.watchers()[0];
+        mv_time_t erased_at = sim.now + earliest;
+        sim.schedule(earliest, [&] { sim.erase(kServerKey); });
+        sim.run(fault_at);
         GetParam().begin(sim, watcher);
-        sim.run(delay_after_fault);
-        sim.erase("server");
-        mv_time_t erased_at = sim.now;
-        sim.run(2 * kPropagationLimit);
+        sim.run(earliest + 2 * kPropagationLimit - fault_at + MV_SECOND);
         for (auto &node : sim.nodes) {
             if (node->index == watcher || !node->alive) {
                 continue;
             }
-            EXPECT_LE(sim.used_until(node->index, "server") - erased_at,
-                      kPropagationLimit)
-                << GetParam().name << ", removed " << delay_after_fault
-                << " us after it, node " << node->index;
+            EXPECT_LE(node->last_used_at - erased_at, kPropagationLimit)
+                << GetParam().name << ", " << fault_at - earliest
+                << " us after the removal, node " << node->index;
             EXPECT_EQ(node->wrong_claims, 0) << GetParam().name;
         }
     }
@@ -273,21 +272,20 @@
         for (mv_time_t span = 4 * MV_SECOND; span <= 7 * MV_SECOND;
              span += 300 * MV_MILLISECOND) {
             fanout_sim sim(12, 2);
-            sim.write("server", "1");
+            sim.write(kServerKey, "");
             sim.run(kSettleTime);
             for (auto &node : sim.nodes) {
                 node->access = fault;
             }
             sim.run(span);
-            sim.erase("server");
+            sim.erase(kServerKey);
             for (auto &node : sim.nodes) {
                 node->access = store_access::reachable;
             }
             mv_time_t returned_at = sim.now;
             sim.run(kSettleTime);
             for (auto &node : sim.nodes) {
-                EXPECT_GE(sim.used_until(node->index, "server") - returned_at,
-                          2 * MV_SECOND)
+                EXPECT_GE(node->last_used_at - returned_at, 2 * MV_SECOND)
                     << "outage of " << span << " us, node " << node->index;
             }
         }
--- a/packages/replica/test/relay_test.cc
+++ b/packages/replica/test/relay_test.cc
@@ -202,7 +202,7 @@
     for (mv_time_t delay : delays) {
         fanout_sim sim(nodes);
         sim.write("number/1", "1");
-        sim.write("server", "1");
+        sim.write(kServerKey, "");
         sim.run(kSettleTime);
         ASSERT_EQ(sim.watchers().size(), 1u);
         const std::vector<int> ranked = by_rank(sim);
@@ -213,21 +213,22 @@
         fault.begin(sim, ranked);
         sim.run(delay * MV_MILLISECOND);
         sim.write("number/1", "2");
-        sim.erase("server");
+        sim.erase(kServerKey);
         const mv_time_t changed_at = sim.now;
         sim.run(fault.limit);
         int late = 0;
+        for (const auto &node : sim.nodes) {
+            late += node->alive && !exempt.count(node->index) &&
+                    node->values["number/1"] != "2";
+        }
+        sim.run(3 * MV_SECOND);
         int used_late = 0;
         for (const auto &node : sim.nodes) {
-            if (!node->alive || exempt.count(node->index)) {
-                continue;
-            }
-            late += node->values["number/1"] != "2";
             /* A node that is cut off from the store is not in touch: this
              * limit does not hold for it. */
-            used_late += node->access == store_access::reachable &&
-                         sim.used_until(node->index, "server") - changed_at >
-                             fault.limit;
+            used_late += node->alive && !exempt.count(node->index) &&
+                         node->access == store_access::reachable &&
+                         node->last_used_at - changed_at > fault.limit;
         }
         EXPECT_EQ(late, 0) << "change " << delay << " ms after the fault";
         EXPECT_EQ(used_late, 0) << "new flows to a server that was removed "
@@ -236,6 +237,39 @@
     }
 }
 
+/* Guards against nodes that take the loss of their source for an outage of the
+ * store, and use a server again that was removed shortly before. */
+TEST_P(RelayFaults, ServerRemovedBeforeIsNotUsedAgain)
+{
+    const auto &[nodes, fault] = GetParam();
+    const std::vector<mv_time_t> delays =
+        nodes > 100 ? std::vector<mv_time_t>{1000}
+                    : std::vector<mv_time_t>{200, 600, 1000, 1400};
+    for (mv_time_t delay : delays) {
+        fanout_sim sim(nodes);
+        sim.write(kServerKey, "");
+        sim.run(kSettleTime);
+        const std::vector<int> ranked = by_rank(sim);
+        std::set<int> exempt;
+        for (unsigned rank : fault.exempt) {
+            exempt.insert(ranked[rank]);
+        }
+        sim.erase(kServerKey);
+        const mv_time_t erased_at = sim.now;
+        sim.run(delay * MV_MILLISECOND);
+        fault.begin(sim, ranked);
+        sim.run(5 * MV_SECOND);
+        int used_late = 0;
+        for (const auto &node : sim.nodes) {
+            used_late += node->alive && !exempt.count(node->index) &&
+                         node->access == store_access::reachable &&
+                         node->last_used_at - erased_at > fault.limit;
+        }
+        EXPECT_EQ(used_late, 0)
+            << "removed " << delay << " ms before the fault";
+    }
+}
+
 void
 cut_sending(fanout_sim &sim, int index)
 {
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -186,6 +186,8 @@
      "    return revision >= completeness->told_revision ?", "    return revision >= 0 ?", "fanout_test", "Fanout.Claims*"),
     ("servers have time to come back after an outage of the store", REPLICA + "fanout.c",
      "    return had_outage ? now : complete_at;", "    return had_outage && now < 0 ? now : complete_at;", "fanout_test", "Fanout.Servers*"),
+    ("a node that lost its source has not seen an outage of the store", REPLICA + "fanout.c",
+     "        !MvFollower_HasFailedSince(fanout->follower, contact_at, now)) {", "        now < 0) {", "relay_test", "*RemovedBefore*_60"),
     ("a restored store does not date removals", TAGS + "directory.c",
      "is_restoring ? now : removed_at);", "is_restoring && now < 0 ? now : removed_at);", "tags_test", "Vanished*"),
     ("half a surrogate pair in a key costs its item alone", "platform/store.c",
