Succession: a later announcement, not a later start alone, replaces a server

Cause: of two incarnations at an address, the one with the earlier start time counted as replaced, though start times come from clocks that differ by seconds.

Change: the later one of two must also have the later last announcement, by the store's revision; the holder of an address is the one that was announced last.

Why it works: a server that has ended announces nothing any more, so that a living one always has the higher revision, and none that ended can replace it.

Tests changed: MvDirectory_Announce() has a revision; the worlds of the tests count it up.

--- a/packages/masticvaned/src/tags_cluster.c
+++ b/packages/masticvaned/src/tags_cluster.c
@@ -143,8 +143,9 @@
         withdraw_server(control, item);
         return;
     }
-    int event = MvDirectory_Announce(control->directory, MvClock_Boot(),
-                                     item->key, &entry->server);
+    int event =
+        MvDirectory_Announce(control->directory, MvClock_Boot(), item->key,
+                             item->revision, &entry->server);
     if (event) {
         MvLog_Write(control->daemon.log, (mv_log_event_t)event,
                     "server=%s revision=%" PRIu64, item->key, item->revision);
--- a/packages/replica/test/fanout_sim.cc
+++ b/packages/replica/test/fanout_sim.cc
@@ -245,7 +245,8 @@
                              item->key);
     }
     else {
-        MvDirectory_Announce(node->directory, now, item->key, &server);
+        MvDirectory_Announce(node->directory, now, item->key, item->revision,
+                             &server);
     }
     update_use(node);
 }
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -179,6 +179,7 @@
 /**
  * MvDirectory_Announce() - Add or update the server announced under @key.
  * @key: key of the announcement in the store
+ * @revision: revision of the store that the announcement has
  *
  * A server under the same key with another @id, @started_at or @service is
  * another incarnation; the previous one gets no new flows.
@@ -189,7 +190,8 @@
  * Return: &mv_log_event_t to log, or 0 when nothing has to be logged.
  */
 int MvDirectory_Announce(mv_directory_t *directory, mv_time_t now,
-                         const char *key, const mv_server_t *server);
+                         const char *key, uint64_t revision,
+                         const mv_server_t *server);
 
 /**
  * MvDirectory_Withdraw() - The announcement under @key was deleted or names no
--- a/packages/tags/src/directory.c
+++ b/packages/tags/src/directory.c
@@ -141,7 +141,7 @@
 
 static int
 update(const mv_directory_t *directory, mv_incarnation_t *incarnation,
-       mv_time_t now, const mv_server_t *server)
+       mv_time_t now, uint64_t revision, const mv_server_t *server)
 {
     bool is_new = !incarnation->is_announced;
     bool starts_draining = server->state == MV_SERVER_DRAINING &&
@@ -151,6 +151,7 @@
         incarnation->drains_until = directory->restored_until;
     }
     incarnation->server = *server;
+    incarnation->revision = revision;
     incarnation->is_announced = true;
     incarnation->warmup_until = now + server->remaining_warmup;
     if (starts_draining) {
@@ -161,12 +162,12 @@
 
 int
 MvDirectory_Announce(mv_directory_t *directory, mv_time_t now, const char *key,
-                     const mv_server_t *server)
+                     uint64_t revision, const mv_server_t *server)
 {
     mv_incarnation_t *incarnation =
         g_hash_table_lookup(directory->announced, key);
     if (incarnation && is_same_start(&incarnation->server, server)) {
-        return update(directory, incarnation, now, server);
+        return update(directory, incarnation, now, revision, server);
     }
     if (incarnation) {
         /* A new incarnation under the same key has replaced the old one. */
@@ -178,7 +179,7 @@
         incarnation = add_incarnation(directory, key, server);
     }
     g_hash_table_replace(directory->announced, incarnation->key, incarnation);
-    return update(directory, incarnation, now, server);
+    return update(directory, incarnation, now, revision, server);
 }
 
 int
--- a/packages/tags/src/directory_private.h
+++ b/packages/tags/src/directory_private.h
@@ -20,7 +20,9 @@
  *
  * Invariant: an incarnation counts as replaced from the moment when the store
  * shows a later one at its address or under its key, until it shows this one
- * without a later one: a server that lives announces itself again.
+ * without a later one: a server that lives announces itself again.  One is
+ * later if both its start and its last announcement are: clocks of machines
+ * differ, but a server that has ended announces nothing any more.
  *
  * Invariant: no new flow goes to a server later than @vanished_grace of the
  * settings after the store removed its announcement, or later than a node in
@@ -35,6 +37,7 @@
  * @key: key of the announcement
  * @server: the announcement
  * @tag: the server's tag
+ * @revision: revision of the store that its last announcement had
  * @is_announced: the announcement exists
  * @is_named: the configuration names its service, or a route did so within the
  *            retention period; as of the last snapshot
@@ -52,6 +55,7 @@
     char *key;
     mv_server_t server;
     uint32_t tag;
+    uint64_t revision;
     bool is_announced;
     bool is_named;
     mv_time_t withdrawn_at;
--- a/packages/tags/src/succession.c
+++ b/packages/tags/src/succession.c
@@ -46,16 +46,8 @@
                               incarnation->server.port);
 }
 
-/* @other: NULL for none; a start that is not announced is 0 */
-static bool
-started_after(const mv_incarnation_t *incarnation,
-              const mv_incarnation_t *other)
-{
-    return !other || incarnation->server.started_at > other->server.started_at;
-}
-
-/* Return: the latest start of a server at each address, of those that the
- * store shows: &struct mv_incarnation by address. */
+/* Return: the server that was announced last at each address, of those that
+ * the store shows: &struct mv_incarnation by address. */
 static GHashTable *
 find_holders(const mv_directory_t *directory)
 {
@@ -65,23 +57,25 @@
         mv_incarnation_t *incarnation =
             MV_CONTAINER_OF(item, mv_incarnation_t, link);
         gpointer address = address_of(incarnation);
+        const mv_incarnation_t *holder = g_hash_table_lookup(holders, address);
         if (incarnation->is_announced && incarnation->is_named &&
-            started_after(incarnation,
-                          g_hash_table_lookup(holders, address))) {
+            (!holder || incarnation->revision > holder->revision)) {
             g_hash_table_insert(holders, address, incarnation);
         }
     }
     return holders;
 }
 
-/* @successor: what the store shows in the place of @incarnation, or NULL */
+/* @successor: what the store shows in the place of @incarnation, or NULL.  A
+ * start that is not announced is 0. */
 static bool
 is_replaced_by(const mv_incarnation_t *incarnation,
                const mv_incarnation_t *successor)
 {
     return successor && successor->is_named &&
            incarnation->server.started_at > 0 &&
-           started_after(successor, incarnation);
+           successor->server.started_at > incarnation->server.started_at &&
+           successor->revision > incarnation->revision;
 }
 
 /* Two processes never have the same address, or the same key, at a time. */
--- a/packages/tags/test/odd_entries_test.cc
+++ b/packages/tags/test/odd_entries_test.cc
@@ -147,7 +147,8 @@
         entry.address = pick(3) ? server.address : 0x7f000001;
         entry.state = pick(2) ? MV_SERVER_READY : MV_SERVER_DRAINING;
         g_strlcpy(entry.service, "audit", MV_NAME_MAX);
-        MvDirectory_Announce(odd.directory, odd.now, key.c_str(), &entry);
+        MvDirectory_Announce(odd.directory, odd.now, key.c_str(),
+                             ++odd.revision, &entry);
     }
 
     void
--- a/packages/tags/test/tags_test.cc
+++ b/packages/tags/test/tags_test.cc
@@ -859,8 +859,10 @@
         mv_server_t odd = good;
         odd.address = 0x7f000001;
         odd.port = 1;
-        MvDirectory_Announce(world.directory, world.now, c.first, &good);
-        MvDirectory_Announce(world.directory, world.now, c.second, &odd);
+        MvDirectory_Announce(world.directory, world.now, c.first,
+                             ++world.revision, &good);
+        MvDirectory_Announce(world.directory, world.now, c.second,
+                             ++world.revision, &odd);
         if (c.withdrawn) {
             MvDirectory_Withdraw(world.directory, world.now, world.now,
                                  c.withdrawn);
@@ -890,13 +892,16 @@
         tags_world world;
         mv_server_t server = world.server(7, "booking", "casa");
         MvDirectory_Announce(world.directory, world.now,
-                             c.is_copy_first ? "x-7" : "i-7", &server);
+                             c.is_copy_first ? "x-7" : "i-7", ++world.revision,
+                             &server);
         MvDirectory_Announce(world.directory, world.now,
-                             c.is_copy_first ? "i-7" : "x-7", &server);
+                             c.is_copy_first ? "i-7" : "x-7", ++world.revision,
+                             &server);
         world.announce(world.server(8, "booking", "casa"));
         world.route(1, {{443, "booking"}});
         server.state = MV_SERVER_DRAINING;
-        MvDirectory_Announce(world.directory, world.now, "i-7", &server);
+        MvDirectory_Announce(world.directory, world.now, "i-7",
+                             ++world.revision, &server);
         if (c.is_withdrawn) {
             MvDirectory_Withdraw(world.directory, world.now, world.now, "i-7");
         }
@@ -913,14 +918,17 @@
 {
     tags_world world;
     mv_server_t server = world.server(7, "booking", "casa");
-    MvDirectory_Announce(world.directory, world.now, "i-7", &server);
-    MvDirectory_Announce(world.directory, world.now, "x-7", &server);
+    MvDirectory_Announce(world.directory, world.now, "i-7", ++world.revision,
+                         &server);
+    MvDirectory_Announce(world.directory, world.now, "x-7", ++world.revision,
+                         &server);
     MvDirectory_Withdraw(world.directory, world.now, world.now, "i-7");
     world.route(1, {{443, "booking"}});
     world.now += 2 * MV_MINUTE;
     world.publish();
     EXPECT_EQ(MvDirectory_UsableServers(world.directory), 1u);
-    MvDirectory_Announce(world.directory, world.now, "x-7", &server);
+    MvDirectory_Announce(world.directory, world.now, "x-7", ++world.revision,
+                         &server);
     world.publish();
     EXPECT_EQ(world.open(1).server, server.id);
 }
--- a/packages/tags/test/tags_world.cc
+++ b/packages/tags/test/tags_world.cc
@@ -116,7 +116,8 @@
 void
 tags_world::announce(const mv_server_t &server)
 {
-    MvDirectory_Announce(directory, now, key_of(server.id).c_str(), &server);
+    MvDirectory_Announce(directory, now, key_of(server.id).c_str(), ++revision,
+                         &server);
 }
 
 void
--- a/packages/tags/test/tags_world.h
+++ b/packages/tags/test/tags_world.h
@@ -50,6 +50,8 @@
     uint64_t counter(mv_counter_id_t id) const;
 
     mv_time_t now = MV_SECOND;
+    /* Of the store, as of the last announcement. */
+    uint64_t revision = 0;
     /* Services that the configuration lists, besides those of its routes. */
     std::set<std::string> listed_services;
     /* Of the routes that route() makes from now on. */
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -170,6 +170,8 @@
      "            g_hash_table_contains(names, incarnation->server.service);", "            names != NULL;", "tags_test", "Ended.*:*OddEntries*"),
     ("an unnamed service's entry over a server's key replaces nothing", TAGS + "succession.c",
      "    return successor && successor->is_named &&", "    return successor &&", "tags_test", "Ended.*:*OddEntries*"),
+    ("a server that has ended replaces none, whatever its clock said", TAGS + "succession.c",
+     "           successor->revision > incarnation->revision;", "           successor->revision != incarnation->revision;", "tags_test", "*Succession*"),
     ("a server is not replaced by an entry that is gone", TAGS + "succession.c",
      "            incarnation->replaced_at = 0;", "            incarnation->replaced_at *= 1;", "tags_test", "Ended.*"),
     ("an entry with a field missing is no server", "platform/documents.c",
