succession_test: entries of living servers lapse and come back

The planted fault "a server that has ended replaces none, whatever its clock said" needs a living server without an entry beside that of one that ended.

--- a/packages/tags/test/succession_test.cc
+++ b/packages/tags/test/succession_test.cc
@@ -19,6 +19,7 @@
 const int kClockErrorMs = 2400;
 /* The entry of a server that crashed lapses after three heartbeats. */
 const mv_time_t kLapse = 3600 * MV_MILLISECOND;
+const mv_time_t kHeartbeat = 1200 * MV_MILLISECOND;
 /* A node learns of a change within this time. */
 const int kMaxDelayMs = 2800;
 
@@ -177,11 +178,26 @@
         else if (now >= next_change) {
             start_server();
         }
+        change_entry();
         if (pick(200) == 0) {
             start_node(pick(kNodes));
         }
     }
 
+    /* The entry of the server that runs lapses, and is written again with its
+     * next heartbeat. */
+    void
+    change_entry()
+    {
+        if (is_up && store.count(key()) > 0 && pick(100) == 0) {
+            remove(key());
+            written_again_at = now + kHeartbeat;
+        }
+        else if (is_up && store.count(key()) == 0 && now >= written_again_at) {
+            put(key(), server);
+        }
+    }
+
     /* A flow opens if it reaches the incarnation that runs. */
     void
     open_flow()
@@ -265,6 +281,7 @@
     int incarnation = 0;
     bool is_up = false;
     mv_time_t next_change = 0;
+    mv_time_t written_again_at = 0;
     std::vector<open_flow_t> flows;
     uint16_t last_port = 1000;
     int opened = 0;
