--- a/packages/tags/test/ended_test.cc
+++ b/packages/tags/test/ended_test.cc
@@ -342,6 +342,26 @@
     EXPECT_EQ(used.count(4), 1u);
 }
 
+/* Guards against a server that counts as replaced for good: another writer's
+ * whole entry had its address for a moment. */
+TEST(Ended, AServerIsInUseAgainWhenItsSuccessorIsGone)
+{
+    ended_world world;
+    std::vector<uint16_t> ports = world.open_two_at(2);
+    world.replace(2, 50);
+    world.advance(50 * MV_MILLISECOND);
+    world.withdraw(50);
+    world.publish();
+    world.advance(2 * MV_SECOND);
+    EXPECT_TRUE(world.resets.empty());
+    EXPECT_EQ(world.request(ports[0]).kind, MV_FLOW_FORWARD);
+    std::set<uint64_t> used;
+    for (uint16_t port = 100; port < 130; port++) {
+        used.insert(world.open(port).server);
+    }
+    EXPECT_EQ(used.count(2), 1u);
+}
+
 /* Guards against callers that lose a retry, or wait until their timeout, since
  * the server that was sent their SYN has ended. */
 TEST(Ended, ASynToAReplacedServerIsPlacedAnew)
