standstill test: flows begin only when the entry VM has stopped

Cause, in the test: SIGSTOP takes effect when the thread that is to handle it is scheduled. On a busy machine the traffic thread went on meanwhile; all 40 flows opened and had their answers, and no packet came after the wake-up at which the daemon could stop.

Change: the test waits until all threads have stopped before any flow begins. Places, times, bounds and checks are as before.

--- a/test/standstill/standstill.py
+++ b/test/standstill/standstill.py
@@ -223,6 +223,25 @@
     def signal(self, number):
         self.process.send_signal(number)
 
+    def is_stopped(self):
+        tasks = f"/proc/{self.process.pid}/task"
+        states = []
+        for task in os.listdir(tasks):
+            with open(f"{tasks}/{task}/stat", encoding="utf-8") as stat:
+                states.append(stat.read().rsplit(")", 1)[1].split()[0])
+        return all(state == "T" for state in states)
+
+    def stop(self):
+        """Stops the process.  On a busy machine a signal takes effect some time
+        after it was sent, and the process would take packets meanwhile: blocks,
+        so that no flow begins before all its threads have stopped."""
+        deadline = now() + 2.0
+        self.signal(signal.SIGSTOP)
+        while not self.is_stopped():
+            if now() > deadline:
+                raise RuntimeError("the daemon did not stop")
+            time.sleep(0.001)
+
     def arm(self, place):
         """The process will stop when it next comes to the place."""
         with open(self.stop_file + ".new", "w", encoding="utf-8") as out:
@@ -337,13 +356,13 @@
         """Stops the first entry VM at the place of the case."""
         node = self.nodes[0]
         if case.place == "wait":
-            node.signal(signal.SIGSTOP)
+            node.stop()
             return
         if case.waiting_s is None:
             node.arm(case.place)
             self.add_flow().send(SYN, 1)
         else:
-            node.signal(signal.SIGSTOP)
+            node.stop()
             await asyncio.sleep(case.waiting_s)
             node.arm(case.place)
             node.signal(signal.SIGCONT)
