--- a/packages/replica/test/fanout_sim.cc
+++ b/packages/replica/test/fanout_sim.cc
@@ -95,7 +95,7 @@
     if (call_reaches_store(node, kCallTimeout, [=] {
             fail_list(done, context, MV_STORE_FAILED);
         })) {
-        run_later(node, kStoreDelay, [=] {
+        run_later(node, kStoreDelay + node->slowness, [=] {
             std::vector<std::pair<std::string, fanout_sim::item_t>> found;
             for (const auto &entry : sim->items) {
                 if (!entry.second.deleted) {
@@ -135,7 +135,7 @@
     if (!call_reaches_store(node, kCallTimeout, reply_unknown)) {
         return;
     }
-    run_later(node, kStoreDelay, [=] {
+    run_later(node, kStoreDelay + node->slowness, [=] {
         auto found = node->sim->items.find(name);
         bool exists =
             found != node->sim->items.end() && !found->second.deleted;
@@ -167,7 +167,8 @@
     };
     if (call_reaches_store(node, kCallTimeout,
                            [=] { send_reply(MV_STORE_UNKNOWN); })) {
-        run_later(node, kStoreDelay, [=] { send_reply(MV_STORE_DONE); });
+        run_later(node, kStoreDelay + node->slowness,
+                  [=] { send_reply(MV_STORE_DONE); });
     }
 }
 
@@ -314,6 +315,8 @@
     node->bytes_sent += kDatagramOverheadBytes + message->blob_length;
     if (!node->is_registered || !receiver ||
         sim->cut_links.count({node->index, receiver->index}) ||
+        (message->kind == MV_MESSAGE_REPLICA_DELTA &&
+         sim->hung_streams.count({node->index, receiver->index})) ||
         g_rand_double(sim->random) < sim->loss) {
         return;
     }
@@ -515,7 +518,7 @@
             continue;
         }
         if (watch.after + 1 < history_start) {
-            run_later(node, kStoreDelay, [=] {
+            run_later(node, kStoreDelay + node->slowness, [=] {
                 fail_list(watch.done, watch.context, MV_STORE_REFUSED);
             });
             continue;
@@ -531,7 +534,7 @@
             }
         }
         uint64_t reply_revision = revision;
-        run_later(node, kStoreDelay, [=] {
+        run_later(node, kStoreDelay + node->slowness, [=] {
             reply_list(watch.done, watch.context, reply_revision, found);
         });
     }
--- a/packages/replica/test/fanout_sim.h
+++ b/packages/replica/test/fanout_sim.h
@@ -37,7 +37,8 @@
     store_access access;
     /* Until then timers stand still and messages wait. */
     mv_time_t frozen_until;
-    /* Added to the time that a message to this node takes. */
+    /* Added to the time that a message to this node, or a reply of the store,
+     * takes: the node handles what it receives so much late. */
     mv_time_t slowness;
     uint64_t calls;
     uint64_t bytes_sent;
@@ -116,6 +117,9 @@
     double loss = 0;
     /* Pairs of sender and receiver whose datagrams are dropped. */
     std::set<std::pair<int, int>> cut_links;
+    /* Pairs of sender and receiver whose deltas are dropped, as on a stream
+     * that hangs; other messages are datagrams. */
+    std::set<std::pair<int, int>> hung_streams;
     uint64_t datagrams = 0;
     /* Signing keys that nodes have generated. */
     int generated_keys = 0;
