Log: whom a node has a change from; flow lines leave room for such lines

2001, 5003 and 5009 now name the node that this one has the change from, or the store, and the age of that contact; lines about single flows (6001 to 6007) use three quarters of the budget at most.

--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -14,6 +14,11 @@
 #define LINE_MAX_BYTES 2048
 #define FILE_MODE 0644
 #define NS_PER_MILLISECOND 1000000
+/* Events of single flows come in any number: a part of the budget is left to
+ * the others, which tell what the node knows. */
+#define FIRST_FLOW_EVENT 6001
+#define LAST_FLOW_EVENT 6007
+#define FLOW_SHARE(budget) ((budget) / 4 * 3)
 
 /**
  * struct mv_log - State of a log.
@@ -178,17 +183,33 @@
     }
 }
 
+static bool
+is_about_flow(const event_text_t *event)
+{
+    return event->number >= FIRST_FLOW_EVENT &&
+           event->number <= LAST_FLOW_EVENT;
+}
+
+static unsigned
+budget_of(const event_text_t *event, unsigned budget)
+{
+    return is_about_flow(event) ? FLOW_SHARE(budget) : budget;
+}
+
 /* Checked before formatting, so that dropped lines cost little. */
 static bool
-is_within_line_budget(const mv_log_t *log)
+is_within_line_budget(const mv_log_t *log, const event_text_t *event)
 {
-    return log->line_budget == 0 || log->lines < log->line_budget;
+    return log->line_budget == 0 ||
+           log->lines < budget_of(event, log->line_budget);
 }
 
 static bool
-is_within_byte_budget(const mv_log_t *log, size_t length)
+is_within_byte_budget(const mv_log_t *log, const event_text_t *event,
+                      size_t length)
 {
-    return log->byte_budget == 0 || log->bytes + length <= log->byte_budget;
+    return log->byte_budget == 0 ||
+           log->bytes + length <= budget_of(event, log->byte_budget);
 }
 
 void
@@ -213,7 +234,7 @@
     length += (size_t)vsnprintf(line + length, LINE_MAX_BYTES - length, format,
                                 args);
     length = MIN(length, LINE_MAX_BYTES - 2);
-    if (!is_within_byte_budget(log, length + 1)) {
+    if (!is_within_byte_budget(log, event, length + 1)) {
         log->over_budget++;
         return;
     }
@@ -236,7 +257,7 @@
     clock_gettime(CLOCK_REALTIME, &now);
     pthread_mutex_lock(&log->lock);
     start_new_second(log, &now);
-    if (is_within_line_budget(log)) {
+    if (is_within_line_budget(log, entry)) {
         va_list args;
         va_start(args, format);
         write_event(log, entry, &now, format, args);
--- a/packages/masticvaned/src/tags_cluster.c
+++ b/packages/masticvaned/src/tags_cluster.c
@@ -15,6 +15,30 @@
 #define OTHER_WRITE_MIN_DELAY (2 * MV_SECOND)
 #define OTHER_WRITE_MAX_DELAY (6 * MV_SECOND)
 
+/* From whom this node has what it knows, and how old that is: appended to the
+ * lines about changes. */
+typedef struct origin {
+    char text[64];
+} origin_t;
+
+static origin_t
+describe_origin(const mv_tags_control_t *control)
+{
+    origin_t origin;
+    mv_node_id_t source = MvFanout_Source(control->fanout);
+    mv_time_t age =
+        MvFanout_Staleness(control->fanout, g_get_monotonic_time());
+    if (MvFanout_IsWatching(control->fanout) || source == MV_NO_NODE) {
+        (void)snprintf(origin.text, sizeof(origin.text), "source=store");
+    }
+    else {
+        (void)snprintf(origin.text, sizeof(origin.text),
+                       "source=%u age_ms=%" PRId64, source,
+                       age / MV_MILLISECOND);
+    }
+    return origin;
+}
+
 static void
 apply_routing(mv_tags_control_t *control, mv_routing_t *routing,
               uint64_t revision)
@@ -24,12 +48,12 @@
     uint64_t before = MvDirectory_Version(control->directory);
     bool is_newer =
         MvDirectory_SetRouting(control->directory, MvClock_Boot(), routing);
-    MvLog_Write(control->daemon.log,
-                is_newer ? MV_EVENT_CONFIG_IN_FORCE
-                         : MV_EVENT_CONFIG_NOT_NEWER,
-                "version=%" PRIu64 " before=%" PRIu64 " revision=%" PRIu64
-                " routes=%u",
-                version, before, revision, routes);
+    MvLog_Write(
+        control->daemon.log,
+        is_newer ? MV_EVENT_CONFIG_IN_FORCE : MV_EVENT_CONFIG_NOT_NEWER,
+        "version=%" PRIu64 " before=%" PRIu64 " revision=%" PRIu64
+        " routes=%u %s",
+        version, before, revision, routes, describe_origin(control).text);
 }
 
 static void
@@ -148,7 +172,8 @@
                              item->revision, &entry->server);
     if (event) {
         MvLog_Write(control->daemon.log, (mv_log_event_t)event,
-                    "server=%s revision=%" PRIu64, item->key, item->revision);
+                    "server=%s revision=%" PRIu64 " %s", item->key,
+                    item->revision, describe_origin(control).text);
     }
 }
 
--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -521,6 +521,12 @@
  */
 mv_time_t MvFanout_TakeOutage(mv_fanout_t *fanout, mv_time_t now);
 
+/**
+ * MvFanout_Source() - Node from which this one receives the changes of the
+ * store, %MV_NO_NODE while it has none.
+ */
+mv_node_id_t MvFanout_Source(const mv_fanout_t *fanout);
+
 /**
  * MvFanout_Staleness() - Time since the last reply of the store, or since the
  * last heartbeat of an up-to-date node, whichever is shorter.
--- a/packages/replica/src/fanout.c
+++ b/packages/replica/src/fanout.c
@@ -625,6 +625,12 @@
     MvFollower_SetActive(fanout->follower, is_watching);
 }
 
+mv_node_id_t
+MvFanout_Source(const mv_fanout_t *fanout)
+{
+    return fanout->source.id;
+}
+
 mv_time_t
 MvFanout_Staleness(const mv_fanout_t *fanout, mv_time_t now)
 {
