Sources: a late or stuck one is lost; a node proves how much it knows

Cause: a node took its source for up to date while heartbeats came. A relay short of processor handles messages seconds late and sends heartbeats all the same, with an old revision; one whose stream hangs does so too. Class of fault: what was received is dated by when it was read, not by when it was true.

Change: requests carry the sender's time, heartbeats name the last one handled. A source that leaves requests unhandled for 1.4 s is lost; a node that cannot get a change it was told of within 0.6 s is not up to date and takes no source; a node whose own clock does not prove that it knows enough (limits.change_ms, new) asks the store itself. The grace of removed servers, the age of contact and in-touch state count from the proven time as well. Subscriptions are renewed every 0.5 s.

--- a/packages/masticvaned/src/settings.c
+++ b/packages/masticvaned/src/settings.c
@@ -9,6 +9,10 @@
 #define MAX_SECONDS 86400
 #define MAX_PRICE_MS 1000000
 #define NO_PRICE (-1)
+/* Below, nodes ask the store themselves although their sources are well. */
+#define MIN_CHANGE_MS 3000
+#define MAX_CHANGE_MS 600000
+#define DEFAULT_CHANGE_MS 3000
 #define MAX_LINES_PER_SECOND 1000000
 #define MAX_BYTES_PER_SECOND 1000000000
 
@@ -237,6 +241,10 @@
         read_seconds(reader, "limits", "stop_seconds", 6 * MV_SECOND);
     settings->flow_retention =
         read_seconds(reader, "limits", "flow_seconds", MV_MINUTE);
+    settings->change_limit =
+        MV_MILLISECOND * read_number(reader, "limits", "change_ms",
+                                     MIN_CHANGE_MS, MAX_CHANGE_MS,
+                                     DEFAULT_CHANGE_MS);
     int64_t price_ms = read_number(reader, "placement", "remote_megabyte_ms",
                                    0, MAX_PRICE_MS, NO_PRICE);
     settings->megabyte_price =
--- a/packages/masticvaned/src/tags_cluster.c
+++ b/packages/masticvaned/src/tags_cluster.c
@@ -264,10 +264,14 @@
 log_role(void *context, bool watches, unsigned rank)
 {
     const mv_tags_control_t *control = context;
+    mv_time_t known_for =
+        g_get_monotonic_time() - MvFanout_ProvenAt(control->fanout);
     MvLog_Write(control->daemon.log, MV_EVENT_WATCH_ROLE,
-                "watches=%d rank=%u near_nodes=%u revision=%" PRIu64, watches,
-                rank, MvFanout_LocalNodes(control->fanout),
-                MvReplica_Revision(control->replica));
+                "watches=%d rank=%u near_nodes=%u revision=%" PRIu64
+                " known_ms=%" PRId64,
+                watches, rank, MvFanout_LocalNodes(control->fanout),
+                MvReplica_Revision(control->replica),
+                known_for / MV_MILLISECOND);
 }
 
 static void
@@ -281,11 +285,36 @@
         absence / MV_MILLISECOND, MvReplica_Revision(control->replica));
 }
 
+static void
+log_source_lost(void *context, mv_node_id_t id, mv_source_loss_t why)
+{
+    static const char *const reasons[] = {[MV_SOURCE_SILENT] = "silent",
+                                          [MV_SOURCE_LATE] = "late",
+                                          [MV_SOURCE_OUTDATED] = "outdated"};
+    const mv_tags_control_t *control = context;
+    MvLog_Write(control->daemon.log, MV_EVENT_SOURCE_LOST,
+                "id=%u why=%s revision=%" PRIu64, id, reasons[why],
+                MvReplica_Revision(control->replica));
+}
+
+static void
+log_source_found(void *context, mv_node_id_t id, unsigned asked,
+                 mv_time_t took)
+{
+    const mv_tags_control_t *control = context;
+    MvLog_Write(control->daemon.log, MV_EVENT_SOURCE_FOUND,
+                "id=%u asked=%u took_ms=%" PRId64 " revision=%" PRIu64, id,
+                asked, took / MV_MILLISECOND,
+                MvReplica_Revision(control->replica));
+}
+
 static const mv_fanout_ops_t fanout_ops = {
     .send = send_message,
     .add_peer = add_peer,
     .role_changed = log_role,
     .contact_changed = log_heartbeats,
+    .source_lost = log_source_lost,
+    .source_found = log_source_found,
 };
 
 /* @to: MV_NO_NODE for all nodes of the report group */
--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -327,8 +327,9 @@
     }
     control->follower = MvFollower_Create(&follower, control->store,
                                           control->replica, control->random);
-    const mv_fanout_settings_t fanout =
+    mv_fanout_settings_t fanout =
         MvFanoutSettings_Default(settings->data_centre);
+    fanout.change_limit = settings->change_limit;
     control->fanout =
         MvFanout_Create(&fanout, control->replica, control->follower,
                         MvTagsCluster_FanoutOps(), control);
--- a/packages/masticvaned/src/tags_status.c
+++ b/packages/masticvaned/src/tags_status.c
@@ -64,6 +64,10 @@
         body, "knowledge_age_seconds",
         "time since contact with the store or an up-to-date node",
         (double)MvFanout_Staleness(control->fanout, now) / MV_SECOND);
+    MvCounters_ExposeGauge(body, "proven_age_seconds",
+                           "age of what this node provably knows of the store",
+                           (double)(now - MvFanout_ProvenAt(control->fanout)) /
+                               MV_SECOND);
     MvCounters_ExposeGauge(body, "near_nodes",
                            "entry VMs of this data centre, this one included",
                            MvFanout_LocalNodes(control->fanout));
--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -357,7 +357,16 @@
  * @failure_limit: time of failing store calls with the same effect
  * @answer_timeout: time that a node has to answer a subscription before the
  *                  next one is asked
+ * @search_interval: interval of requests to further nodes when the first ones
+ *                   have not answered
  * @subscribe_interval: interval at which a subscription is renewed
+ * @confirmation_limit: age of the newest request that the source, or a node
+ *                      that is to be the source, has handled; one of two
+ *                      requests may be lost
+ * @behind_limit: time for which a node may lack a change that another one has
+ *                told of and still be up to date
+ * @change_limit: time within which a change of the store must be in force at a
+ *                node that reaches it
  * @subscription_time: time after which a subscription that is not renewed ends
  * @pull_interval: minimum interval between two pulls from the same node
  * @branching: subscribers that a node has while all nodes run
@@ -375,7 +384,11 @@
     mv_time_t freshness_limit;
     mv_time_t failure_limit;
     mv_time_t answer_timeout;
+    mv_time_t search_interval;
     mv_time_t subscribe_interval;
+    mv_time_t confirmation_limit;
+    mv_time_t behind_limit;
+    mv_time_t change_limit;
     mv_time_t subscription_time;
     mv_time_t pull_interval;
     unsigned branching;
@@ -389,6 +402,19 @@
  */
 mv_fanout_settings_t MvFanoutSettings_Default(const char *data_centre);
 
+/**
+ * enum mv_source_loss - Why a node gives up the node from which it receives
+ * changes.
+ * @MV_SOURCE_SILENT: no heartbeats
+ * @MV_SOURCE_LATE: it handles messages late
+ * @MV_SOURCE_OUTDATED: it is not up to date, or this node cannot get a change
+ */
+typedef enum mv_source_loss {
+    MV_SOURCE_SILENT,
+    MV_SOURCE_LATE,
+    MV_SOURCE_OUTDATED,
+} mv_source_loss_t;
+
 /**
  * struct mv_fanout_ops - Callbacks of the fanout.
  * @send: send @message, which is valid during the call, to node @to; it may be
@@ -400,6 +426,9 @@
  *                number of nodes of its data centre that rank before it
  * @contact_changed: heartbeats of node @id, the source of this one, stopped,
  * or resumed (@is_back); @silence is the time without one
+ * @source_lost: this node no longer receives changes from node @id
+ * @source_found: this node receives changes from node @id; @asked nodes were
+ *                asked in @took
  */
 typedef struct mv_fanout_ops {
     void (*send)(void *context, mv_node_id_t to, const mv_message_t *message);
@@ -407,6 +436,9 @@
     void (*role_changed)(void *context, bool watches, unsigned rank);
     void (*contact_changed)(void *context, mv_node_id_t id, bool is_back,
                             mv_time_t silence);
+    void (*source_lost)(void *context, mv_node_id_t id, mv_source_loss_t why);
+    void (*source_found)(void *context, mv_node_id_t id, unsigned asked,
+                         mv_time_t took);
 } mv_fanout_ops_t;
 
 /** Longest normal time without contact with the store or an up-to-date node; a
@@ -500,11 +532,20 @@
  */
 mv_time_t MvFanout_CompleteAt(const mv_fanout_t *fanout);
 
+/**
+ * MvFanout_ProvenAt() - Like MvFanout_CompleteAt(), but earlier: it assumes
+ * nothing of how long messages take or wait at nodes.
+ *
+ * A heartbeat was sent after its sender had handled a request of this node, so
+ * that the time of that request dates it.
+ */
+mv_time_t MvFanout_ProvenAt(const mv_fanout_t *fanout);
+
 /**
  * MvFanout_DateRemoval() - Time from which the removal of a key counts that is
  * being applied.
  *
- * Return: MvFanout_CompleteAt(): the key existed then, and may have been
+ * Return: MvFanout_ProvenAt(): the key existed then, and may have been
  * removed at any time since.  After an outage of the store, as seen by calls
  * of this node, @now: until then, what lapsed could not be written again.
  */
--- a/packages/replica/src/fanout.c
+++ b/packages/replica/src/fanout.c
@@ -28,6 +28,9 @@
 #define PULL_DELAY (50 * MV_MILLISECOND)
 /* Records of nodes that start together change the tree once. */
 #define TREE_UPDATE_INTERVAL (100 * MV_MILLISECOND)
+/* Time in which a node that asks the store itself has what it lacks in force.
+ */
+#define CATCH_UP_TIME (700 * MV_MILLISECOND)
 /* Outages of the store are reported in steps of this time. */
 #define OUTAGE_REPORT_INTERVAL (500 * MV_MILLISECOND)
 
@@ -63,8 +66,10 @@
     mv_time_t behind_since;
     mv_node_id_t pull_from; /* peer that reported it */
     mv_time_t pull_at;
-    mv_completeness_t completeness;
-    mv_time_t outage_reported_at; /* end of the last reported part, or 0 */
+    mv_completeness_t completeness; /* as far as messages are prompt */
+    mv_completeness_t proven;       /* from the times of own requests */
+    mv_time_t joined_at;            /* MvFanout_SetSelf() */
+    mv_time_t outage_reported_at;   /* end of the last reported part, or 0 */
 };
 
 mv_fanout_settings_t
@@ -78,7 +83,11 @@
         .freshness_limit = 1600 * MV_MILLISECOND,
         .failure_limit = 300 * MV_MILLISECOND,
         .answer_timeout = 250 * MV_MILLISECOND,
-        .subscribe_interval = MV_SECOND,
+        .search_interval = MV_SECOND,
+        .subscribe_interval = 500 * MV_MILLISECOND,
+        .confirmation_limit = 1400 * MV_MILLISECOND,
+        .behind_limit = 600 * MV_MILLISECOND,
+        .change_limit = 3 * MV_SECOND,
         .subscription_time = 3500 * MV_MILLISECOND,
         .pull_interval = 150 * MV_MILLISECOND,
         .branching = 8,
@@ -142,6 +151,7 @@
 MvFanout_SetSelf(mv_fanout_t *fanout, mv_time_t now, mv_node_id_t id)
 {
     fanout->self = id;
+    fanout->joined_at = now;
     fanout->tree_outdated = true;
     fanout->next_tree_update = 0;
     MvSource_Init(&fanout->source, now, &fanout->settings, fanout->tree);
@@ -259,10 +269,22 @@
            fanout->settings.freshness_limit;
 }
 
-/* Whether this node may claim to be up to date in an answer. */
+/* Another node has told of a change that this one still cannot get. */
+static bool
+is_left_behind(const mv_fanout_t *fanout, mv_time_t now)
+{
+    mv_time_t behind_since = MvFanout_BehindSince(fanout);
+    return behind_since > 0 &&
+           now - behind_since > fanout->settings.behind_limit;
+}
+
+/* Whether this node may claim to be up to date. */
 static bool
 is_fresh(const mv_fanout_t *fanout, mv_time_t now)
 {
+    if (is_left_behind(fanout, now)) {
+        return false;
+    }
     if (fanout->is_watching) {
         return has_recent_contact(fanout, now);
     }
@@ -286,13 +308,21 @@
                MvCompleteness_Time(&fanout->completeness, revision));
 }
 
+mv_time_t
+MvFanout_ProvenAt(const mv_fanout_t *fanout)
+{
+    uint64_t revision = MvReplica_Revision(fanout->replica);
+    return MAX(MvFollower_CompleteAt(fanout->follower),
+               MvCompleteness_Time(&fanout->proven, revision));
+}
+
 mv_time_t
 MvFanout_DateRemoval(const mv_fanout_t *fanout, mv_time_t now)
 {
-    mv_time_t complete_at = MvFanout_CompleteAt(fanout);
+    mv_time_t proven_at = MvFanout_ProvenAt(fanout);
     bool had_outage =
-        MvFollower_HasFailedSince(fanout->follower, complete_at, now);
-    return had_outage ? now : complete_at;
+        MvFollower_HasFailedSince(fanout->follower, proven_at, now);
+    return had_outage ? now : proven_at;
 }
 
 /* The target field of a heartbeat is 0 when the sender is not fresh, else the
@@ -377,7 +407,14 @@
 {
     mv_message_t message = make_heartbeat(fanout, now, fresh);
     fanout->next_heartbeat = now + fanout->settings.heartbeat_interval;
-    send_to_subscribers(fanout, now, &message);
+    MvSubscribers_RemoveEnded(&fanout->subscribers, now);
+    MV_LIST_FOREACH(item, &fanout->subscribers.list)
+    {
+        const mv_subscriber_t *subscriber =
+            MV_CONTAINER_OF(item, mv_subscriber_t, link);
+        message.sequence = subscriber->request;
+        send_to(fanout, subscriber->id, &message);
+    }
 }
 
 /* Sends the changes after @since to node @to, or to all subscribers when it is
@@ -472,17 +509,21 @@
     peer->last_heartbeat = now;
 }
 
-/* @heartbeat: of a fresh node */
+/* @heartbeat: of a fresh node, which had handled by then a request that was
+ * sent at @confirmed_at */
 static void
 note_completeness(mv_fanout_t *fanout, mv_time_t now,
-                  const mv_message_t *heartbeat)
+                  const mv_message_t *heartbeat, mv_time_t confirmed_at)
 {
+    uint64_t revision = MvReplica_Revision(fanout->replica);
     mv_time_t age = MvCompleteness_DecodeAge(heartbeat->target);
-    if (age != MV_NEVER) {
-        MvCompleteness_Note(&fanout->completeness,
-                            MvReplica_Revision(fanout->replica), now - age,
-                            heartbeat->version);
+    if (age == MV_NEVER) {
+        return;
     }
+    MvCompleteness_Note(&fanout->completeness, revision, now - age,
+                        heartbeat->version);
+    MvCompleteness_Note(&fanout->proven, revision, confirmed_at - age,
+                        heartbeat->version);
 }
 
 static void
@@ -490,17 +531,29 @@
                  const mv_message_t *message)
 {
     bool peer_is_fresh = message->target != 0;
+    mv_time_t confirmed_at = MvSource_DecodeTime(now, message->sequence);
     record_heartbeat(fanout, now, peer);
     record_revision(fanout, now, peer, message->version);
     if (peer_is_fresh) {
-        fanout->heard_at = now;
-        note_completeness(fanout, now, message);
+        mv_time_t sent_after =
+            confirmed_at == MV_NOT_CONFIRMED ? now : confirmed_at;
+        fanout->heard_at = MAX(fanout->heard_at, sent_after);
+        note_completeness(fanout, now, message, sent_after);
+    }
+    /* No source is any good to a node that cannot get what it lacks. */
+    bool is_usable = peer_is_fresh && !is_left_behind(fanout, now);
+    bool was_searching = fanout->source.is_searching;
+    if (!ranks_before(fanout, peer) ||
+        !MvSource_HandleHeartbeat(&fanout->source, now, peer->record.id,
+                                  is_usable, confirmed_at)) {
+        return;
     }
-    if (ranks_before(fanout, peer) &&
-        MvSource_HandleHeartbeat(&fanout->source, now, peer->record.id,
-                                 peer_is_fresh)) {
-        send_heartbeats(fanout, now, peer_is_fresh);
+    if (was_searching) {
+        fanout->ops->source_found(fanout->context, peer->record.id,
+                                  fanout->source.attempt,
+                                  now - fanout->source.search_began);
     }
+    send_heartbeats(fanout, now, is_usable);
 }
 
 static void
@@ -509,7 +562,7 @@
 {
     mv_node_id_t dismissed = MV_NO_NODE;
     if (!MvSubscribers_Renew(&fanout->subscribers, now, peer->record.id,
-                             &dismissed)) {
+                             message->sequence, &dismissed)) {
         return;
     }
     /* A subscriber that gave way must look for another source. */
@@ -522,6 +575,7 @@
     if (message->target) {
         mv_message_t answer =
             make_heartbeat(fanout, now, is_fresh(fanout, now));
+        answer.sequence = message->sequence;
         send_to(fanout, peer->record.id, &answer);
     }
     else if (message->version < MvReplica_Revision(fanout->replica)) {
@@ -577,7 +631,7 @@
         return;
     }
     mv_time_t silence = now - peer->last_heartbeat;
-    if (silence > fanout->settings.heartbeat_timeout) {
+    if (silence > RECENT_HEARTBEATS * fanout->settings.heartbeat_interval) {
         peer->is_lost = true;
         fanout->ops->contact_changed(fanout->context, id, false, silence);
     }
@@ -590,6 +644,7 @@
     mv_node_id_t lost = MV_NO_NODE;
     unsigned count = MvSource_Step(&fanout->source, now, requests, &lost);
     if (lost != MV_NO_NODE) {
+        fanout->ops->source_lost(fanout->context, lost, fanout->source.loss);
         report_lost(fanout, now, lost);
     }
     for (unsigned i = 0; i < count; i++) {
@@ -597,6 +652,7 @@
             make_message(fanout, MV_MESSAGE_REPLICA_SUBSCRIBE);
         /* In a subscription, the target field asks for an answer at once. */
         message.target = fanout->source.id != requests[i];
+        message.sequence = MvSource_EncodeTime(now);
         send_to(fanout, requests[i], &message);
     }
 }
@@ -610,12 +666,22 @@
            !MvReplica_Value(fanout->replica, MV_SIGNING_KEYS, NULL);
 }
 
+/* Whatever its sources claim, a node asks the store when its own clock does
+ * not prove that it knows enough.  One that joins has just read a list. */
+static bool
+is_knowledge_old(const mv_fanout_t *fanout, mv_time_t now)
+{
+    mv_time_t proven_at = MAX(MvFanout_ProvenAt(fanout), fanout->joined_at);
+    return now - proven_at > fanout->settings.change_limit - CATCH_UP_TIME;
+}
+
 static void
 choose_role(mv_fanout_t *fanout, mv_time_t now)
 {
     bool is_watching = fanout->self == MV_NO_NODE
                            ? must_watch_unregistered(fanout, now)
-                           : MvSource_MustWatch(&fanout->source, now);
+                           : MvSource_MustWatch(&fanout->source, now) ||
+                                 is_knowledge_old(fanout, now);
     if (is_watching != fanout->is_watching) {
         fanout->ops->role_changed(fanout->context, is_watching,
                                   MvRelayTree_Position(fanout->tree));
@@ -689,7 +755,7 @@
         return due;
     }
     if (now >= fanout->next_heartbeat) {
-        send_heartbeats(fanout, now, has_recent_contact(fanout, now));
+        send_heartbeats(fanout, now, is_fresh(fanout, now));
     }
     return MIN(due, fanout->next_heartbeat);
 }
--- a/packages/replica/src/source.h
+++ b/packages/replica/src/source.h
@@ -9,6 +9,11 @@
  * the first ones have not answered until one does.  The node that ranks first
  * has no candidates and always watches.
  *
+ * A heartbeat shows what its sender knew when it was sent, which may be long
+ * ago: a node that is overloaded handles and passes on messages late.  Each
+ * request therefore carries the time of this node, and a heartbeat names the
+ * last request that its sender had handled.
+ *
  * Decides only; the caller sends the requests and reports the heartbeats.
  */
 #ifndef MV_SOURCE_H
@@ -19,13 +24,24 @@
 /** Most nodes to which one step sends a request. */
 #define MV_SOURCE_REQUESTS 2
 
+/** Result of MvSource_DecodeTime() when the sender named no request. */
+#define MV_NOT_CONFIRMED (-1)
+
 /**
  * struct mv_source - State of the choice; zeroed by MvSource_Init().
+ *
+ * Invariant: a node that is not searching has had, within the silence limit, a
+ * heartbeat that reports its source as up to date, and the source had handled
+ * by then a request sent within the confirmation limit.
  * @settings: intervals; not owned
  * @tree: the nodes to choose from; not owned
  * @id: node whose heartbeats were last accepted, or MV_NO_NODE
  * @fresh_at: time of the last heartbeat that reported @id as up to date
+ * @confirmed_at: when the last request was sent that @id has answered
+ * @is_outdated: @id has reported that it is not up to date
+ * @loss: why the last source was lost
  * @is_searching: no source at present
+ * @search_began: begin of the last search
  * @attempt: candidates asked in this search
  * @grace_until: the node need not watch before, as its replica is recent
  * @next_request: time of the next request
@@ -35,7 +51,11 @@
     const mv_relay_tree_t *tree;
     mv_node_id_t id;
     mv_time_t fresh_at;
+    mv_time_t confirmed_at;
+    bool is_outdated;
+    mv_source_loss_t loss;
     bool is_searching;
+    mv_time_t search_began;
     unsigned attempt;
     mv_time_t grace_until;
     mv_time_t next_request;
@@ -50,12 +70,24 @@
  * MvSource_HandleHeartbeat() - Note a heartbeat of a node that ranks before
  * the own one.
  * @is_fresh: the sender reports itself as up to date
+ * @confirmed_at: when the last request was sent that the sender had handled;
+ *                MV_NOT_CONFIRMED when it is of a version that does not tell
  *
  * Return: true when @id is the source, so that its heartbeat is to be passed
  * on.
  */
 bool MvSource_HandleHeartbeat(mv_source_t *source, mv_time_t now,
-                              mv_node_id_t id, bool is_fresh);
+                              mv_node_id_t id, bool is_fresh,
+                              mv_time_t confirmed_at);
+
+/** MvSource_EncodeTime() - Time of a request as its message carries it. */
+uint32_t MvSource_EncodeTime(mv_time_t now);
+
+/**
+ * MvSource_DecodeTime() - Time of the request that a heartbeat names.
+ * @encoded: as encoded by this node, 0 when the heartbeat names none
+ */
+mv_time_t MvSource_DecodeTime(mv_time_t now, uint32_t encoded);
 
 /**
  * MvSource_Step() - Detect the loss of the source; choose whom to ask next.
--- a/packages/replica/src/subscribers.c
+++ b/packages/replica/src/subscribers.c
@@ -89,7 +89,7 @@
 
 bool
 MvSubscribers_Renew(mv_subscribers_t *subscribers, mv_time_t now,
-                    mv_node_id_t id, mv_node_id_t *dismissed)
+                    mv_node_id_t id, uint32_t request, mv_node_id_t *dismissed)
 {
     *dismissed = MV_NO_NODE;
     MvSubscribers_RemoveEnded(subscribers, now);
@@ -104,6 +104,7 @@
         subscriber->rank = rank;
         MvList_Append(&subscribers->list, &subscriber->link);
     }
+    subscriber->request = request;
     subscriber->until = now + subscribers->duration;
     return true;
 }
--- a/packages/replica/src/subscribers.h
+++ b/packages/replica/src/subscribers.h
@@ -15,12 +15,14 @@
  * @link: in mv_subscribers.list
  * @id: the subscriber
  * @rank: its rank
+ * @request: time that its last request carried, see MvSource_EncodeTime()
  * @until: end of the subscription unless it is renewed
  */
 typedef struct mv_subscriber {
     mv_list_t link;
     mv_node_id_t id;
     uint64_t rank;
+    uint32_t request;
     mv_time_t until;
 } mv_subscriber_t;
 
@@ -48,11 +50,13 @@
 
 /**
  * MvSubscribers_Renew() - Begin or renew the subscription of node @id.
+ * @request: time that the request carries
  * @dismissed: receives the node that gave way to @id, or MV_NO_NODE
  *
  * Return: false when there is no room for @id, as all others rank before it.
  */
 bool MvSubscribers_Renew(mv_subscribers_t *subscribers, mv_time_t now,
-                         mv_node_id_t id, mv_node_id_t *dismissed);
+                         mv_node_id_t id, uint32_t request,
+                         mv_node_id_t *dismissed);
 
 #endif
--- a/packages/replica/test/fanout_sim.cc
+++ b/packages/replica/test/fanout_sim.cc
@@ -351,6 +351,16 @@
     }
 }
 
+void
+source_lost(void *, mv_node_id_t, mv_source_loss_t)
+{
+}
+
+void
+source_found(void *, mv_node_id_t, unsigned, mv_time_t)
+{
+}
+
 char *
 generate_keys(void *context)
 {
@@ -369,14 +379,16 @@
     }
 }
 
-const mv_fanout_ops_t kFanoutOps = {send_message, add_peer, role_changed,
-                                    contact_changed};
+const mv_fanout_ops_t kFanoutOps = {send_message, add_peer,
+                                    role_changed, contact_changed,
+                                    source_lost,  source_found};
 const mv_registration_ops_t kRegistrationOps = {generate_keys, registered};
 
 } // namespace
 
-fanout_sim::fanout_sim(int count, int data_centres, uint32_t seed)
-    : random(g_rand_new_with_seed(seed))
+fanout_sim::fanout_sim(int count, int data_centres, uint32_t seed,
+                       mv_time_t change_limit)
+    : change_limit(change_limit), random(g_rand_new_with_seed(seed))
 {
     for (int i = 0; i < count; i++) {
         auto node = std::make_unique<fanout_sim_node>();
@@ -407,6 +419,7 @@
     mv_follower_settings_t follower = MvFollowerSettings_Default();
     mv_fanout_settings_t fanout =
         MvFanoutSettings_Default(node->data_centre.c_str());
+    fanout.change_limit = change_limit;
     mv_node_record_t self = {};
     g_strlcpy(self.data_centre, node->data_centre.c_str(), MV_NAME_MAX);
     std::string address = "10.0." + std::to_string(index / 250) + "." +
--- a/packages/replica/test/fanout_sim.h
+++ b/packages/replica/test/fanout_sim.h
@@ -69,7 +69,8 @@
         uint64_t revision;
         bool deleted;
     };
-    explicit fanout_sim(int nodes, int data_centres = 1, uint32_t seed = 1);
+    explicit fanout_sim(int nodes, int data_centres = 1, uint32_t seed = 1,
+                        mv_time_t change_limit = 3 * MV_SECOND);
     ~fanout_sim();
 
     void run(mv_time_t span);
@@ -104,6 +105,8 @@
         void *context;
     };
 
+    /* Setting of the nodes that start from now on. */
+    mv_time_t change_limit;
     mv_time_t now = MV_SECOND;
     uint64_t revision = 1;
     /* The store's history contains the changes from this revision on. */
--- a/packages/replica/test/late_source_test.cc
+++ b/packages/replica/test/late_source_test.cc
@@ -216,7 +216,7 @@
 TEST_P(LateSources, NodesInTouchKnowChangesInTime)
 {
     const auto &[size, trouble] = GetParam();
-    fanout_sim sim(size.nodes);
+    fanout_sim sim(size.nodes, 1, 1, size.limit);
     sim.write(kNumberKey, "0");
     sim.run(kSettleTime);
     const std::vector<int> ranked = by_rank(sim);
@@ -263,6 +263,8 @@
     case 0:
         node->slowness = g_rand_int_range(random, 100, 5000) * MV_MILLISECOND;
         sim.schedule(span, [node] { node->slowness = 0; });
+        /* The simulation delivers late what was sent before the end. */
+        checker.trouble(index, sim.now + span + node->slowness);
         break;
     case 1:
         hang_streams(sim, index);
@@ -291,7 +293,7 @@
 TEST_P(TroublesInARow, NodesInTouchKnowChangesInTime)
 {
     const auto &[size, seed] = GetParam();
-    fanout_sim sim(size.nodes, 1, (uint32_t)seed);
+    fanout_sim sim(size.nodes, 1, (uint32_t)seed, size.limit);
     GRand *random = g_rand_new_with_seed((guint32)seed);
     sim.write(kNumberKey, "0");
     sim.run(kSettleTime);
--- a/packages/replica/test/relay_test.cc
+++ b/packages/replica/test/relay_test.cc
@@ -132,11 +132,11 @@
         mv_node_id_t dismissed = MV_NO_NODE;
         MvSubscribers_Init(&subscribers, kBranching, 10 * MV_SECOND);
         for (int i : c.first) {
-            EXPECT_TRUE(MvSubscribers_Renew(&subscribers, MV_SECOND, ids[i],
+            EXPECT_TRUE(MvSubscribers_Renew(&subscribers, MV_SECOND, ids[i], 0,
                                             &dismissed));
         }
         EXPECT_EQ(MvSubscribers_Renew(&subscribers, MV_SECOND + c.pause,
-                                      ids[c.next], &dismissed),
+                                      ids[c.next], 0, &dismissed),
                   c.is_accepted)
             << c.what;
         EXPECT_EQ(dismissed, c.dismissed < 0 ? MV_NO_NODE : ids[c.dismissed])
