--- a/packages/net/include/masticvane/net.h
+++ b/packages/net/include/masticvane/net.h
@@ -404,6 +404,9 @@
  * @body: request body, may be NULL
  * @length: bytes in @body
  * @timeout: longest duration in microseconds, connecting included
+ * @stall_limit: once the response arrives, the call may go on beyond @timeout
+ *               as long as its parts are no further apart; 0: it may not
+ * @max_timeout: longest duration of such a call
  */
 typedef struct mv_http1_request {
     const char *method;
@@ -412,6 +415,8 @@
     const char *body;
     size_t length;
     mv_time_t timeout;
+    mv_time_t stall_limit;
+    mv_time_t max_timeout;
 } mv_http1_request_t;
 
 /**
--- a/packages/net/src/http1_client.c
+++ b/packages/net/src/http1_client.c
@@ -21,6 +21,8 @@
     mv_http1_client_t *client;
     connection_t *connection;
     mv_time_t deadline;
+    mv_time_t stall_limit;
+    mv_time_t last_deadline; /* of a response that arrives in parts */
     bool any_byte_sent;
     mv_buffer_t body;
     char index[24];
@@ -123,6 +125,15 @@
     return 0;
 }
 
+/* A response that arrives is waited for: asked for again, it would take as
+ * long. */
+static void
+extend_deadline(call_t *call)
+{
+    mv_time_t deadline = g_get_monotonic_time() + call->stall_limit;
+    call->deadline = MAX(call->deadline, MIN(deadline, call->last_deadline));
+}
+
 static int
 on_body(http_parser *parser, const char *at, size_t length)
 {
@@ -131,6 +142,9 @@
         connection->call->body.length + length > MV_HTTP1_MAX_BODY_BYTES) {
         return -1;
     }
+    if (connection->call->stall_limit > 0) {
+        extend_deadline(connection->call);
+    }
     return MvBuffer_Append(&connection->call->body, at, length) ? 0 : -1;
 }
 
@@ -315,6 +329,8 @@
     call_t *call = g_new0(call_t, 1);
     call->client = client;
     call->deadline = now + request->timeout;
+    call->stall_limit = request->stall_limit;
+    call->last_deadline = now + request->max_timeout;
     call->done = done;
     call->context = context;
     MvList_Append(&client->calls, &call->link);
--- a/packages/net/test/http1_test.cc
+++ b/packages/net/test/http1_test.cc
@@ -106,8 +106,10 @@
          const std::string &bytes = "", bool close = false)
     {
         result_t result;
-        mv_http1_request_t request = {method,  target, nullptr,
-                                      nullptr, 0,      timeout};
+        mv_http1_request_t request = {};
+        request.method = method;
+        request.target = target;
+        request.timeout = timeout;
         MvHttp1_Call(client, &request, g_get_monotonic_time(), store_result,
                      &result);
         EXPECT_EQ(result.count, 0);
@@ -122,6 +124,43 @@
         return result;
     }
 
+    /* The response has one byte of its body every @interval. */
+    result_t
+    call_in_parts(mv_time_t interval, int parts)
+    {
+        result_t result;
+        mv_http1_request_t request = {};
+        request.method = "GET";
+        request.target = "/";
+        request.timeout = 200 * MV_MILLISECOND;
+        request.stall_limit = 200 * MV_MILLISECOND;
+        request.max_timeout = 800 * MV_MILLISECOND;
+        MvHttp1_Call(client, &request, g_get_monotonic_time(), store_result,
+                     &result);
+        apr_socket_t *socket = nullptr;
+        for (int i = 0; i < 200 && !socket; i++) {
+            MvLoop_Run(loop, MV_MILLISECOND);
+            apr_socket_accept(&socket, listener, pool);
+        }
+        std::string part =
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(parts) +
+            "\r\n\r\n";
+        mv_time_t next = 0;
+        while (result.count == 0) {
+            mv_time_t now = g_get_monotonic_time();
+            if (now >= next) {
+                apr_size_t length = part.size();
+                apr_socket_send(socket, part.data(), &length);
+                part = "x";
+                next = now + interval;
+            }
+            MvLoop_Run(loop, MV_MILLISECOND);
+            MvHttp1_Timer(client, g_get_monotonic_time());
+        }
+        apr_socket_close(socket);
+        return result;
+    }
+
     /* Sends @bytes; returns what the server sends until it closes the
      * connection, or within 1000 loop iterations of at most 1 ms. */
     std::string
@@ -236,6 +275,32 @@
     }
 }
 
+/* Guards against a long reply over a small link that is given up and asked for
+ * again and again. */
+TEST_F(Http1, ResponseThatArrivesInPartsIsWaitedFor)
+{
+    listen(18093);
+    struct {
+        const char *what;
+        int interval_ms;
+        int parts;
+        mv_http1_outcome_t outcome;
+    } const cases[] = {
+        {"longer than the timeout", 50, 8, MV_HTTP1_RESPONDED},
+        {"stalls", 450, 3, MV_HTTP1_UNKNOWN},
+        {"never ends", 50, 100000, MV_HTTP1_UNKNOWN},
+    };
+    for (const auto &c : cases) {
+        MvHttp1_DestroyClient(client);
+        connect(18093);
+        mv_time_t began = g_get_monotonic_time();
+        result_t result =
+            call_in_parts(c.interval_ms * MV_MILLISECOND, c.parts);
+        EXPECT_EQ(result.outcome, c.outcome) << c.what;
+        EXPECT_LT(g_get_monotonic_time() - began, MV_SECOND) << c.what;
+    }
+}
+
 TEST_F(Http1, RefusedConnectionIsReportedAsNotSent)
 {
     connect(18092);
