Follower: of a large value in one reply only the last change is handled

A reply to a watch holds each version of the configuration that was written since; a watcher on a small VM decoded them all, 5 ms of processor each with 1,400 routes, and fell behind. Now values of 4 KB or more that a later item of the same reply replaces are skipped, as deltas between nodes do anyway; small entries, such as those of servers, are still applied one by one.

OnlyTheLastChangeOfALargeValueIsHandled was red before.

--- a/packages/replica/src/follower.c
+++ b/packages/replica/src/follower.c
@@ -1,7 +1,10 @@
 /* Updates the replica by lists and watches of the store. */
 #include "masticvane/replica.h"
 
+#include <string.h>
+
 #define WHOLE_STORE ""
+#define LARGE_VALUE_BYTES 4096
 /* A call that is answered this much later than it should be shows that the
  * store has an outage. */
 #define LATE_REPLY_TIME (300 * MV_MILLISECOND)
@@ -157,6 +160,34 @@
     follower->is_calling = false;
 }
 
+/* Whether a later item of the reply holds the same key. */
+static bool
+is_superseded(const mv_store_items_t *items, size_t position)
+{
+    const mv_store_item_t *item = &items->items[position];
+    for (size_t i = position + 1; i < items->count; i++) {
+        const mv_store_item_t *later = &items->items[i];
+        if (later->revision > item->revision &&
+            !strcmp(later->key, item->key)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Of a large value only the last change counts: to handle the others may take
+ * longer than they were in force. */
+static void
+apply_changes(mv_follower_t *follower, const mv_store_items_t *items)
+{
+    for (size_t i = 0; i < items->count; i++) {
+        const mv_store_item_t *item = &items->items[i];
+        if (item->length < LARGE_VALUE_BYTES || !is_superseded(items, i)) {
+            MvReplica_Apply(follower->replica, follower->now, item);
+        }
+    }
+}
+
 static void
 apply_watch_reply(mv_follower_t *follower, const mv_store_items_t *items)
 {
@@ -173,9 +204,7 @@
         return;
     }
     note_success(follower);
-    for (size_t i = 0; i < items->count; i++) {
-        MvReplica_Apply(follower->replica, follower->now, &items->items[i]);
-    }
+    apply_changes(follower, items);
     MvReplica_Advance(follower->replica, items->revision);
     follower->has_watched = true;
     if (items->count > 0) {
--- a/packages/replica/test/replica_test.cc
+++ b/packages/replica/test/replica_test.cc
@@ -277,6 +277,26 @@
     EXPECT_LE(run_until_call(), 2 * MV_MILLISECOND);
 }
 
+/* Guards against a watcher that decodes configuration after configuration and
+ * falls behind. */
+TEST_F(Replica, OnlyTheLastChangeOfALargeValueIsHandled)
+{
+    const std::string large(5000, 'x');
+    const std::string larger = large + "y";
+    expect_call("list", true, 0);
+    store.reply(MV_STORE_DONE, 20);
+    run_until_call();
+    store.reply(
+        MV_STORE_DONE, 25,
+        {make_item("config", large.c_str(), 21), make_item("server", "1", 22),
+         make_item("config", large.c_str(), 23), make_item("server", "2", 24),
+         make_item("config", larger.c_str(), 25)});
+    EXPECT_EQ(values["config"], larger);
+    EXPECT_EQ(values["server"], "2");
+    EXPECT_EQ(changes, 3);
+    expect_call("watch", false, 25);
+}
+
 TEST_F(Replica, BacksOffAfterFailures)
 {
     int calls = 0;
