Relay tree: larger VMs rank first

Cause: the rank that makes a node the watcher or a relay was a hash that knows nothing of the VM. With 1,400 routes a change costs a watcher 10 ms of processor: at 0.028 cores it has none left at one or two changes a second, and loop iterations take up to 5.2 s. Class of fault: work placed without regard to what the place can bear.

Change: ranks have a tier from vm.processor_cores and vm.link_megabits (new settings); the tier is part of the node's id, so all nodes agree without a new field.

LargeVmsWatchAndRelay and NodeTier are new: without tiers the code has neither.

--- a/packages/masticvaned/src/settings.c
+++ b/packages/masticvaned/src/settings.c
@@ -7,6 +7,7 @@
 #define MAX_PACKET_THREADS 64
 #define MAX_FLOW_ENTRIES (1 << 28)
 #define MAX_SECONDS 86400
+#define MAX_VM_SIZE 1000000
 #define MAX_PRICE_MS 1000000
 #define NO_PRICE (-1)
 /* Below, nodes ask the store themselves although their sources are well. */
@@ -217,6 +218,23 @@
     return *text ? read_listen(reader, key, settings) : 0;
 }
 
+/* Return: 0 when the key is missing or empty. */
+static double
+read_size(const reader_t *reader, const char *section, const char *key)
+{
+    const char *text =
+        MvIni_Text(reader->ini, section, key, "", reader->findings);
+    char *end = NULL;
+    double size = g_ascii_strtod(text, &end);
+    if (*end || !(size >= 0 && size <= MAX_VM_SIZE)) {
+        MvIni_AddFinding(reader->ini, section, key,
+                         "expected a number from 0 to 1000000",
+                         reader->findings);
+        return 0;
+    }
+    return size;
+}
+
 static void
 read_tags(const reader_t *reader, mv_settings_t *settings)
 {
@@ -227,6 +245,8 @@
     g_strlcpy(settings->data_centre,
               MvIni_Text(ini, "node", "data_centre", NULL, findings),
               MV_NAME_MAX);
+    settings->processor = read_size(reader, "vm", "processor_cores");
+    settings->link_megabits = read_size(reader, "vm", "link_megabits");
     settings->packet_port = read_listen(reader, "packets", settings);
     settings->health_port = read_listen(reader, "health", settings);
     settings->metrics_port = read_optional_listen(reader, "metrics", settings);
--- a/packages/masticvaned/src/settings.h
+++ b/packages/masticvaned/src/settings.h
@@ -38,8 +38,8 @@
  * @forwarding: forwarding mode; with MV_FORWARDING_TAGS only @name, @self's
  *              address and control port, @data_centre, the ports for packets,
  *              health, metrics and replicas, @bootstrap_peers, @stop_limit,
- *              @change_limit, @flow_retention, @megabyte_price, the store and
- *              the log are read
+ *              @processor, @link_megabits, @change_limit, @flow_retention,
+ * @megabyte_price, the store and the log are read
  * @name: name of this entry VM
  * @path: the file that the settings were read from
  * @health_port: TCP port at which the fabric checks whether this node accepts
@@ -48,6 +48,8 @@
  * @replica_port: TCP port at which starting nodes fetch a replica, 0 for none
  * @bootstrap_peers: "ADDRESS:PORT" separated by commas, where this node
  *                   fetches a replica while the store is unreachable at start
+ * @processor: cores that this node may use, 0 when not known
+ * @link_megabits: bandwidth of its link in Mbit/s, 0 when not known
  * @change_limit: time within which a change of the store must be in force
  * @flow_retention: time for which a backend server is kept for its open flows
  *                  after its announcement was withdrawn
@@ -84,6 +86,8 @@
     uint16_t metrics_port;
     uint16_t replica_port;
     char *bootstrap_peers;
+    double processor;
+    double link_megabits;
     mv_time_t change_limit;
     mv_time_t flow_retention;
     mv_time_t megabyte_price;
--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -339,8 +339,10 @@
     mv_node_record_t self = {.port = settings->self.control_port};
     g_strlcpy(self.data_centre, settings->data_centre, MV_NAME_MAX);
     g_strlcpy(self.address, settings->self.address, sizeof(self.address));
+    unsigned tier =
+        MvNode_TierOf(settings->processor, settings->link_megabits);
     control->registration = MvRegistration_Create(
-        &self, control->store, control->replica, control->random,
+        &self, tier, control->store, control->replica, control->random,
         MvTagsCluster_RegistrationOps(), control);
     control->history_writer =
         MvRecordWriter_Create(MV_ROUTE_HISTORY_KEY, control->store,
--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -309,6 +309,25 @@
 /** Store key of the signing keys for messages between nodes. */
 #define MV_SIGNING_KEYS "masticvane/keys"
 
+/** Number of tiers of nodes by the size of their VMs. */
+#define MV_NODE_TIERS 4u
+
+/**
+ * MvNodeId_Tier() - Tier of the node @id, 0 for the largest VMs.
+ *
+ * The node that watches the store, and those that pass changes on to many,
+ * have several times the work of the others, so the largest VMs take it.  A
+ * node chooses an id of its tier, so that all nodes agree on it.
+ */
+unsigned MvNodeId_Tier(mv_node_id_t id);
+
+/**
+ * MvNode_TierOf() - Tier of a VM.
+ * @processor: cores that the node may use, 0 when not known
+ * @megabits: bandwidth of its link in Mbit/s, 0 when not known
+ */
+unsigned MvNode_TierOf(double processor, double megabits);
+
 /**
  * struct mv_node_record - Record of an entry VM in the store.
  * @id: node id, from the record's key
@@ -609,6 +628,7 @@
 /**
  * MvRegistration_Create() - Create the registration of this node.
  * @self: record to write; its id is ignored, as the registration chooses one
+ * @tier: tier of this node
  * @store: must outlive the registration
  * @replica: shows which records exist; must outlive the registration
  * @random: source of the jitter of writes; not owned
@@ -617,10 +637,12 @@
  *
  * Return: the registration, to be freed with MvRegistration_Destroy().
  */
-mv_registration_t *
-MvRegistration_Create(const mv_node_record_t *self, mv_store_t *store,
-                      const mv_replica_t *replica, GRand *random,
-                      const mv_registration_ops_t *ops, void *context);
+mv_registration_t *MvRegistration_Create(const mv_node_record_t *self,
+                                         unsigned tier, mv_store_t *store,
+                                         const mv_replica_t *replica,
+                                         GRand *random,
+                                         const mv_registration_ops_t *ops,
+                                         void *context);
 
 /**
  * MvRegistration_Destroy() - Free the registration; NULL is accepted.
--- a/packages/replica/src/node_record.c
+++ b/packages/replica/src/node_record.c
@@ -7,6 +7,36 @@
 /* Data centre, address and port. */
 #define FIELD_COUNT 3
 
+/* Least size of the VMs of each tier but the last. */
+typedef struct tier {
+    double processor;
+    double megabits;
+} tier_t;
+
+static const tier_t tiers[MV_NODE_TIERS - 1] = {
+    {.processor = 0.25, .megabits = 100},
+    {.processor = 0.1, .megabits = 40},
+    {.processor = 0.05, .megabits = 20},
+};
+
+unsigned
+MvNodeId_Tier(mv_node_id_t id)
+{
+    return id % MV_NODE_TIERS;
+}
+
+unsigned
+MvNode_TierOf(double processor, double megabits)
+{
+    unsigned tier = 0;
+    while (tier < G_N_ELEMENTS(tiers) &&
+           ((processor > 0 && processor < tiers[tier].processor) ||
+            (megabits > 0 && megabits < tiers[tier].megabits))) {
+        tier++;
+    }
+    return tier;
+}
+
 static bool
 parse_id(const char *key, mv_node_id_t *id)
 {
--- a/packages/replica/src/registration.c
+++ b/packages/replica/src/registration.c
@@ -17,6 +17,7 @@
  */
 #define REWRITE_JITTER (200 * MV_MILLISECOND)
 #define RETRY_INTERVAL MV_SECOND
+#define IDS_OF_A_TIER (MV_NO_NODE / MV_NODE_TIERS)
 /* When the reply to a write was lost, the replica shows after this time
  * whether the write took effect. */
 #define READ_BACK_DELAY (2 * MV_SECOND)
@@ -41,9 +42,10 @@
 };
 
 mv_registration_t *
-MvRegistration_Create(const mv_node_record_t *self, mv_store_t *store,
-                      const mv_replica_t *replica, GRand *random,
-                      const mv_registration_ops_t *ops, void *context)
+MvRegistration_Create(const mv_node_record_t *self, unsigned tier,
+                      mv_store_t *store, const mv_replica_t *replica,
+                      GRand *random, const mv_registration_ops_t *ops,
+                      void *context)
 {
     mv_registration_t *registration = g_new0(mv_registration_t, 1);
     registration->self = *self;
@@ -54,10 +56,10 @@
     registration->ops = ops;
     registration->context = context;
     /* The id tried first is a hash of the record, the same at every start. */
+    uint64_t hash =
+        XXH3_64bits(registration->value, strlen(registration->value));
     registration->self.id =
-        (mv_node_id_t)(XXH3_64bits(registration->value,
-                                   strlen(registration->value)) %
-                       MV_NO_NODE);
+        (mv_node_id_t)(hash % IDS_OF_A_TIER * MV_NODE_TIERS + tier);
     return registration;
 }
 
@@ -249,7 +251,8 @@
     if (value) {
         /* Another node has this id. */
         registration->self.id =
-            (mv_node_id_t)((registration->self.id + 1u) % MV_NO_NODE);
+            (mv_node_id_t)((registration->self.id + MV_NODE_TIERS) %
+                           (IDS_OF_A_TIER * MV_NODE_TIERS));
         return;
     }
     if (delay_first_write(registration)) {
--- a/packages/replica/src/relay_tree.c
+++ b/packages/replica/src/relay_tree.c
@@ -5,6 +5,11 @@
 
 /* Nodes behind the first one that are asked after the ancestors. */
 #define SUCCESSORS 2
+/* Bits of a rank that hold the tier. */
+#define TIER_BITS 2
+#define TIER_SHIFT (64 - TIER_BITS)
+
+G_STATIC_ASSERT(MV_NODE_TIERS <= 1u << TIER_BITS);
 
 typedef struct ranked_node {
     uint64_t rank;
@@ -42,7 +47,8 @@
 uint64_t
 MvRelayTree_Rank(mv_node_id_t id)
 {
-    return XXH3_64bits(&id, sizeof(id));
+    uint64_t tier = MvNodeId_Tier(id);
+    return tier << TIER_SHIFT | XXH3_64bits(&id, sizeof(id)) >> TIER_BITS;
 }
 
 void
--- a/packages/replica/src/relay_tree.h
+++ b/packages/replica/src/relay_tree.h
@@ -32,7 +32,12 @@
 /** MvRelayTree_Destroy() - Free the tree; NULL is accepted. */
 void MvRelayTree_Destroy(mv_relay_tree_t *tree);
 
-/** MvRelayTree_Rank() - Rank of a node; a lower one ranks before it. */
+/**
+ * MvRelayTree_Rank() - Rank of a node; a lower one ranks before it.
+ *
+ * A hash of the id, below its tier: nodes of a lower tier rank before all
+ * nodes of higher ones (MvNodeId_Tier()).
+ */
 uint64_t MvRelayTree_Rank(mv_node_id_t id);
 
 /** MvRelayTree_Reset() - Forget all nodes; @self is the own id. */
--- a/packages/replica/test/fanout_sim.cc
+++ b/packages/replica/test/fanout_sim.cc
@@ -388,18 +388,27 @@
 
 fanout_sim::fanout_sim(int count, int data_centres, uint32_t seed,
                        mv_time_t change_limit)
-    : change_limit(change_limit), random(g_rand_new_with_seed(seed))
+    : change_limit(change_limit), random(g_rand_new_with_seed(seed)),
+      data_centres(data_centres)
 {
-    for (int i = 0; i < count; i++) {
+    add_nodes(count, [](int) { return 0u; });
+}
+
+void
+fanout_sim::add_nodes(int count, const std::function<unsigned(int)> &tier_of)
+{
+    const int first = (int)nodes.size();
+    for (int i = first; i < first + count; i++) {
         auto node = std::make_unique<fanout_sim_node>();
         node->store.ops = &kStoreOps;
         node->sim = this;
         node->index = i;
+        node->tier = tier_of(i);
         node->data_centre = "dc" + std::to_string(i % data_centres);
         node->access = store_access::reachable;
         nodes.push_back(std::move(node));
     }
-    for (int i = 0; i < count; i++) {
+    for (int i = first; i < first + count; i++) {
         start(i);
     }
 }
@@ -438,8 +447,9 @@
         MvFollower_Create(&follower, &node->store, node->replica, random);
     node->fanout = MvFanout_Create(&fanout, node->replica, node->follower,
                                    &kFanoutOps, node);
-    node->registration = MvRegistration_Create(
-        &self, &node->store, node->replica, random, &kRegistrationOps, node);
+    node->registration =
+        MvRegistration_Create(&self, node->tier, &node->store, node->replica,
+                              random, &kRegistrationOps, node);
 }
 
 void
--- a/packages/replica/test/fanout_sim.h
+++ b/packages/replica/test/fanout_sim.h
@@ -32,6 +32,7 @@
     int incarnation;
     bool alive;
     bool is_registered;
+    unsigned tier;
     std::string data_centre;
     mv_node_id_t id;
     store_access access;
@@ -73,6 +74,9 @@
                         mv_time_t change_limit = 3 * MV_SECOND);
     ~fanout_sim();
 
+    /* Adds and starts nodes of the tiers that @tier_of gives by their index.
+     */
+    void add_nodes(int count, const std::function<unsigned(int)> &tier_of);
     void run(mv_time_t span);
     void start(int index);
     void stop(int index);
@@ -142,6 +146,7 @@
             return at != other.at ? at > other.at : order > other.order;
         }
     };
+    const int data_centres;
     std::priority_queue<event_t> events;
     uint64_t order = 0;
     void serve_watches();
--- a/packages/replica/test/relay_test.cc
+++ b/packages/replica/test/relay_test.cc
@@ -145,6 +145,44 @@
     }
 }
 
+/* Guards against a watcher or first relay on a VM that is too small for it. */
+TEST(Relay, LargeVmsWatchAndRelay)
+{
+    const unsigned sizes = 21;
+    const std::set<int> large = {4, 17};
+    fanout_sim sim(0);
+    sim.add_nodes(sizes, [&](int i) { return large.count(i) ? 0u : 3u; });
+    sim.run(kSettleTime);
+    const std::vector<int> ranked = by_rank(sim);
+    EXPECT_EQ(std::set<int>(ranked.begin(), ranked.begin() + 2), large);
+    ASSERT_EQ(sim.watchers().size(), 1u);
+    EXPECT_TRUE(large.count(sim.watchers()[0]));
+}
+
+TEST(NodeTier, FollowsProcessorAndLink)
+{
+    struct {
+        double processor;
+        double megabits;
+        unsigned tier;
+    } const cases[] = {
+        {0, 0, 0},        {0.5, 200, 0}, {0.5, 0, 0},
+        {0, 1000, 0},     {0.25, 99, 1}, {0.2, 1000, 1},
+        {0.055, 1000, 2}, {0.5, 10, 3},  {0.028, 200, 3},
+    };
+    for (const auto &c : cases) {
+        EXPECT_EQ(MvNode_TierOf(c.processor, c.megabits), c.tier)
+            << c.processor << " cores, " << c.megabits << " Mbit/s";
+    }
+    for (mv_node_id_t id = 0; id < 64; id++) {
+        for (mv_node_id_t other = 0; other < 64; other++) {
+            if (MvNodeId_Tier(id) < MvNodeId_Tier(other)) {
+                EXPECT_LT(MvRelayTree_Rank(id), MvRelayTree_Rank(other));
+            }
+        }
+    }
+}
+
 /* The store's calls must not grow with the nodes, nor may the busiest node
  * send more than its share. */
 TEST(Relay, OneWatcherAndAnEvenLoadAtAnySize)
