--- a/packages/base/include/masticvane/base.h
+++ b/packages/base/include/masticvane/base.h
@@ -416,10 +416,10 @@
  * @lines_per_second: 0 for no limit
  * @bytes_per_second: 0 for no limit
  *
- * Events over the budget are dropped and counted; those of single flows may use
- * up three quarters of it.  In a later second the next
- * MvLog_Write() or MvLog_Tick() logs their number in a line of its own, which
- * does not use up the budget.
+ * Events over the budget are dropped and counted; those of single flows may
+ * use up three quarters of it.  In a later second the next MvLog_Write() or
+ * MvLog_Tick() logs their number in a line of its own, which does not use up
+ * the budget.
  */
 void MvLog_SetBudget(mv_log_t *log, unsigned lines_per_second,
                      unsigned bytes_per_second);
--- a/packages/replica/test/late_source_test.cc
+++ b/packages/replica/test/late_source_test.cc
@@ -211,12 +211,16 @@
 class LateSources : public testing::TestWithParam<
                         std::tuple<size_case_t, source_trouble_t>> {};
 
-} // namespace
+/* With a limit that is never reached, no node asks the store because of the
+ * age of what it knows: the loss of the sources must suffice. */
+class LostSources : public LateSources {};
 
-TEST_P(LateSources, NodesInTouchKnowChangesInTime)
+void
+expect_knowledge_in_time(const size_case_t &size,
+                         const source_trouble_t &trouble,
+                         mv_time_t change_limit)
 {
-    const auto &[size, trouble] = GetParam();
-    fanout_sim sim(size.nodes, 1, 1, size.limit);
+    fanout_sim sim(size.nodes, 1, 1, change_limit);
     sim.write(kNumberKey, "0");
     sim.run(kSettleTime);
     const std::vector<int> ranked = by_rank(sim);
@@ -238,6 +242,20 @@
     EXPECT_EQ(checker.used_late, 0) << checker.first;
 }
 
+} // namespace
+
+TEST_P(LateSources, NodesInTouchKnowChangesInTime)
+{
+    const auto &[size, trouble] = GetParam();
+    expect_knowledge_in_time(size, trouble, size.limit);
+}
+
+TEST_P(LostSources, NodesInTouchKnowChangesInTime)
+{
+    const auto &[size, trouble] = GetParam();
+    expect_knowledge_in_time(size, trouble, MV_MINUTE);
+}
+
 INSTANTIATE_TEST_SUITE_P(Table, LateSources,
                          testing::Combine(testing::ValuesIn(kSizes),
                                           testing::ValuesIn(kSourceTroubles)),
@@ -248,6 +266,16 @@
                                         std::get<0>(info.param).nodes);
                          });
 
+INSTANTIATE_TEST_SUITE_P(Table, LostSources,
+                         testing::Combine(testing::ValuesIn(kSizes),
+                                          testing::ValuesIn(kSourceTroubles)),
+                         [](const auto &info) {
+                             return std::string(std::get<1>(info.param).name) +
+                                    "_" +
+                                    std::to_string(
+                                        std::get<0>(info.param).nodes);
+                         });
+
 namespace {
 
 /* Begins a trouble of the node and schedules its end. */
