SYNs: none goes to a service that its route has lost

A SYN is now repeated, or sent when an offer is adopted, only to a server whose service the configuration in force gives the route. Otherwise it is dropped, not refused: the flow may have opened there, and its caller must not get a reset.

NoSynGoesToAServiceThatTheRouteHasLost was red before in its three cases (with the new check off).

--- a/packages/tags/src/syn_retries.c
+++ b/packages/tags/src/syn_retries.c
@@ -14,11 +14,26 @@
  * answer it because of one lost packet. */
 #define UNRESPONSIVE_AFTER_TIMEOUTS 2
 
-/* Whether a SYN may still go to the server: it neither leaves nor is gone. */
+/* Whether the configuration in force gives the flow's route the service of the
+ * server.  A node that had an older one may have offered the flow there and
+ * told this node. */
 static bool
-takes_syns(const mv_forwarder_t *forwarder, int position, mv_time_t now)
+is_service_named(const mv_forwarder_t *forwarder, const mv_flow_t *flow,
+                 int position)
 {
-    if (position < 0) {
+    const mv_table_route_t *route =
+        MvTable_Route(forwarder->table, flow->name.address, flow->name.port);
+    return route && position >= 0 &&
+           MvTable_Names(route, forwarder->table->servers[position].service);
+}
+
+/* Whether a SYN may still go to the server: it neither leaves nor is gone, and
+ * its service is the flow's. */
+static bool
+takes_syns(const mv_forwarder_t *forwarder, const mv_flow_t *flow,
+           int position, mv_time_t now)
+{
+    if (!is_service_named(forwarder, flow, position)) {
         return false;
     }
     const mv_table_server_t *server = &forwarder->table->servers[position];
@@ -32,7 +47,7 @@
     bool is_first = flow->syn_timeouts++ == 0;
     /* A server that has left is silent, which says nothing about the others.
      */
-    if (!takes_syns(forwarder, position, now) ||
+    if (!takes_syns(forwarder, flow, position, now) ||
         !MvForwarder_IsFabricStable(forwarder, now)) {
         return;
     }
@@ -74,7 +89,8 @@
 MvFlow_SendOwnedSyn(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now)
 {
     int position = MvTable_Server(forwarder->table, flow->tag);
-    if (has_latest_syn(flow, now) && takes_syns(forwarder, position, now)) {
+    if (has_latest_syn(flow, now) &&
+        takes_syns(forwarder, flow, position, now)) {
         mv_flow_verdict_t verdict =
             send_again(forwarder, flow, now, (unsigned)position);
         send_stored_syn(forwarder, flow, now, verdict);
@@ -188,7 +204,11 @@
         now >= flow->syn_sent_at + flow->syn_timeout) {
         note_timeout(forwarder, flow, now);
     }
-    bool takes = takes_syns(forwarder, position, now);
+    /* It may have opened there, so that its caller must not get a reset. */
+    if (position >= 0 && !is_service_named(forwarder, flow, position)) {
+        return (mv_flow_verdict_t){.reason = MV_COUNTER_PACKETS_NO_SERVICE};
+    }
+    bool takes = takes_syns(forwarder, flow, position, now);
     bool is_unresponsive =
         !takes || flow->syn_timeouts >= UNRESPONSIVE_AFTER_TIMEOUTS;
     /* A server that takes no SYNs cannot answer: any other one is better. */
@@ -235,7 +255,7 @@
     }
     int position = MvTable_Server(forwarder->table, flow->tag);
     if (flow->syn_count > MAX_REPEATS || !has_latest_syn(flow, now) ||
-        !takes_syns(forwarder, position, now) ||
+        !takes_syns(forwarder, flow, position, now) ||
         !MvForwarder_IsFabricStable(forwarder, now)) {
         /* It may be open through another node, or it is not sent any more: it
          * does not count as outstanding here. */
--- a/packages/tags/src/table.c
+++ b/packages/tags/src/table.c
@@ -25,13 +25,22 @@
 }
 
 bool
-MvTable_Allows(const mv_table_route_t *route, unsigned service)
+MvTable_Names(const mv_table_route_t *route, unsigned service)
 {
     for (unsigned i = 0; i < route->route.share_count; i++) {
         if (route->services[i] == service) {
             return true;
         }
     }
+    return false;
+}
+
+bool
+MvTable_Allows(const mv_table_route_t *route, unsigned service)
+{
+    if (MvTable_Names(route, service)) {
+        return true;
+    }
     for (unsigned i = 0; i < route->former_count; i++) {
         if (route->former[i] == service) {
             return true;
--- a/packages/tags/src/table.h
+++ b/packages/tags/src/table.h
@@ -126,6 +126,12 @@
 /** MvTable_Server() - Position of the server with @tag, or -1. */
 int MvTable_Server(const mv_table_t *table, uint32_t tag);
 
+/**
+ * MvTable_Names() - New flows of @route may go to @service: it is one of the
+ * services that the configuration in force gives the route.
+ */
+bool MvTable_Names(const mv_table_route_t *route, unsigned service);
+
 /**
  * MvTable_Allows() - Open flows of @route may be at @service: it is one of the
  * route's services, or was one.
--- a/packages/tags/test/tags_test.cc
+++ b/packages/tags/test/tags_test.cc
@@ -285,6 +285,51 @@
     }
 }
 
+/* Guards against a SYN that goes to a service of an older configuration, which
+ * the node that offered the flow there still had. */
+TEST_F(Tags, NoSynGoesToAServiceThatTheRouteHasLost)
+{
+    struct {
+        const char *what;
+        bool is_told; /* by another node */
+        bool is_held; /* the retransmission came before */
+    } const cases[] = {
+        {"offered by another node", true, false},
+        {"offered by another node, held here", true, true},
+        {"offered here before the change", false, false},
+    };
+    for (const auto &c : cases) {
+        tags_world other("casa", 99);
+        prepare(other);
+        uint32_t tag = MvServer_Tag(
+            &(const mv_server_t &)other.server(3, "booking", "rabat"));
+        const mv_flow_offer_t offer = {{0x64400007, 0xc6120001, 1, 443}, tag};
+        if (!c.is_told) {
+            tag = other.open(1).tag;
+        }
+        other.announce(other.server(31, "reports", "casa"));
+        other.route(50, {{443, "reports"}});
+        other.publish();
+        other.now += 200 * MV_MILLISECOND;
+        if (c.is_told && !c.is_held) {
+            MvForwarder_ReceiveOffers(other.forwarder, other.now, &offer, 1);
+        }
+        if (c.is_held) {
+            other.send_next(500, tag);
+        }
+        mv_flow_verdict_t verdict = other.open(1, 443, 1);
+        EXPECT_EQ(verdict.kind, MV_FLOW_DROP) << c.what;
+        if (c.is_held) {
+            MvForwarder_ReceiveOffers(other.forwarder, other.now, &offer, 1);
+        }
+        other.advance(300 * MV_MILLISECOND);
+        for (const sent_t &sent : other.sent) {
+            EXPECT_NE(sent.verdict.tag, tag) << c.what;
+        }
+        EXPECT_TRUE(other.resets.empty()) << c.what;
+    }
+}
+
 /* Guards against review/1: SYNs that waited in the socket of a node that stood
  * still went to servers, while the callers' retransmissions had opened the
  * flows through another node. */
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -238,6 +238,8 @@
      "    int position = MvTable_Server(forwarder->table, flow->tag);\n    if (flow->syn_count", "    int position = MvPlacement_Choose(forwarder, now, forwarder->table->servers[0].service);\n    if (flow->syn_count", "tags_test", "Tags.*:*Losses*"),
     ("a leaving server gets no repeated SYN", TAGS + "syn_retries.c",
      "    return server->takes_new && now < server->usable_until;", "    return now < server->usable_until;", "tags_test", "Tags.*"),
+    ("a SYN goes only to a service that the configuration in force gives its route", TAGS + "syn_retries.c",
+     "    if (!is_service_named(forwarder, flow, position)) {\n        return false;", "    if (position < 0) {\n        return false;", "tags_test", "Tags.NoSyn*"),
     ("other nodes are told a flow that opens late", TAGS + "offers.c",
      "        tell_offer(forwarder, flow, now);", "        (void)tell_offer;", "tags_test", "Tags.*"),
     ("a retransmission whose first SYN went elsewhere is held", TAGS + "held_syns.c",
