late_source_test: lateness that grows; a source that tells old knowledge

Planted faults showed what the rows did not need: a source that turns late at once also falls silent, and no row needed the node's own look at the age of what it knows. Sources now also grow late by 50 ms every 200 ms, and ProvenAge plays a source that answers in time with knowledge that grows older.

--- a/packages/replica/test/late_source_test.cc
+++ b/packages/replica/test/late_source_test.cc
@@ -194,6 +194,8 @@
     std::vector<size_t> ranks;
     mv_time_t lateness;
     bool hangs;
+    /* Lateness grows slowly, so that heartbeats never stop. */
+    bool grows = false;
 };
 
 const source_trouble_t kSourceTroubles[] = {
@@ -204,10 +206,27 @@
     {"watcher_and_relay_late_2s", {0, 1}, 2 * MV_SECOND, false},
     {"first_nodes_late_2s", {0, 1, 2, 3, 4, 5}, 2 * MV_SECOND, false},
     {"first_nodes_late_6s", {0, 1, 2, 3, 4, 5}, 6 * MV_SECOND, false},
+    {"watcher_grows_late", {0}, 6 * MV_SECOND, false, true},
+    {"relay_grows_late", {1}, 6 * MV_SECOND, false, true},
+    {"first_nodes_grow_late", {0, 1, 2, 3}, 6 * MV_SECOND, false, true},
     {"streams_of_watcher_hang", {0}, 0, true},
     {"streams_of_first_nodes_hang", {0, 1, 2, 3}, 0, true},
 };
 
+void
+make_late(fanout_sim &sim, int index, const source_trouble_t &trouble)
+{
+    fanout_sim_node *node = sim.nodes[index].get();
+    const mv_time_t step =
+        trouble.grows ? 50 * MV_MILLISECOND : trouble.lateness;
+    node->slowness = MIN(node->slowness + step, trouble.lateness);
+    if (node->slowness < trouble.lateness) {
+        sim.schedule(200 * MV_MILLISECOND, [&sim, index, &trouble] {
+            make_late(sim, index, trouble);
+        });
+    }
+}
+
 class LateSources : public testing::TestWithParam<
                         std::tuple<size_case_t, source_trouble_t>> {};
 
@@ -232,12 +251,12 @@
             break;
         }
         checker.trouble(ranked[rank], MV_NEVER);
-        sim.nodes[ranked[rank]]->slowness = trouble.lateness;
+        make_late(sim, ranked[rank], trouble);
         if (trouble.hangs) {
             hang_streams(sim, ranked[rank]);
         }
     }
-    checker.run(20 * MV_SECOND);
+    checker.run((trouble.grows ? 40 : 20) * MV_SECOND);
     EXPECT_EQ(checker.late, 0) << checker.first;
     EXPECT_EQ(checker.used_late, 0) << checker.first;
 }
@@ -353,3 +372,40 @@
         return std::to_string(std::get<0>(info.param).nodes) + "_nodes_" +
                std::to_string(std::get<1>(info.param));
     });
+
+/* Guards against sources that answer in time but tell of knowledge that no
+ * longer grows, in whatever way that came about. */
+TEST(ProvenAge, ANodeAsksTheStoreWhenItsSourceTellsOldKnowledge)
+{
+    struct {
+        const char *what;
+        bool age_grows;
+        mv_time_t limit;
+    } const cases[] = {
+        {"up to date", false, 3 * MV_SECOND},
+        {"old, 3 s allowed", true, 3 * MV_SECOND},
+        {"old, 5 s allowed", true, 5 * MV_SECOND},
+    };
+    for (const auto &c : cases) {
+        fanout_sim sim(3, 1, 1, c.limit);
+        sim.run(kSettleTime);
+        const std::vector<int> ranked = by_rank(sim);
+        fanout_sim_node *source = sim.nodes[ranked[0]].get();
+        fanout_sim_node *node = sim.nodes[ranked[1]].get();
+        sim.cut_links.insert({source->index, node->index});
+        const mv_time_t began = sim.now;
+        const uint64_t calls = node->calls;
+        while (sim.now - began < c.limit) {
+            const mv_time_t age = c.age_grows ? sim.now - began : 0;
+            mv_message_t heartbeat = {};
+            heartbeat.kind = MV_MESSAGE_REPLICA_HEARTBEAT;
+            heartbeat.from = source->id;
+            heartbeat.version = MvReplica_Revision(source->replica);
+            heartbeat.target = (uint32_t)(age / MV_MILLISECOND) + 1;
+            heartbeat.sequence = (uint32_t)(sim.now / MV_MILLISECOND);
+            MvFanout_HandleMessage(node->fanout, sim.now, &heartbeat);
+            sim.run(kStep);
+        }
+        EXPECT_EQ(node->calls > calls, c.age_grows) << c.what;
+    }
+}
