--- a/packages/replica/include/masticvane/replica.h
+++ b/packages/replica/include/masticvane/replica.h
@@ -464,7 +464,13 @@
  * watch responds every second. */
 #define MV_CONTACT_TIMEOUT (1500 * MV_MILLISECOND)
 
-/** typedef mv_fanout_t - State of the change distribution at this node. */
+/**
+ * typedef mv_fanout_t - State of the change distribution at this node.
+ *
+ * Invariant: a node that reaches the store acts on no state of it that is
+ * older than @change_limit, by its own clock and whatever other nodes claim:
+ * it proves how much it knows (MvFanout_ProvenAt()) or asks the store.
+ */
 typedef struct mv_fanout mv_fanout_t;
 
 /**
--- a/packages/replica/test/late_source_test.cc
+++ b/packages/replica/test/late_source_test.cc
@@ -230,6 +230,16 @@
 class LateSources : public testing::TestWithParam<
                         std::tuple<size_case_t, source_trouble_t>> {};
 
+const auto kCases = testing::Combine(testing::ValuesIn(kSizes),
+                                     testing::ValuesIn(kSourceTroubles));
+
+std::string
+case_name(const testing::TestParamInfo<LateSources::ParamType> &info)
+{
+    return std::string(std::get<1>(info.param).name) + "_" +
+           std::to_string(std::get<0>(info.param).nodes);
+}
+
 /* With a limit that is never reached, no node asks the store because of the
  * age of what it knows: the loss of the sources must suffice. */
 class LostSources : public LateSources {};
@@ -275,25 +285,9 @@
     expect_knowledge_in_time(size, trouble, MV_MINUTE);
 }
 
-INSTANTIATE_TEST_SUITE_P(Table, LateSources,
-                         testing::Combine(testing::ValuesIn(kSizes),
-                                          testing::ValuesIn(kSourceTroubles)),
-                         [](const auto &info) {
-                             return std::string(std::get<1>(info.param).name) +
-                                    "_" +
-                                    std::to_string(
-                                        std::get<0>(info.param).nodes);
-                         });
-
-INSTANTIATE_TEST_SUITE_P(Table, LostSources,
-                         testing::Combine(testing::ValuesIn(kSizes),
-                                          testing::ValuesIn(kSourceTroubles)),
-                         [](const auto &info) {
-                             return std::string(std::get<1>(info.param).name) +
-                                    "_" +
-                                    std::to_string(
-                                        std::get<0>(info.param).nodes);
-                         });
+INSTANTIATE_TEST_SUITE_P(Table, LateSources, kCases, case_name);
+
+INSTANTIATE_TEST_SUITE_P(Table, LostSources, kCases, case_name);
 
 namespace {
 
