--- a/packages/replica/src/fanout.c
+++ b/packages/replica/src/fanout.c
@@ -3,8 +3,9 @@
  *
  * A node subscribes to its source (source.c), which ranks before it
  * (relay_tree.c), and sends heartbeats and changes to its own subscribers.  A
- * heartbeat begins at a node that watches the store and is passed on at once,
- * so its freshness does not age on the way.  The node that ranks first
+ * heartbeat begins at a node that watches the store and is passed on at once.
+ * A node that is overloaded passes it on late: the request that a heartbeat
+ * confirms shows how late it can be (source.c).  The node that ranks first
  * watches the store; any other node watches while it has no source.  This
  * needs no election and no write to the store: two nodes that watch at the
  * same time only cost about one more call per second.
