--- a/review/standins-3/platform_standins.py
+++ b/review/standins-3/platform_standins.py
@@ -464,7 +464,7 @@
         self.is_open = self.fin_seen = self.fin_sent = False
         self.endpoint_flow, self.reset_by, self.data = None, None, b""
         self.arrived, self.acked = asyncio.Event(), 0
-        self.unacked = 0
+        self.unacked, self.early = 0, {}  # early: packets by seq, ahead of their turn
         world.client_flows[address, port] = self
 
     def send(self, flags, seq, data=b""):
@@ -546,14 +546,16 @@
             self.acked = packet.ack
         if not packet.data and not packet.flags & FIN:
             return
-        if packet.seq == self.next_in:
-            self.data += packet.data
-            self.fin_seen |= bool(packet.flags & FIN)
-            self.next_in = (packet.seq + len(packet.data) + bool(packet.flags & FIN)) & 0xffffffff
+        self.early[packet.seq] = packet
+        is_next = packet.seq == self.next_in
+        while self.next_in in self.early:
+            taken = self.early.pop(self.next_in)
+            self.data += taken.data
+            self.fin_seen |= bool(taken.flags & FIN)
+            self.next_in = (taken.seq + len(taken.data) + bool(taken.flags & FIN)) & 0xffffffff
             self.unacked += 1
-            if self.unacked % 2 == 0 or len(packet.data) < MAX_DATA or packet.flags & FIN:
-                self.send(ACK, self.next_out)
-        else:
+        if (not is_next or self.unacked % 2 == 0 or len(packet.data) < MAX_DATA
+                or packet.flags & FIN):
             self.send(ACK, self.next_out)
 
     def receive_reset(self, packet):
@@ -698,7 +700,7 @@
         self.store_address = f"{self.net}.1.7:{self.store_port}"
         self.host = "198.18.0.1"  # only a field of packets: nothing is sent there
 
-    async def open(self, drill=False):
+    async def open(self):
         await self.store.serve(f"{self.net}.1.7", self.store_port)
         self.udp = await open_udp(f"{self.net}.2.1", 0, lambda data: None)
         self.tasks.append(asyncio.create_task(self.router.probe()))
@@ -788,8 +790,7 @@
             if node.process and node.process.returncode is None:
                 node.process.kill()
                 await node.process.wait()
-        if not os.environ.get("KEEP"):
-            shutil.rmtree(self.folder, ignore_errors=True)
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def main(case):
@@ -800,6 +801,9 @@
 
     async def play():
         nonlocal world
+        # A stopped case ends its processes too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM,
+                                                      asyncio.current_task().cancel)
         world = World(os.path.dirname(os.path.abspath(sys.argv[0])), case.NODES)
         world.record.write(f"trouble: {has_trouble}")
         try:
@@ -809,7 +813,7 @@
             await world.end()
     try:
         asyncio.run(play())
-    except Exception as error:  # the case could not run
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
         if world:
             world.record.write(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
