--- a/review/13/case.py
+++ b/review/13/case.py
@@ -14,10 +14,11 @@
 ENDPOINTS = 15
 CLIENTS = 360
 REQUESTS, PAUSE_S = 55, 0.16  # a flow lasts some 9 s
-CRASHED, DOWN_S = 2, 0.3
+CRASHED, DOWN_S = 2, 0.3  # of the endpoints, each time
+CRASHES, BETWEEN_S = 2, 1.5
 FIRST_BEAT_S = 1.0  # from its start to its first write; beat_ms is 1.2 s
-CALM_S = 4.8  # from the crash to the planned work: more than contact_ms
-SECONDS = 36
+CALM_S = 4.8  # from the last crash to the planned work: more than contact_ms
+SECONDS = 38
 
 
 async def use_client(world, address, first_port, until, outcomes):
@@ -58,11 +59,13 @@
     outcomes = {}
     clients = [asyncio.create_task(use_client(world, address, 10000 + 100 * i, until, outcomes))
                for i in range(CLIENTS)]
-    await asyncio.sleep(14)
+    await asyncio.sleep(12)
     if has_trouble:
-        for endpoint in endpoints[:CRASHED]:
-            endpoint.crash()
-            world.tasks.append(asyncio.create_task(start_again(world, endpoint)))
+        for i in range(CRASHES):
+            await asyncio.sleep(BETWEEN_S)
+            for endpoint in endpoints[CRASHED * i:CRASHED * (i + 1)]:
+                endpoint.crash()
+                world.tasks.append(asyncio.create_task(start_again(world, endpoint)))
         await asyncio.sleep(CALM_S)
         for node in world.nodes:
             next_stop = world.record.now() + 5.0
