--- a/review/standins-3/platform_standins.py
+++ b/review/standins-3/platform_standins.py
@@ -17,6 +17,7 @@
 import tempfile
 import time
 import tomllib
+import urllib.parse
 import zlib
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -194,10 +195,11 @@
         self.calls += 1
         self.end_leases()
         if path == "/v1/kv-range":
-            after = query.get("after", "")
+            after = urllib.parse.unquote(query.get("after", ""))
             found = [i for k, i in sorted(self.items.items())
                      if k.startswith(prefix) and k > after]
-            return 200, {"items": found[:500], "has_more": len(found) > 500,
+            page = self.first_page(found)
+            return 200, {"items": page, "has_more": len(found) > len(page),
                          "store_revision": self.revision}
         if path == "/v1/kv-watch":
             return await self.watch(prefix, int(query["after"]), int(query["wait_ms"]) / 1000)
@@ -215,6 +217,17 @@
             return 200, {"ttl_ms": lease[0]}
         return 404, {}
 
+    @staticmethod
+    def first_page(items):
+        """At most 500 items or 1 MB; a page is never empty while there are items."""
+        page, size = [], 0
+        for item in items:
+            size += len(item["key"]) + len(item["value"])
+            if page and (len(page) == 500 or size > 1_000_000):
+                break
+            page.append(item)
+        return page
+
     def end_leases(self):
         now = time.monotonic()
         ended = [n for n, (ttl, at) in self.leases.items() if now - at > ttl / 1000]
@@ -630,6 +643,12 @@
             await process.wait()
         self.world.record.write(f"{self.name} ended, code {process.returncode}")
 
+    async def kill(self):
+        process, self.process = self.process, None
+        process.kill()
+        await process.wait()
+        self.world.record.write(f"{self.name} was killed")
+
     async def probe(self):
         """GET /v1/ready; after two misses the node is out of rotation."""
         async def ask():
