--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,5 +1,5 @@
-"""Clients use their source port again some seconds after a flow was closed by
-both ends; meanwhile the nodes are stopped and started in turn."""
+"""Another writer leaves one odd entry among those of the endpoints; later all processes
+of the system are killed and start again."""
 import asyncio
 import os
 import sys
@@ -7,37 +7,40 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins-3"))
 import platform_standins as platform  # noqa: E402
 
-RULE = "FLOW"
+RULE = "RECOVER"
 NODES = 4
-ENDPOINTS = 8
-CLIENTS = 60
 PORT = 8443
-REQUESTS, PAUSE_S = 8, 0.8
-REST_S = 5.0  # between two flows from a port: more than twice reorder_ms
-GAP_S = 5.0  # between two planned stops
-SECONDS = 50
+ENDPOINTS = 14
+ODD_KEY = "servers/\0audit"
+ODD_BYTES = 1048576  # value_bytes
+DOWN_S = 0.74  # kill_all of the site
+FLOWS_PER_S = 15
+BEFORE_S, AFTER_S = 10, 15
 
 
-async def use_port(world, address, port, until, outcomes):
-    """Flows from one port, one after the other.  The endpoint closes first."""
-    number = 0
-    await asyncio.sleep(0.19 * (port % CLIENTS))
-    while world.record.now() < until:
-        flow = platform.ClientFlow(world, address, port, world.host, PORT)
-        outcome = await flow.open()
-        for i in range(REQUESTS):
-            if outcome != "good":
-                break
-            is_last = i == REQUESTS - 1
-            number += 1
-            outcome = await flow.ask(f"{port}-{number}", 300, close=is_last)
-            if not is_last:
-                await asyncio.sleep(PAUSE_S)
-        outcomes[outcome] = outcomes.get(outcome, 0) + 1
-        if outcome == "good":
-            await flow.close()
-        flow.end()
-        await asyncio.sleep(REST_S)
+async def use_flow(world, address, port, outcomes):
+    flow = platform.ClientFlow(world, address, port, world.host, PORT)
+    outcome = await flow.open()
+    if outcome == "good":
+        outcome = await flow.ask(f"{port}-1", 300, limit_s=5.0, close=True)
+    if outcome == "good":
+        await flow.close()
+    flow.end()
+    outcomes.append(outcome)
+
+
+async def send_requests(world, address, first_port, seconds):
+    """Returns the outcome of each request: a flow each."""
+    outcomes, flows = [], []
+    for i in range(seconds * FLOWS_PER_S):
+        flows.append(asyncio.create_task(use_flow(world, address, first_port + i, outcomes)))
+        await asyncio.sleep(1 / FLOWS_PER_S)
+    await asyncio.gather(*flows)
+    served = outcomes.count("good") / len(outcomes)
+    counts = {outcome: outcomes.count(outcome) for outcome in sorted(set(outcomes))}
+    world.record.write(f"{served:.2f} of {len(outcomes)} requests served: {counts}")
+    print(f"{served:.2f} of {len(outcomes)} requests served: {counts}")
+    return served
 
 
 async def play(world, has_trouble):
@@ -46,21 +49,28 @@
     world.configure({PORT: "booking"})
     await world.start_nodes()
     address = await world.add_client(1)
-    until = world.record.now() + SECONDS
-    outcomes = {}
-    clients = [asyncio.create_task(use_port(world, address, 40000 + i, until, outcomes))
-               for i in range(CLIENTS)]
-    await asyncio.sleep(12)
     if has_trouble:
-        for node in world.nodes:
-            next_stop = world.record.now() + GAP_S
-            await node.stop()
-            await node.start()
-            await world.until(lambda n=node: n.in_rotation, 12)
-            await asyncio.sleep(max(0.0, next_stop - world.record.now()))
-    await asyncio.gather(*clients)
-    world.record.write(f"flows: {outcomes}")
-    print(f"flows: {outcomes}")
+        world.store.put(ODD_KEY, os.urandom(ODD_BYTES))
+        world.record.write(f"another writer: an entry {ODD_KEY!r} of {ODD_BYTES} bytes")
+    before = await send_requests(world, address, 10000, BEFORE_S)
+    # The final fault, right after one more change was acknowledged.
+    world.configure({PORT: "booking", PORT + 1: "booking"})
+    for node in world.nodes:
+        await node.kill()
+    await asyncio.sleep(DOWN_S)
+    for node in world.nodes:
+        await node.start()
+    back_at = world.record.now()
+    await asyncio.sleep(platform.BOUNDS["recover_s"])
+    ready = sum(node.in_rotation for node in world.nodes)
+    world.record.write(f"{ready} of {NODES} nodes are ready")
+    after = await send_requests(world, address, 20000, AFTER_S)
+    if before >= 0.25 > after:
+        world.record.break_rule(
+            f"RECOVER: of the requests sent {platform.BOUNDS['recover_s']} s and more after the "
+            f"machines were back, {after:.2f} were served, {before:.2f} before; {ready} of {NODES} "
+            f"nodes were ready, at the end ({world.record.now() - back_at:.0f} s) "
+            f"{sum(node.in_rotation for node in world.nodes)}")
 
 
 if __name__ == "__main__":
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,59 +1,64 @@
-"""Clients send the first bytes of a flow with its SYN; the link to the endpoints loses
-some packets for some seconds."""
+"""Clients use their source port again some seconds after a flow was closed by
+both ends; meanwhile the nodes are stopped and started in turn."""
 import asyncio
 import os
-import random
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins-3"))
 import platform_standins as platform  # noqa: E402
 
-RULE = "UNASKED"
-NODES = 3
+RULE = "FLOW"
+NODES = 4
+ENDPOINTS = 8
+CLIENTS = 60
 PORT = 8443
-LOSS, LOSS_S = 0.025, 5.5
-FLOWS, INTERVAL_S = 500, 0.02
-
-
-async def run_flow(world, address, port, outcomes):
-    flow = platform.ClientFlow(world, address, port, world.host, PORT)
-    # The head of a request, as its first bytes.
-    text = f"{port}-1 300 close".ljust(200).encode()
-    world.record.write(f"client {address}:{port} sends {port}-1 with the SYN")
-    outcome = await flow.open(text)
-    if outcome == "good":
-        flow.next_out = flow.syn_end
-        is_done = lambda: flow.fin_seen and len(flow.data) >= 300
-        outcome = "good" if await flow.wait(3.0, is_done) else "not answered"
-    if outcome == "good":
-        await flow.close()
-    flow.end()
-    outcomes[outcome] = outcomes.get(outcome, 0) + 1
-
-
-def lose_packets(world, until):
-    """The links between nodes and endpoints, and from endpoints to clients."""
-    receive, transmit = platform.Endpoint.receive, platform.Endpoint.transmit
-    is_lost = lambda: world.record.now() < until and random.random() < LOSS
-    platform.Endpoint.receive = lambda self, raw: is_lost() or receive(self, raw)
-    platform.Endpoint.transmit = lambda self, packet: is_lost() or transmit(self, packet)
+REQUESTS, PAUSE_S = 8, 0.8
+REST_S = 5.0  # between two flows from a port: more than twice reorder_ms
+GAP_S = 5.0  # between two planned stops
+SECONDS = 50
+
+
+async def use_port(world, address, port, until, outcomes):
+    """Flows from one port, one after the other.  The endpoint closes first."""
+    number = 0
+    await asyncio.sleep(0.19 * (port % CLIENTS))
+    while world.record.now() < until:
+        flow = platform.ClientFlow(world, address, port, world.host, PORT)
+        outcome = await flow.open()
+        for i in range(REQUESTS):
+            if outcome != "good":
+                break
+            is_last = i == REQUESTS - 1
+            number += 1
+            outcome = await flow.ask(f"{port}-{number}", 300, close=is_last)
+            if not is_last:
+                await asyncio.sleep(PAUSE_S)
+        outcomes[outcome] = outcomes.get(outcome, 0) + 1
+        if outcome == "good":
+            await flow.close()
+        flow.end()
+        await asyncio.sleep(REST_S)
 
 
 async def play(world, has_trouble):
-    for i in range(8):
-        await world.add_endpoint("booking", i + 1, slots=8)
+    for i in range(ENDPOINTS):
+        await world.add_endpoint("booking", i + 1)
     world.configure({PORT: "booking"})
     await world.start_nodes()
     address = await world.add_client(1)
-    await asyncio.sleep(2)
-    outcomes, flows = {}, []
+    until = world.record.now() + SECONDS
+    outcomes = {}
+    clients = [asyncio.create_task(use_port(world, address, 40000 + i, until, outcomes))
+               for i in range(CLIENTS)]
+    await asyncio.sleep(12)
     if has_trouble:
-        lose_packets(world, world.record.now() + LOSS_S)
-        world.record.write(f"links lose {LOSS} of the packets for {LOSS_S} s")
-    for i in range(FLOWS):
-        flows.append(asyncio.create_task(run_flow(world, address, 20000 + i, outcomes)))
-        await asyncio.sleep(INTERVAL_S)
-    await asyncio.gather(*flows)
+        for node in world.nodes:
+            next_stop = world.record.now() + GAP_S
+            await node.stop()
+            await node.start()
+            await world.until(lambda n=node: n.in_rotation, 12)
+            await asyncio.sleep(max(0.0, next_stop - world.record.now()))
+    await asyncio.gather(*clients)
     world.record.write(f"flows: {outcomes}")
     print(f"flows: {outcomes}")
 
