--- a/review/13/case.py
+++ b/review/13/case.py
@@ -13,12 +13,12 @@
 PORT = 8443
 ENDPOINTS = 15
 CLIENTS = 360
-REQUESTS, PAUSE_S = 55, 0.16  # a flow lasts some 9 s
+REQUESTS, PAUSE_S = 85, 0.16  # a flow lasts some 14 s
 CRASHED, DOWN_S = 2, 0.3  # of the endpoints, each time
-CRASHES, BETWEEN_S = 2, 1.5
-FIRST_BEAT_S = 0.3  # from its start to its first write; beat_ms is 1.2 s
+CRASHES, BETWEEN_S = 3, 1.0
+FIRST_BEAT_S = 0.8  # from its start to its first write; beat_ms is 1.2 s
 CALM_S = 4.8  # from the last crash to the planned work: more than contact_ms
-SECONDS = 38
+SECONDS = 42
 
 
 async def use_client(world, address, first_port, until, outcomes):
