--- a/review/14/case.py
+++ b/review/14/case.py
@@ -10,18 +10,18 @@
 RULE = "FLOW"
 NODES = 4
 ENDPOINTS = 8
-CLIENTS = 60
+CLIENTS = 300
 PORT = 8443
 REQUESTS, PAUSE_S = 8, 0.8
-REST_S = 5.0  # between two flows from a port: more than twice reorder_ms
+REST_S = 8.0  # between two flows from a port: four times reorder_ms
 GAP_S = 5.0  # between two planned stops
-SECONDS = 50
+SECONDS = 54
 
 
 async def use_port(world, address, port, until, outcomes):
     """Flows from one port, one after the other.  The endpoint closes first."""
     number = 0
-    await asyncio.sleep(0.19 * (port % CLIENTS))
+    await asyncio.sleep(0.05 * (port % CLIENTS))
     while world.record.now() < until:
         flow = platform.ClientFlow(world, address, port, world.host, PORT)
         outcome = await flow.open()
