--- a/packages/replica/src/follower.c
+++ b/packages/replica/src/follower.c
@@ -42,7 +42,7 @@
     mv_time_t back_off;
     unsigned relists;
     mv_replica_list_t *list; /* NULL before the first page */
-    char *list_after;        /* last key of the previous page */
+    char *next_page;         /* NULL for the first one */
 };
 
 mv_follower_settings_t
@@ -78,7 +78,7 @@
         return;
     }
     MvReplicaList_Destroy(follower->list);
-    g_free(follower->list_after);
+    g_free(follower->next_page);
     g_free(follower);
 }
 
@@ -88,7 +88,7 @@
     follower->phase = PHASE_LIST;
     follower->requires_fresh_list = requires_fresh_list;
     g_clear_pointer(&follower->list, MvReplicaList_Destroy);
-    g_clear_pointer(&follower->list_after, g_free);
+    g_clear_pointer(&follower->next_page, g_free);
 }
 
 static void
@@ -118,7 +118,7 @@
 static void
 end_list(mv_follower_t *follower)
 {
-    g_clear_pointer(&follower->list_after, g_free);
+    g_clear_pointer(&follower->next_page, g_free);
     MvReplicaList_Finish(g_steal_pointer(&follower->list), follower->now);
     follower->phase = PHASE_WATCH;
     follower->is_complete = true;
@@ -132,8 +132,9 @@
 static void
 apply_list_reply(mv_follower_t *follower, const mv_store_items_t *items)
 {
-    /* A page without a key to continue from must not pass for the last one. */
-    bool is_stuck = items->more && items->count == 0;
+    /* A page that leads to itself would be read for ever. */
+    bool is_stuck =
+        items->next && !g_strcmp0(items->next, follower->next_page);
     if (items->outcome != MV_STORE_DONE || is_stuck) {
         note_failure(follower);
         return;
@@ -143,9 +144,9 @@
     for (size_t i = 0; i < items->count; i++) {
         MvReplicaList_Apply(follower->list, follower->now, &items->items[i]);
     }
-    if (items->more) {
-        g_free(follower->list_after);
-        follower->list_after = g_strdup(items->items[items->count - 1].key);
+    if (items->next) {
+        g_free(follower->next_page);
+        follower->next_page = g_strdup(items->next);
         return;
     }
     end_list(follower);
@@ -232,7 +233,7 @@
      * oldest page. */
     bool stale = !follower->is_complete && !follower->requires_fresh_list;
     follower->store->ops->list(follower->store, WHOLE_STORE,
-                               follower->list_after, stale, handle_list_reply,
+                               follower->next_page, stale, handle_list_reply,
                                follower);
 }
 
--- a/packages/replica/test/completeness_test.cc
+++ b/packages/replica/test/completeness_test.cc
@@ -206,7 +206,8 @@
                              deleted ? nullptr : values[i].c_str(),
                              deleted ? 0 : values[i].size(), at, deleted});
         }
-        const mv_store_items_t result = {outcome, revision, more, items.size(),
+        const char *next = more ? changes.back().first.c_str() : nullptr;
+        const mv_store_items_t result = {outcome, revision, next, items.size(),
                                          items.data()};
         call.done(call.context, &result);
     }
--- a/packages/replica/test/fanout_sim.cc
+++ b/packages/replica/test/fanout_sim.cc
@@ -73,7 +73,7 @@
                          item.deleted ? nullptr : item.value.c_str(),
                          item.value.size(), item.revision, item.deleted});
     }
-    mv_store_items_t reply = {MV_STORE_DONE, revision, false, items.size(),
+    mv_store_items_t reply = {MV_STORE_DONE, revision, nullptr, items.size(),
                               items.data()};
     done(context, &reply);
 }
--- a/packages/replica/test/replica_test.cc
+++ b/packages/replica/test/replica_test.cc
@@ -27,12 +27,12 @@
     /* Replies to the latest call. */
     void
     reply(mv_store_outcome_t outcome, uint64_t revision,
-          std::vector<mv_store_item_t> items = {}, bool more = false)
+          std::vector<mv_store_item_t> items = {}, const char *next = nullptr)
     {
         ASSERT_FALSE(calls.empty());
         store_call call = calls.back();
         calls.pop_back();
-        mv_store_items_t result = {outcome, revision, more, items.size(),
+        mv_store_items_t result = {outcome, revision, next, items.size(),
                                    items.data()};
         call.done(call.context, &result);
     }
@@ -180,21 +180,47 @@
 TEST_F(Replica, WatchStartsAtRevisionOfFirstPage)
 {
     expect_call("list", true, 0);
-    store.reply(MV_STORE_DONE, 20, {make_item("a", "1", 3)}, true);
+    store.reply(MV_STORE_DONE, 20, {make_item("a", "1", 3)}, "a");
     run_until_call();
     EXPECT_EQ(store.calls[0].after, "a");
     store.reply(MV_STORE_DONE, 30, {make_item("b", "1", 4)});
     expect_call("watch", false, 20);
 }
 
+/* Guards against review/11: what was kept of a page decided where the list
+ * went on, so that one without a usable item was read for ever. */
+TEST_F(Replica, AListGoesOnBehindAPageWithoutItems)
+{
+    expect_call("list", true, 0);
+    store.reply(MV_STORE_DONE, 20, {make_item("a", "1", 3)}, "a");
+    expect_call("list", true, 0);
+    store.reply(MV_STORE_DONE, 20, {}, "odd");
+    expect_call("list", true, 0);
+    EXPECT_EQ(store.calls[0].after, "odd");
+    store.reply(MV_STORE_DONE, 20, {make_item("z", "1", 4)});
+    EXPECT_TRUE(MvFollower_IsComplete(follower));
+    EXPECT_EQ(values.size(), 2u);
+}
+
+TEST_F(Replica, APageThatLeadsToItselfFailsTheList)
+{
+    expect_call("list", true, 0);
+    store.reply(MV_STORE_DONE, 20, {make_item("a", "1", 3)}, "a");
+    expect_call("list", true, 0);
+    store.reply(MV_STORE_DONE, 20, {}, "a");
+    EXPECT_FALSE(MvFollower_IsReachable(follower));
+    EXPECT_GE(run_until_call(), 40 * MV_MILLISECOND);
+    EXPECT_EQ(store.calls[0].after, "");
+}
+
 /* Guards against review/3: the second page was staler than the first, so that
  * the changes between the two were neither in the list nor in the watch. */
 TEST_F(Replica, WatchStartsAtRevisionOfOldestPage)
 {
     expect_call("list", true, 0);
-    store.reply(MV_STORE_DONE, 30, {make_item("a", "1", 3)}, true);
+    store.reply(MV_STORE_DONE, 30, {make_item("a", "1", 3)}, "a");
     expect_call("list", true, 0);
-    store.reply(MV_STORE_DONE, 20, {make_item("b", "1", 4)}, true);
+    store.reply(MV_STORE_DONE, 20, {make_item("b", "1", 4)}, "b");
     expect_call("list", true, 0);
     store.reply(MV_STORE_DONE, 25, {make_item("c", "1", 5)});
     EXPECT_EQ(MvReplica_Revision(replica), 20u);
@@ -208,7 +234,7 @@
 TEST_F(Replica, AnOldChangeBesideAListDoesNotKeepADeletedKey)
 {
     expect_call("list", true, 0);
-    store.reply(MV_STORE_DONE, 20, {make_item("b", "1", 4)}, true);
+    store.reply(MV_STORE_DONE, 20, {make_item("b", "1", 4)}, "b");
     expect_call("list", true, 0);
     mv_store_item_t old = make_item("a", "1", 3);
     MvReplica_Apply(replica, now, &old);
@@ -228,7 +254,7 @@
     MvReplica_EncodeSince(peer, 0, &snapshot);
     MvReplica_Destroy(peer);
     expect_call("list", true, 0);
-    store.reply(MV_STORE_DONE, 20, {make_item("b", "1", 15)}, true);
+    store.reply(MV_STORE_DONE, 20, {make_item("b", "1", 15)}, "b");
     expect_call("list", true, 0);
     EXPECT_EQ(
         MvReplica_Merge(replica, now, (char *)snapshot.data, snapshot.length),
@@ -322,7 +348,7 @@
     expect_call("watch", false, 20);
     store.reply(MV_STORE_REFUSED, 0);
     expect_call("list", false, 0);
-    store.reply(MV_STORE_DONE, 40, {make_item("a", "1", 3)}, true);
+    store.reply(MV_STORE_DONE, 40, {make_item("a", "1", 3)}, "a");
     run_until_call();
     store.reply(MV_STORE_FAILED, 0);
     EXPECT_EQ(values.size(), 2u);
--- a/packages/store/include/masticvane/store.h
+++ b/packages/store/include/masticvane/store.h
@@ -107,14 +107,18 @@
  *           compacted that history, has been restored, or the reply cannot be
  *           taken, so list again
  * @revision: revision of the store
- * @more: the list has a further page, which starts after the last key
+ * @next: for a list: where its next page begins, NULL for the last page
  * @count: entries in @items
  * @items: the entries; those of a watch in the order of their revisions
+ *
+ * Invariant: what cannot be used of a page never decides where the list goes
+ * on.  @next comes from the store, also when @items is empty, and means
+ * something to the store alone.
  */
 typedef struct mv_store_items {
     mv_store_outcome_t outcome;
     uint64_t revision;
-    bool more;
+    const char *next;
     size_t count;
     const mv_store_item_t *items;
 } mv_store_items_t;
@@ -129,9 +133,9 @@
  *       modification index exceeds @index
  * @put: write @key if its modification index is @index (0: if it does not
  *       exist)
- * @list: read the keys that start with @prefix and follow @after (NULL: from
- *        the first); @stale allows a cheaper reply that may be some seconds
- *        old; may be NULL
+ * @list: read a page of the keys that start with @prefix, from @after on: NULL
+ *        for the first page, then @next of the page before; @stale allows a
+ *        cheaper reply that may be some seconds old; may be NULL
  * @watch: wait up to @wait for changes after @revision; may be NULL
  * @lease: grant a lease of @ttl; the reply's index is its id; may be NULL
  * @renew_lease: renew @lease; %MV_STORE_REFUSED when it has expired; may be
