--- a/packages/net/include/masticvane/net.h
+++ b/packages/net/include/masticvane/net.h
@@ -440,8 +440,9 @@
  * @length: bytes in @body, without the NUL
  * @is_partial: a part of a body arrived, but not all of it: it was cut off, it
  *              came too late, or it exceeds MV_HTTP1_MAX_BODY_BYTES
- * @index: value of the header named by @index_header of
- *         MvHttp1_CreateClient(), or 0
+ * @has_index: the response has the header @index_header of
+ *             MvHttp1_CreateClient(), with one decimal number as its value
+ * @index: that number; 0 when @has_index is false
  */
 typedef struct mv_http1_response {
     mv_http1_outcome_t outcome;
@@ -449,6 +450,7 @@
     const char *body;
     size_t length;
     bool is_partial;
+    bool has_index;
     uint64_t index;
 } mv_http1_response_t;
 
--- a/packages/net/src/http1_client.c
+++ b/packages/net/src/http1_client.c
@@ -6,6 +6,24 @@
 #include "stream.h"
 
 #define MAX_IDLE_CONNECTIONS 4
+/* Longer ones than any that is looked for. */
+#define MAX_HEADER_BYTES 64
+
+/**
+ * struct header - The header line that is being read.
+ *
+ * Invariant: a response is the same however its bytes are cut.  The parser
+ * passes on each piece of a name or value as it arrives, so that neither means
+ * anything before the next part of the message begins.
+ * @name: pieces of the name so far
+ * @value: pieces of the value so far
+ * @is_value: the value has begun
+ */
+typedef struct header {
+    mv_buffer_t name;
+    mv_buffer_t value;
+    bool is_value;
+} header_t;
 
 typedef struct connection {
     mv_stream_t stream;
@@ -13,7 +31,8 @@
     mv_http1_client_t *client;
     struct call *call;
     http_parser parser;
-    bool in_index_header;
+    header_t header;
+    bool has_headers; /* what comes after them as a header is a trailer */
 } connection_t;
 
 typedef struct call {
@@ -25,7 +44,9 @@
     mv_time_t last_deadline; /* of a response that arrives in parts */
     bool any_byte_sent;
     mv_buffer_t body;
-    char index[24];
+    unsigned index_count; /* headers with the index */
+    bool has_index;
+    uint64_t index;
     mv_http1_done_t done;
     void *context;
 } call_t;
@@ -46,6 +67,8 @@
 {
     MvList_Remove(&connection->link);
     MvStream_Close(&connection->stream);
+    MvBuffer_Clear(&connection->header.name);
+    MvBuffer_Clear(&connection->header.value);
     g_free(connection);
 }
 
@@ -80,7 +103,8 @@
         .is_partial = is_partial,
         .body = (const char *)call->body.data,
         .length = call->body.length ? call->body.length - 1 : 0,
-        .index = g_ascii_strtoull(call->index, NULL, 10)};
+        .has_index = call->has_index,
+        .index = call->index};
     mv_http1_done_t done = call->done;
     void *context = call->context;
     call->connection = NULL;
@@ -103,25 +127,84 @@
                 false);
 }
 
+static bool
+is_index_header(const connection_t *connection)
+{
+    const char *name = connection->client->index_header;
+    const mv_buffer_t *read = &connection->header.name;
+    return name && read->length == strlen(name) &&
+           !g_ascii_strncasecmp((const char *)read->data, name, read->length);
+}
+
+/* A value that is no number, or differs from that of the header before, leaves
+ * the number unknown. */
+static void
+read_index(call_t *call, const mv_buffer_t *value)
+{
+    char text[MAX_HEADER_BYTES + 1] = "";
+    guint64 number = 0;
+    if (value->length > 0 && value->length < sizeof(text)) {
+        memcpy(text, value->data, value->length);
+    }
+    bool is_number = g_ascii_string_to_unsigned(g_strstrip(text), 10, 0,
+                                                G_MAXUINT64, &number, NULL);
+    bool is_same =
+        call->index_count == 0 || (call->has_index && call->index == number);
+    call->index_count++;
+    call->has_index = is_number && is_same;
+    call->index = call->has_index ? number : 0;
+}
+
+static void
+end_header(connection_t *connection)
+{
+    header_t *header = &connection->header;
+    if (header->is_value && connection->call && is_index_header(connection)) {
+        read_index(connection->call, &header->value);
+    }
+    MvBuffer_Consume(&header->name, header->name.length);
+    MvBuffer_Consume(&header->value, header->value.length);
+    header->is_value = false;
+}
+
+/* What exceeds the limit is longer than all that is looked for. */
+static int
+append_piece(mv_buffer_t *to, const char *at, size_t length)
+{
+    size_t kept = MIN(length, MAX_HEADER_BYTES - to->length);
+    return MvBuffer_Append(to, at, kept) ? 0 : -1;
+}
+
 static int
 on_header_field(http_parser *parser, const char *at, size_t length)
 {
     connection_t *connection = parser->data;
-    const char *name = connection->client->index_header;
-    connection->in_index_header = name && length == strlen(name) &&
-                                  !g_ascii_strncasecmp(at, name, length);
-    return 0;
+    if (connection->has_headers) {
+        return 0;
+    }
+    if (connection->header.is_value) {
+        end_header(connection);
+    }
+    return append_piece(&connection->header.name, at, length);
 }
 
 static int
 on_header_value(http_parser *parser, const char *at, size_t length)
 {
-    const connection_t *connection = parser->data;
-    if (connection->call && connection->in_index_header &&
-        length < sizeof(connection->call->index)) {
-        memcpy(connection->call->index, at, length);
-        connection->call->index[length] = '\0';
+    connection_t *connection = parser->data;
+    if (connection->has_headers) {
+        return 0;
     }
+    connection->header.is_value = true;
+    return append_piece(&connection->header.value, at, length);
+}
+
+static int
+on_headers_complete(http_parser *parser)
+{
+    connection_t *connection = parser->data;
+    end_header(connection);
+    connection->has_headers = true;
     return 0;
 }
 
@@ -159,6 +242,7 @@
 static const http_parser_settings client_settings = {
     .on_header_field = on_header_field,
     .on_header_value = on_header_value,
+    .on_headers_complete = on_headers_complete,
     .on_body = on_body,
     .on_message_complete = on_message_complete,
 };
@@ -176,11 +260,10 @@
                                       bytes, length);
     enum http_errno error = HTTP_PARSER_ERRNO(&connection->parser);
     if (error == HPE_PAUSED) {
-        /* Not reused when more than one byte follows the response: such
-         * bytes belong to no request.  @used includes the last byte of the
-         * response (http_parser 2.9), so "+ 1" accepts one excess byte. */
+        /* Not reused when bytes follow the response: they belong to no
+         * request.  @used includes its last byte (http_parser 2.9). */
         bool reuse = http_should_keep_alive(&connection->parser) &&
-                     (length == 0 || used + 1 >= length);
+                     (length == 0 || used >= length);
         finish_call(connection->call, MV_HTTP1_RESPONDED,
                     connection->parser.status_code, reuse);
         return false;
@@ -345,6 +428,8 @@
     connection->call = call;
     http_parser_init(&connection->parser, HTTP_RESPONSE);
     connection->parser.data = connection;
+    connection->has_headers = false;
+    end_header(connection);
     write_request(connection, request);
     MvLoop_Watch(client->loop, &connection->stream.watch,
                  connection->stream.socket, APR_POLLIN | APR_POLLOUT);
--- a/packages/store/src/store_http.c
+++ b/packages/store/src/store_http.c
@@ -59,9 +59,11 @@
     json_t *document = json_loadb(response->body, response->length, 0, NULL);
     const json_t *entry = json_array_get(document, 0);
     const char *value = json_string_value(json_object_get(entry, "Value"));
-    reply->index =
-        (uint64_t)json_integer_value(json_object_get(entry, "ModifyIndex"));
-    if (value) {
+    json_int_t index =
+        json_integer_value(json_object_get(entry, "ModifyIndex"));
+    bool is_whole = value && index > 0;
+    reply->index = is_whole ? (uint64_t)index : 0;
+    if (is_whole) {
         gsize length = 0;
         guchar *raw = g_base64_decode(value, &length);
         *decoded = (guchar *)g_strndup((char *)raw, length);
@@ -70,7 +72,7 @@
         reply->length = length;
     }
     json_decref(document);
-    return value != NULL;
+    return is_whole;
 }
 
 static mv_store_reply_t
@@ -82,7 +84,8 @@
         reply.outcome = failed_outcome(response, call->is_write);
     }
     else if (response->status == HTTP_NOT_FOUND && !call->is_write) {
-        reply.outcome = MV_STORE_REFUSED;
+        reply.outcome =
+            response->has_index ? MV_STORE_REFUSED : MV_STORE_FAILED;
         reply.index = response->index;
     }
     else if (response->status != HTTP_OK) {
