--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -45,12 +45,13 @@
 } mv_server_state_t;
 
 /**
- * struct mv_server - One incarnation of a backend server, as announced.
+ * struct mv_server - A backend server, as announced.
  *
- * An incarnation lasts from one start of the server to the next.
- * @id: number that is written in front of the packets sent to it; incarnations
- *      with the same @id differ in @started_at
- * @started_at: Unix time of its start in milliseconds, 0 when not announced
+ * @id: number that is written in front of the packets sent to it.  A server
+ *      that starts again may keep it, and then takes packets that were meant
+ *      for its process before, as nothing in them tells the two apart.
+ * @started_at: Unix time of its last start in milliseconds, 0 when not
+ *              announced
  * @service: name of its service
  * @data_centre: name of its data centre
  * @address: IPv4 address, host byte order
@@ -71,7 +72,12 @@
     mv_time_t remaining_warmup;
 } mv_server_t;
 
-/** MvServer_Tag() - Tag of an incarnation, never 0. */
+/**
+ * MvServer_Tag() - Tag of the server, never 0.
+ *
+ * It depends on @id alone: flows that opened after a restart of which a node
+ * did not know yet carry the same tag as those that open later.
+ */
 uint32_t MvServer_Tag(const mv_server_t *server);
 
 /**
@@ -181,8 +187,9 @@
  * @key: key of the announcement in the store
  * @revision: revision of the store that the announcement has
  *
- * A server under the same key with another @id, @started_at or @service is
- * another incarnation; the previous one gets no new flows.
+ * A server under the same key with another @id or @service is another
+ * one; the previous one gets no new flows.  With another @started_at it is the
+ * same one that has started again.
  *
  * An announcement counts as soon as a configuration names its service, in a
  * route or a limit.  Until then nothing follows from it for other servers.
--- a/packages/tags/src/directory.c
+++ b/packages/tags/src/directory.c
@@ -12,8 +12,7 @@
 uint32_t
 MvServer_Tag(const mv_server_t *server)
 {
-    const uint64_t identity[] = {server->id, (uint64_t)server->started_at};
-    uint32_t tag = (uint32_t)XXH3_64bits(identity, sizeof(identity));
+    uint32_t tag = (uint32_t)XXH3_64bits(&server->id, sizeof(server->id));
     return tag ? tag : 1;
 }
 
@@ -38,25 +37,24 @@
 }
 
 static guint
-hash_incarnation(gconstpointer pointer)
+hash_server(gconstpointer pointer)
 {
-    const mv_incarnation_t *incarnation = pointer;
-    return MvServer_Tag(&incarnation->server);
+    const mv_known_server_t *known = pointer;
+    return MvServer_Tag(&known->server);
 }
 
 static bool
-is_same_start(const mv_server_t *left, const mv_server_t *right)
+is_same_server(const mv_server_t *left, const mv_server_t *right)
 {
-    return left->id == right->id && left->started_at == right->started_at &&
-           !strcmp(left->service, right->service);
+    return left->id == right->id && !strcmp(left->service, right->service);
 }
 
 static gboolean
-is_same_incarnation(gconstpointer a, gconstpointer b)
+is_same_entry(gconstpointer a, gconstpointer b)
 {
-    const mv_incarnation_t *left = a;
-    const mv_incarnation_t *right = b;
-    return is_same_start(&left->server, &right->server) &&
+    const mv_known_server_t *left = a;
+    const mv_known_server_t *right = b;
+    return is_same_server(&left->server, &right->server) &&
            !strcmp(left->key, right->key);
 }
 
@@ -67,9 +65,8 @@
     directory->settings = *settings;
     directory->data_centre = MvDataCentre_Hash(settings->data_centre);
     directory->announced = g_hash_table_new(g_str_hash, g_str_equal);
-    directory->by_identity =
-        g_hash_table_new(hash_incarnation, is_same_incarnation);
-    MvList_Init(&directory->incarnations);
+    directory->by_identity = g_hash_table_new(hash_server, is_same_entry);
+    MvList_Init(&directory->servers);
     directory->routing = MvRouting_Create();
     directory->history = MvRouteHistory_Create(settings->retention);
     directory->evacuated =
@@ -79,12 +76,12 @@
 }
 
 static void
-free_incarnation(mv_directory_t *directory, mv_incarnation_t *incarnation)
+free_server(mv_directory_t *directory, mv_known_server_t *known)
 {
-    g_hash_table_remove(directory->by_identity, incarnation);
-    MvList_Remove(&incarnation->link);
-    g_free(incarnation->key);
-    g_free(incarnation);
+    g_hash_table_remove(directory->by_identity, known);
+    MvList_Remove(&known->link);
+    g_free(known->key);
+    g_free(known);
 }
 
 void
@@ -93,10 +90,9 @@
     if (!directory) {
         return;
     }
-    MV_LIST_FOREACH(item, &directory->incarnations)
+    MV_LIST_FOREACH(item, &directory->servers)
     {
-        free_incarnation(directory,
-                         MV_CONTAINER_OF(item, mv_incarnation_t, link));
+        free_server(directory, MV_CONTAINER_OF(item, mv_known_server_t, link));
     }
     g_hash_table_unref(directory->announced);
     g_hash_table_unref(directory->by_identity);
@@ -106,54 +102,59 @@
     g_free(directory);
 }
 
-/* Return: the known incarnation, or NULL.  It may be one whose announcement
- * vanished: such an incarnation may be announced again. */
-static mv_incarnation_t *
-find_incarnation(const mv_directory_t *directory, const char *key,
-                 const mv_server_t *server)
+/* Return: the known known, or NULL.  It may be one whose announcement
+ * vanished: such a server may be announced again. */
+static mv_known_server_t *
+find_server(const mv_directory_t *directory, const char *key,
+            const mv_server_t *server)
 {
-    const mv_incarnation_t sought = {.key = (char *)key, .server = *server};
+    const mv_known_server_t sought = {.key = (char *)key, .server = *server};
     return g_hash_table_lookup(directory->by_identity, &sought);
 }
 
-static mv_incarnation_t *
-add_incarnation(mv_directory_t *directory, const char *key,
-                const mv_server_t *server)
+static mv_known_server_t *
+add_server(mv_directory_t *directory, const char *key,
+           const mv_server_t *server)
 {
-    mv_incarnation_t *incarnation = g_new0(mv_incarnation_t, 1);
-    incarnation->key = g_strdup(key);
-    incarnation->server = *server;
-    incarnation->server.state = MV_SERVER_READY;
-    incarnation->tag = MvServer_Tag(server);
-    MvList_Append(&directory->incarnations, &incarnation->link);
-    g_hash_table_insert(directory->by_identity, incarnation, incarnation);
-    return incarnation;
+    mv_known_server_t *known = g_new0(mv_known_server_t, 1);
+    known->key = g_strdup(key);
+    known->server = *server;
+    known->server.state = MV_SERVER_READY;
+    known->tag = MvServer_Tag(server);
+    MvList_Append(&directory->servers, &known->link);
+    g_hash_table_insert(directory->by_identity, known, known);
+    return known;
 }
 
 static void
-withdraw(const mv_directory_t *directory, mv_incarnation_t *incarnation,
+withdraw(const mv_directory_t *directory, mv_known_server_t *known,
          mv_time_t now, mv_time_t removed_at)
 {
-    incarnation->is_announced = false;
-    incarnation->withdrawn_at = now;
-    incarnation->grace_until = removed_at + directory->settings.vanished_grace;
+    known->is_announced = false;
+    known->withdrawn_at = now;
+    known->grace_until = removed_at + directory->settings.vanished_grace;
 }
 
 static int
-update(const mv_directory_t *directory, mv_incarnation_t *incarnation,
+update(const mv_directory_t *directory, mv_known_server_t *known,
        mv_time_t now, uint64_t revision, const mv_server_t *server)
 {
-    bool is_new = !incarnation->is_announced;
+    bool is_new =
+        !known->is_announced || server->started_at != known->server.started_at;
     bool starts_draining = server->state == MV_SERVER_DRAINING &&
-                           incarnation->server.state != MV_SERVER_DRAINING;
-    if (now < directory->restored_until &&
-        incarnation->server.state == MV_SERVER_DRAINING) {
-        incarnation->drains_until = directory->restored_until;
+                           known->server.state != MV_SERVER_DRAINING;
+    bool has_restarted = server->started_at > known->server.started_at;
+    if (has_restarted) {
+        known->drains_until = 0;
     }
-    incarnation->server = *server;
-    incarnation->revision = revision;
-    incarnation->is_announced = true;
-    incarnation->warmup_until = now + server->remaining_warmup;
+    else if (now < directory->restored_until &&
+             known->server.state == MV_SERVER_DRAINING) {
+        known->drains_until = directory->restored_until;
+    }
+    known->server = *server;
+    known->revision = revision;
+    known->is_announced = true;
+    known->warmup_until = now + server->remaining_warmup;
     if (starts_draining) {
         return MV_EVENT_ENDPOINT_DRAINING;
     }
@@ -164,36 +165,34 @@
 MvDirectory_Announce(mv_directory_t *directory, mv_time_t now, const char *key,
                      uint64_t revision, const mv_server_t *server)
 {
-    mv_incarnation_t *incarnation =
-        g_hash_table_lookup(directory->announced, key);
-    if (incarnation && is_same_start(&incarnation->server, server)) {
-        return update(directory, incarnation, now, revision, server);
+    mv_known_server_t *known = g_hash_table_lookup(directory->announced, key);
+    if (known && is_same_server(&known->server, server)) {
+        return update(directory, known, now, revision, server);
     }
-    if (incarnation) {
-        /* A new incarnation under the same key has replaced the old one. */
-        incarnation->server.state = MV_SERVER_DRAINING;
-        withdraw(directory, incarnation, now, now);
+    if (known) {
+        /* Another server under the same key has replaced it. */
+        known->server.state = MV_SERVER_DRAINING;
+        withdraw(directory, known, now, now);
     }
-    incarnation = find_incarnation(directory, key, server);
-    if (!incarnation) {
-        incarnation = add_incarnation(directory, key, server);
+    known = find_server(directory, key, server);
+    if (!known) {
+        known = add_server(directory, key, server);
     }
-    g_hash_table_replace(directory->announced, incarnation->key, incarnation);
-    return update(directory, incarnation, now, revision, server);
+    g_hash_table_replace(directory->announced, known->key, known);
+    return update(directory, known, now, revision, server);
 }
 
 int
 MvDirectory_Withdraw(mv_directory_t *directory, mv_time_t now,
                      mv_time_t removed_at, const char *key)
 {
-    mv_incarnation_t *incarnation =
-        g_hash_table_lookup(directory->announced, key);
-    if (!incarnation) {
+    mv_known_server_t *known = g_hash_table_lookup(directory->announced, key);
+    if (!known) {
         return 0;
     }
     /* What a restored store lacks can only be written again from now on. */
     bool is_restoring = now < directory->restored_until;
-    withdraw(directory, incarnation, now, is_restoring ? now : removed_at);
+    withdraw(directory, known, now, is_restoring ? now : removed_at);
     g_hash_table_remove(directory->announced, key);
     return MV_EVENT_ENDPOINT_GONE;
 }
@@ -299,10 +298,10 @@
 }
 
 bool
-MvDirectory_TakesNew(const mv_incarnation_t *incarnation, mv_time_t now)
+MvDirectory_TakesNew(const mv_known_server_t *known, mv_time_t now)
 {
-    return incarnation->server.state == MV_SERVER_READY &&
-           now >= incarnation->drains_until;
+    return known->server.state == MV_SERVER_READY &&
+           now >= known->drains_until;
 }
 
 bool
@@ -310,15 +309,14 @@
                             mv_time_t span)
 {
     bool changed = false;
-    MV_LIST_FOREACH(item, &directory->incarnations)
+    MV_LIST_FOREACH(item, &directory->servers)
     {
-        mv_incarnation_t *incarnation =
-            MV_CONTAINER_OF(item, mv_incarnation_t, link);
-        if (!incarnation->is_announced &&
-            now - span < incarnation->grace_until) {
-            mv_time_t absent_for = now - incarnation->withdrawn_at;
-            incarnation->withdrawn_at += MIN(span, absent_for);
-            incarnation->grace_until += MIN(span, absent_for);
+        mv_known_server_t *known =
+            MV_CONTAINER_OF(item, mv_known_server_t, link);
+        if (!known->is_announced && now - span < known->grace_until) {
+            mv_time_t absent_for = now - known->withdrawn_at;
+            known->withdrawn_at += MIN(span, absent_for);
+            known->grace_until += MIN(span, absent_for);
             changed = true;
         }
     }
@@ -347,12 +345,12 @@
 MvDirectory_UsableServers(const mv_directory_t *directory)
 {
     size_t count = 0;
-    MV_LIST_FOREACH(item, &directory->incarnations)
+    MV_LIST_FOREACH(item, &directory->servers)
     {
-        const mv_incarnation_t *incarnation =
-            MV_CONTAINER_OF(item, mv_incarnation_t, link);
-        count += incarnation->is_announced && incarnation->is_named &&
-                 incarnation->server.state == MV_SERVER_READY;
+        const mv_known_server_t *known =
+            MV_CONTAINER_OF(item, mv_known_server_t, link);
+        count += known->is_announced && known->is_named &&
+                 known->server.state == MV_SERVER_READY;
     }
     return count;
 }
@@ -361,11 +359,11 @@
 MvDirectory_UnnamedServers(const mv_directory_t *directory)
 {
     size_t count = 0;
-    MV_LIST_FOREACH(item, &directory->incarnations)
+    MV_LIST_FOREACH(item, &directory->servers)
     {
-        const mv_incarnation_t *incarnation =
-            MV_CONTAINER_OF(item, mv_incarnation_t, link);
-        count += incarnation->is_announced && !incarnation->is_named;
+        const mv_known_server_t *known =
+            MV_CONTAINER_OF(item, mv_known_server_t, link);
+        count += known->is_announced && !known->is_named;
     }
     return count;
 }
@@ -373,13 +371,13 @@
 void
 MvDirectory_DropExpired(mv_directory_t *directory, mv_time_t now)
 {
-    MV_LIST_FOREACH(item, &directory->incarnations)
+    MV_LIST_FOREACH(item, &directory->servers)
     {
-        mv_incarnation_t *incarnation =
-            MV_CONTAINER_OF(item, mv_incarnation_t, link);
-        if (!incarnation->is_announced &&
-            now - incarnation->withdrawn_at > directory->settings.retention) {
-            free_incarnation(directory, incarnation);
+        mv_known_server_t *known =
+            MV_CONTAINER_OF(item, mv_known_server_t, link);
+        if (!known->is_announced &&
+            now - known->withdrawn_at > directory->settings.retention) {
+            free_server(directory, known);
         }
     }
 }
--- a/packages/tags/src/directory_private.h
+++ b/packages/tags/src/directory_private.h
@@ -12,17 +12,23 @@
 #include "table.h"
 
 /**
- * struct mv_incarnation - One incarnation of a server, as announced under one
- * key.
+ * struct mv_known_server - A server with its id and service, as announced
+ * under one key.
+ *
+ * Invariant: what the packets of a flow do not tell apart is one server here.
+ * One that starts again under its id stays the same record, with the same
+ * tag: its flows from before and after the start go to it alike, on nodes that
+ * were told, were not told, or have started since, and it answers those that
+ * it does not hold with a reset of its own.
  *
  * Invariant: an entry whose service no configuration names is no server.  It
- * is in no snapshot, and nothing follows from it for any other incarnation.
+ * is in no snapshot, and nothing follows from it for any other server.
  *
- * Invariant: an incarnation counts as replaced from the moment when the store
- * shows a later one at its address or under its key, until it shows this one
- * without a later one: a server that lives announces itself again.  One is
- * later if both its start and its last announcement are: clocks of machines
- * differ, but a server that has ended announces nothing any more.
+ * Invariant: a server counts as replaced from the moment when the store
+ * shows a later one with another id at its address or under its key, until it
+ * shows this one without a later one: a server that lives announces itself
+ * again.  One is later if both its start and its last announcement are: clocks
+ * of machines differ, but a server that has ended announces nothing any more.
  *
  * Invariant: no new flow goes to a server later than @vanished_grace of the
  * settings after the store removed its announcement, or later than a node in
@@ -30,10 +36,10 @@
  * as no server can announce itself again then.
  *
  * Another writer may announce the same id under a second key: that is another
- * incarnation with the same tag, which the first one keeps (index_tag() of
+ * record with the same tag, which one of them keeps (index_tag() of
  * snapshot.c).  If one of them says that the server drains, it gets no new
  * flows by any of them.
- * @link: in the list of all incarnations
+ * @link: in the list of all servers
  * @key: key of the announcement
  * @server: the announcement
  * @tag: the server's tag
@@ -50,7 +56,7 @@
  *                came back with a restored store
  * @warmup_until: end of its warm-up
  */
-typedef struct mv_incarnation {
+typedef struct mv_known_server {
     mv_list_t link;
     char *key;
     mv_server_t server;
@@ -63,15 +69,15 @@
     mv_time_t replaced_at;
     mv_time_t drains_until;
     mv_time_t warmup_until;
-} mv_incarnation_t;
+} mv_known_server_t;
 
 /**
  * struct mv_directory - Servers and routes as read from the store.
  * @settings: its settings
  * @data_centre: hash of the name of the own data centre
- * @announced: &struct mv_incarnation by key, those that are announced
- * @by_identity: all incarnations, by key, id, start and service
- * @incarnations: all incarnations
+ * @announced: &struct mv_known_server by key, those that are announced
+ * @by_identity: all servers, by key, id and service
+ * @servers: all known servers
  * @routing: the configuration in force
  * @history: services that the routes named before
  * @evacuated: evacuated data centres: &struct mv_evacuation by name
@@ -85,7 +91,7 @@
     uint32_t data_centre;
     GHashTable *announced;
     GHashTable *by_identity;
-    mv_list_t incarnations;
+    mv_list_t servers;
     mv_routing_t *routing;
     mv_route_history_t *history;
     GHashTable *evacuated;
@@ -105,7 +111,7 @@
 } mv_evacuation_t;
 
 /** MvDirectory_TakesNew() - The server announced that it takes new flows. */
-bool MvDirectory_TakesNew(const mv_incarnation_t *incarnation, mv_time_t now);
+bool MvDirectory_TakesNew(const mv_known_server_t *known, mv_time_t now);
 
 /** MvDirectory_IsEvacuated() - New flows must not go to the data centre. */
 bool MvDirectory_IsEvacuated(const mv_directory_t *directory,
@@ -118,12 +124,12 @@
 void MvDirectory_NoteNamed(const mv_directory_t *directory);
 
 /**
- * MvDirectory_NoteReplaced() - Note which incarnations a later one has
+ * MvDirectory_NoteReplaced() - Note which servers a later one has
  * replaced.  To be called after MvDirectory_NoteNamed().
  */
 void MvDirectory_NoteReplaced(const mv_directory_t *directory, mv_time_t now);
 
-/** MvDirectory_DropExpired() - Free incarnations that were withdrawn long ago.
+/** MvDirectory_DropExpired() - Free servers that were withdrawn long ago.
  */
 void MvDirectory_DropExpired(mv_directory_t *directory, mv_time_t now);
 
--- a/packages/tags/src/ended.h
+++ b/packages/tags/src/ended.h
@@ -44,7 +44,7 @@
 /**
  * MvLiveness_HasEnded() - Whether a server has ended.
  * @ended_at: time from which the store shows that it has, or MV_NEVER
- * @is_replaced: it does so since a later incarnation has the server's address
+ * @is_replaced: it does so since a later server has its address
  */
 bool MvLiveness_HasEnded(const mv_liveness_t *liveness, mv_time_t now,
                          mv_time_t ended_at, bool is_replaced);
--- a/packages/tags/src/exchanges.c
+++ b/packages/tags/src/exchanges.c
@@ -252,6 +252,13 @@
     }
 }
 
+void
+MvExchange_Forget(mv_flow_t *flow)
+{
+    MvList_Remove(&flow->exchange.link);
+    flow->exchange.is_counted = true;
+}
+
 mv_time_t
 MvExchanges_CheckTimeouts(mv_forwarder_t *forwarder, mv_time_t now)
 {
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -79,9 +79,10 @@
 } mv_outcome_history_t;
 
 /**
- * struct mv_server_health - Health record of one server.
+ * struct mv_server_health - Health record of one server since its last start.
  * @tag: the server's tag
  * @server: its id
+ * @started_at: its last start, as announced
  * @dc_health: health record of its data centre
  * @outstanding: flows sent to it by this node that have not ended
  * @last_contact_at: time of its last answer
@@ -109,6 +110,7 @@
 typedef struct mv_server_health {
     uint32_t tag;
     uint64_t server;
+    int64_t started_at;
     mv_data_centre_health_t *dc_health;
     uint32_t outstanding;
     mv_time_t last_contact_at;
@@ -364,7 +366,8 @@
 /**
  * MvServerHealth_At() - Health record of the server at @position of the table.
  *
- * Creates the record when there is none.
+ * Creates the record when there is none, and begins it anew when the server
+ * has started again.
  */
 mv_server_health_t *MvServerHealth_At(mv_forwarder_t *forwarder,
                                       unsigned position);
@@ -441,6 +444,10 @@
  */
 mv_time_t MvExchanges_CheckTimeouts(mv_forwarder_t *forwarder, mv_time_t now);
 
+/** MvExchange_Forget() - The flow's request says nothing about its server any
+ * more. */
+void MvExchange_Forget(mv_flow_t *flow);
+
 /** MvExchanges_DropStaleProfiles() - Free profiles of routes that are gone. */
 void MvExchanges_DropStaleProfiles(mv_forwarder_t *forwarder);
 
--- a/packages/tags/src/health.c
+++ b/packages/tags/src/health.c
@@ -51,6 +51,36 @@
     dc_health->back_off = MIN_BACK_OFF;
 }
 
+/* What was open before a start of the server says nothing about it now.  Flows
+ * that opened since, before this node knew of it, are rare. */
+static void
+release_open_flows(mv_forwarder_t *forwarder, const mv_server_health_t *health)
+{
+    MV_LIST_FOREACH(item, &forwarder->open)
+    {
+        mv_flow_t *flow = MV_CONTAINER_OF(item, mv_flow_t, link);
+        if (flow->tag == health->tag) {
+            MvFlow_Release(flow);
+            MvExchange_Forget(flow);
+        }
+    }
+}
+
+static void
+begin_health(mv_forwarder_t *forwarder, mv_server_health_t *health,
+             const mv_table_server_t *server)
+{
+    *health = (mv_server_health_t){
+        .tag = server->tag,
+        .server = server->server.id,
+        .started_at = server->server.started_at,
+        .dc_health = find_data_centre(forwarder, server->data_centre),
+        .outstanding = health->outstanding,
+        .back_off = MIN_BACK_OFF,
+        .warmup.phase = g_rand_double(forwarder->random)};
+    forget_silence(health->dc_health);
+}
+
 mv_server_health_t *
 MvServerHealth_At(mv_forwarder_t *forwarder, unsigned position)
 {
@@ -60,13 +90,13 @@
         g_hash_table_lookup(forwarder->server_health, key);
     if (!health) {
         health = g_new0(mv_server_health_t, 1);
-        health->tag = server->tag;
-        health->server = server->server.id;
-        health->dc_health = find_data_centre(forwarder, server->data_centre);
-        health->back_off = MIN_BACK_OFF;
-        health->warmup.phase = g_rand_double(forwarder->random);
         g_hash_table_insert(forwarder->server_health, key, health);
-        forget_silence(health->dc_health);
+        begin_health(forwarder, health, server);
+    }
+    else if (health->started_at != server->server.started_at &&
+             MvTable_Server(forwarder->table, server->tag) == (int)position) {
+        release_open_flows(forwarder, health);
+        begin_health(forwarder, health, server);
     }
     return health;
 }
--- a/packages/tags/src/snapshot.c
+++ b/packages/tags/src/snapshot.c
@@ -41,7 +41,7 @@
     return builder->services->len - 1;
 }
 
-/* Whether one of two announcements of the same incarnation says that it
+/* Whether one of two announcements of the same start says that the server
  * drains.  A server that drains never takes new flows again, so the other one
  * is an old copy. */
 static bool
@@ -52,8 +52,26 @@
             right->state == MV_SERVER_DRAINING);
 }
 
-/* When two incarnations have the same tag, the older one keeps it and the
- * newer one gets no new flows. */
+/* Whether @left keeps a tag that both have.  Of two announcements of an id the
+ * one that is in the store, or else of the later start, is in force.  Of two
+ * ids the older server may have open flows. */
+static bool
+keeps_tag(const mv_table_server_t *left, const mv_table_server_t *right)
+{
+    int64_t left_start = left->server.started_at;
+    int64_t right_start = right->server.started_at;
+    if (left->server.id != right->server.id) {
+        return left_start < right_start ||
+               (left_start == right_start &&
+                left->server.id < right->server.id);
+    }
+    if (left->usable_until != right->usable_until) {
+        return left->usable_until > right->usable_until;
+    }
+    return left_start > right_start;
+}
+
+/* The server that does not keep its tag gets no new flows. */
 static void
 index_tag(mv_table_t *table, unsigned position)
 {
@@ -62,12 +80,9 @@
     unsigned owner = position;
     if (holder_position >= 0) {
         mv_table_server_t *holder = &table->servers[holder_position];
-        bool is_older =
-            server->server.started_at < holder->server.started_at ||
-            (server->server.started_at == holder->server.started_at &&
-             server->server.id < holder->server.id);
-        owner = is_older ? position : (unsigned)holder_position;
-        (is_older ? holder : server)->takes_new = false;
+        bool is_owner = keeps_tag(server, holder);
+        owner = is_owner ? position : (unsigned)holder_position;
+        (is_owner ? holder : server)->takes_new = false;
         if (is_draining_copy(&holder->server, &server->server)) {
             holder->takes_new = false;
             server->takes_new = false;
@@ -78,12 +93,12 @@
 }
 
 static mv_time_t
-ended_at(const mv_incarnation_t *incarnation)
+ended_at(const mv_known_server_t *known)
 {
-    if (incarnation->replaced_at > 0) {
-        return incarnation->replaced_at;
+    if (known->replaced_at > 0) {
+        return known->replaced_at;
     }
-    return incarnation->is_announced ? MV_NEVER : incarnation->grace_until;
+    return known->is_announced ? MV_NEVER : known->grace_until;
 }
 
 static void
@@ -91,35 +106,33 @@
 {
     const mv_directory_t *directory = builder->directory;
     mv_table_t *table = builder->table;
-    MV_LIST_FOREACH(item, &directory->incarnations)
+    MV_LIST_FOREACH(item, &directory->servers)
     {
-        const mv_incarnation_t *incarnation =
-            MV_CONTAINER_OF(item, mv_incarnation_t, link);
-        if (!incarnation->is_named) {
+        const mv_known_server_t *known =
+            MV_CONTAINER_OF(item, mv_known_server_t, link);
+        if (!known->is_named) {
             g_hash_table_add(table->unnamed_tags,
-                             GUINT_TO_POINTER(incarnation->tag));
+                             GUINT_TO_POINTER(known->tag));
             continue;
         }
         mv_table_server_t *server = &table->servers[table->server_count];
-        uint32_t data_centre =
-            MvDataCentre_Hash(incarnation->server.data_centre);
-        bool is_evacuated = MvDirectory_IsEvacuated(
-            directory, incarnation->server.data_centre, now);
+        uint32_t data_centre = MvDataCentre_Hash(known->server.data_centre);
+        bool is_evacuated =
+            MvDirectory_IsEvacuated(directory, known->server.data_centre, now);
         *server = (mv_table_server_t){
-            .server = incarnation->server,
-            .tag = incarnation->tag,
-            .service = service_position(builder, incarnation->server.service),
+            .server = known->server,
+            .tag = known->tag,
+            .service = service_position(builder, known->server.service),
             .data_centre = data_centre,
             .is_local = data_centre == directory->data_centre,
-            .takes_new = MvDirectory_TakesNew(incarnation, now) &&
-                         !is_evacuated && incarnation->replaced_at == 0,
+            .takes_new = MvDirectory_TakesNew(known, now) && !is_evacuated &&
+                         known->replaced_at == 0,
             .is_evacuated = is_evacuated,
-            .usable_until = incarnation->is_announced
-                                ? MV_NEVER
-                                : incarnation->grace_until,
-            .warmup_until = incarnation->warmup_until,
-            .ended_at = ended_at(incarnation),
-            .is_replaced = incarnation->replaced_at > 0,
+            .usable_until =
+                known->is_announced ? MV_NEVER : known->grace_until,
+            .warmup_until = known->warmup_until,
+            .ended_at = ended_at(known),
+            .is_replaced = known->replaced_at > 0,
         };
         index_tag(table, table->server_count++);
     }
@@ -259,7 +272,7 @@
     table->by_tag = g_hash_table_new(NULL, NULL);
     table->unnamed_tags = g_hash_table_new(NULL, NULL);
     table->servers =
-        g_new0(mv_table_server_t, list_length(&directory->incarnations) + 1);
+        g_new0(mv_table_server_t, list_length(&directory->servers) + 1);
     add_servers(&builder, now);
     add_routes(&builder);
     set_limits(&builder);
--- a/packages/tags/src/succession.c
+++ b/packages/tags/src/succession.c
@@ -1,5 +1,5 @@
 /* Which announcements name a server, and which servers have been replaced by a
- * later incarnation. */
+ * later one. */
 #include "directory_private.h"
 
 /* Services of the configuration in force, and those that routes named before
@@ -29,53 +29,53 @@
 MvDirectory_NoteNamed(const mv_directory_t *directory)
 {
     GHashTable *names = named_services(directory);
-    MV_LIST_FOREACH(item, &directory->incarnations)
+    MV_LIST_FOREACH(item, &directory->servers)
     {
-        mv_incarnation_t *incarnation =
-            MV_CONTAINER_OF(item, mv_incarnation_t, link);
-        incarnation->is_named =
-            g_hash_table_contains(names, incarnation->server.service);
+        mv_known_server_t *known =
+            MV_CONTAINER_OF(item, mv_known_server_t, link);
+        known->is_named = g_hash_table_contains(names, known->server.service);
     }
     g_hash_table_unref(names);
 }
 
 static gpointer
-address_of(const mv_incarnation_t *incarnation)
+address_of(const mv_known_server_t *known)
 {
-    return MvTable_AddressKey(incarnation->server.address,
-                              incarnation->server.port);
+    return MvTable_AddressKey(known->server.address, known->server.port);
 }
 
 /* Return: the server that was announced last at each address, of those that
- * the store shows: &struct mv_incarnation by address. */
+ * the store shows: &struct mv_known_server by address. */
 static GHashTable *
 find_holders(const mv_directory_t *directory)
 {
     GHashTable *holders = g_hash_table_new(NULL, NULL);
-    MV_LIST_FOREACH(item, &directory->incarnations)
+    MV_LIST_FOREACH(item, &directory->servers)
     {
-        mv_incarnation_t *incarnation =
-            MV_CONTAINER_OF(item, mv_incarnation_t, link);
-        gpointer address = address_of(incarnation);
-        const mv_incarnation_t *holder = g_hash_table_lookup(holders, address);
-        if (incarnation->is_announced && incarnation->is_named &&
-            (!holder || incarnation->revision > holder->revision)) {
-            g_hash_table_insert(holders, address, incarnation);
+        mv_known_server_t *known =
+            MV_CONTAINER_OF(item, mv_known_server_t, link);
+        gpointer address = address_of(known);
+        const mv_known_server_t *holder =
+            g_hash_table_lookup(holders, address);
+        if (known->is_announced && known->is_named &&
+            (!holder || known->revision > holder->revision)) {
+            g_hash_table_insert(holders, address, known);
         }
     }
     return holders;
 }
 
-/* @successor: what the store shows in the place of @incarnation, or NULL.  A
+/* @successor: what the store shows in the place of @known, or NULL.  A
  * start that is not announced is 0. */
 static bool
-is_replaced_by(const mv_incarnation_t *incarnation,
-               const mv_incarnation_t *successor)
+is_replaced_by(const mv_known_server_t *known,
+               const mv_known_server_t *successor)
 {
     return successor && successor->is_named &&
-           incarnation->server.started_at > 0 &&
-           successor->server.started_at > incarnation->server.started_at &&
-           successor->revision > incarnation->revision;
+           successor->server.id != known->server.id &&
+           known->server.started_at > 0 &&
+           successor->server.started_at > known->server.started_at &&
+           successor->revision > known->revision;
 }
 
 /* Two processes never have the same address, or the same key, at a time. */
@@ -83,22 +83,20 @@
 MvDirectory_NoteReplaced(const mv_directory_t *directory, mv_time_t now)
 {
     GHashTable *holders = find_holders(directory);
-    MV_LIST_FOREACH(item, &directory->incarnations)
+    MV_LIST_FOREACH(item, &directory->servers)
     {
-        mv_incarnation_t *incarnation =
-            MV_CONTAINER_OF(item, mv_incarnation_t, link);
+        mv_known_server_t *known =
+            MV_CONTAINER_OF(item, mv_known_server_t, link);
         bool is_replaced =
+            is_replaced_by(known,
+                           g_hash_table_lookup(holders, address_of(known))) ||
             is_replaced_by(
-                incarnation,
-                g_hash_table_lookup(holders, address_of(incarnation))) ||
-            is_replaced_by(
-                incarnation,
-                g_hash_table_lookup(directory->announced, incarnation->key));
-        if (is_replaced && incarnation->replaced_at == 0) {
-            incarnation->replaced_at = now;
+                known, g_hash_table_lookup(directory->announced, known->key));
+        if (is_replaced && known->replaced_at == 0) {
+            known->replaced_at = now;
         }
-        else if (!is_replaced && incarnation->is_announced) {
-            incarnation->replaced_at = 0;
+        else if (!is_replaced && known->is_announced) {
+            known->replaced_at = 0;
         }
     }
     g_hash_table_unref(holders);
--- a/packages/tags/src/table.h
+++ b/packages/tags/src/table.h
@@ -16,15 +16,14 @@
  * @data_centre: hash of the name of its data centre
  * @is_local: it runs in the own data centre
  * @takes_new: it is not draining, its data centre is not evacuated, no later
- *             incarnation has its address, and its tag is not that of an older
- *             server
+ *             one has its address, and its tag is not kept by another one
  * @is_evacuated: its data centre is evacuated
  * @usable_until: time until which new flows may go to it after its
  *                announcement vanished, MV_NEVER while it is announced
  * @warmup_until: end of its warm-up, during which it is slow
  * @ended_at: time from which the store shows that it has ended, MV_NEVER while
  *            it does not
- * @is_replaced: a later incarnation has its address
+ * @is_replaced: a later server has its address
  */
 typedef struct mv_table_server {
     mv_server_t server;
