--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -370,8 +370,10 @@
  * @address: address that the caller uses, host byte order
  * @port: port that the caller uses
  * @tag: tag that the packet carries, 0 for none
+ * @sequence: sequence number of its first byte, or of the SYN
  * @acknowledged: acknowledgement number: last byte sent by the server that the
  *                caller has received
+ * @has_acknowledged: @acknowledged is set
  * @retransmission: for a SYN: 0 for its first transmission, n for its nth
  *                  retransmission
  * @since_first_syn: for a SYN: time from the first SYN of the flow until the
@@ -391,7 +393,9 @@
     uint32_t address;
     uint16_t port;
     uint32_t tag;
+    uint32_t sequence;
     uint32_t acknowledged;
+    bool has_acknowledged;
     uint32_t retransmission;
     mv_time_t since_first_syn;
     mv_time_t until_next_syn;
@@ -493,14 +497,22 @@
  * struct mv_flow_offer - A flow and its server, as nodes tell each other.
  * @name: the flow
  * @tag: tag of the server that was sent its SYN, or at which it has opened
+ * @has_sequence: @sequence is set
+ * @sequence: sequence number of its SYN, or of a later packet
+ * @has_acknowledged: @acknowledged is set
+ * @acknowledged: acknowledgement number of a packet of the caller
  */
 typedef struct mv_flow_offer {
     mv_flow_name_t name;
     uint32_t tag;
+    bool has_sequence;
+    uint32_t sequence;
+    bool has_acknowledged;
+    uint32_t acknowledged;
 } mv_flow_offer_t;
 
 /** Maximum number of offers in one message. */
-#define MV_MAX_OFFERS 64
+#define MV_MAX_OFFERS 48
 
 /**
  * MvFlowOffers_Encode() - Encode offers for a message between nodes.
--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -195,6 +195,7 @@
     mv_flow_t *flow = MvFlow_Add(forwarder, name, now, MV_FLOW_SYN_SENT);
     flow->offer_until = offer_until(packet, now);
     flow->is_contested = packet->retransmission > 0;
+    MvFlow_NoteNumbers(flow, packet);
     store_syn(flow, bytes, length);
     MvCounters_Add(forwarder->counters, MV_COUNTER_FLOWS_NEW, 1);
     return flow;
@@ -209,7 +210,7 @@
         packet->is_closing || packet->is_reset ? MV_FLOW_CLOSED : MV_FLOW_OPEN;
     mv_flow_t *flow = MvFlow_Add(forwarder, name, now, phase);
     flow->tag = tag;
-    flow->acknowledged = packet->acknowledged;
+    MvFlow_NoteNumbers(flow, packet);
     forwarder->foreign_flow_at = now;
     MvCounters_Add(forwarder->counters, MV_COUNTER_FLOWS_WITHOUT_ENTRY, 1);
     return flow;
@@ -270,6 +271,21 @@
            memcmp(flow->syn, bytes, flow->syn_length) == 0;
 }
 
+/* Handles a SYN of another flow with the name of @flow.
+ * Return: false when it opens that flow; @flow has then been removed. */
+static bool
+handle_other_syn(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now,
+                 const mv_flow_packet_t *packet, mv_flow_verdict_t *verdict)
+{
+    /* It may be a late copy, of a flow before. */
+    if (packet->retransmission > 0 && !MvFlow_IsQuiet(flow, now)) {
+        *verdict = (mv_flow_verdict_t){.reason = MV_COUNTER_PACKETS_LATE_SYN};
+        return true;
+    }
+    MvFlow_Remove(forwarder, flow);
+    return false;
+}
+
 /* Handles a SYN from the addresses and ports of @flow.
  * Return: false when it opens another flow; @flow has then been removed. */
 static bool
@@ -278,6 +294,9 @@
                  const uint8_t *bytes, size_t length,
                  mv_flow_verdict_t *verdict)
 {
+    if (!MvFlow_IsOf(flow, packet)) {
+        return handle_other_syn(forwarder, flow, now, packet, verdict);
+    }
     flow->offer_until = offer_until(packet, now);
     switch (flow->phase) {
     case MV_FLOW_HELD:
@@ -286,6 +305,7 @@
         return true;
     case MV_FLOW_OFFERED:
         MvCounters_Add(forwarder->counters, MV_COUNTER_OFFERS_ADOPTED, 1);
+        MvFlow_NoteNumbers(flow, packet);
         store_syn(flow, bytes, length);
         flow->began_at = now;
         MvFlow_SetPhase(forwarder, flow, MV_FLOW_SYN_SENT);
@@ -410,7 +430,7 @@
         MvFlow_SetPhase(forwarder, flow, MV_FLOW_OPEN);
     }
     flow->last_seen_at = now;
-    flow->acknowledged = packet->acknowledged;
+    MvFlow_NoteNumbers(flow, packet);
     if (flow->phase == MV_FLOW_OPEN) {
         MvExchange_HandlePacket(forwarder, flow, now, packet);
     }
@@ -429,11 +449,19 @@
               const mv_flow_name_t *name)
 {
     mv_flow_t *flow = g_hash_table_lookup(forwarder->flows, name);
-    if (flow && flow->phase == MV_FLOW_REFUSED) {
+    bool is_other = flow && !MvFlow_IsOf(flow, packet);
+    if (flow && ((is_other && MvFlow_IsQuiet(flow, now)) ||
+                 MvFlow_HasOpenedElsewhere(flow, packet, now))) {
+        MvFlow_Remove(forwarder, flow);
+        flow = NULL;
+        is_other = false;
+    }
+    if (flow && !is_other && flow->phase == MV_FLOW_REFUSED) {
         return repeat_refusal(flow);
     }
     bool is_open =
-        flow && (flow->phase == MV_FLOW_OPEN || flow->phase == MV_FLOW_CLOSED);
+        flow && !is_other &&
+        (flow->phase == MV_FLOW_OPEN || flow->phase == MV_FLOW_CLOSED);
     uint32_t tag = is_open ? flow->tag : packet->tag;
     int position = MvTable_Server(forwarder->table, tag);
     if (position < 0) {
@@ -443,6 +471,10 @@
     if (!MvTable_Allows(route, server->service)) {
         return (mv_flow_verdict_t){.reason = MV_COUNTER_PACKETS_FOREIGN_TAG};
     }
+    if (is_other) {
+        MvCounters_Add(forwarder->counters, MV_COUNTER_PACKETS_OTHER_FLOW, 1);
+        return MvFlow_ForwardTo(server);
+    }
     if (flow) {
         update_flow(forwarder, flow, now, packet, (unsigned)position);
     }
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -3,6 +3,7 @@
  *
  * forwarder.c    handling of packets, timer, state dump
  * flows.c        flow entries: states, SYNs sent, log records
+ * flow_identity.c  which of the flows of a name a packet belongs to
  * syn_retries.c  SYN timeouts and repeated SYNs
  * held_syns.c    SYNs that another node may have sent to a server
  * offers.c       flows that nodes tell each other before they have opened
@@ -209,8 +210,13 @@
  * node through which the flow opens tells the others (@is_contested), and a
  * node that starts asks them.
  *
+ * Invariant: an entry speaks for one flow, not for its name: a caller uses a
+ * port again.  A packet that belongs to another flow of the name
+ * (flow_identity.c) goes where its own tag says, and neither opens nor ends
+ * the flow of the entry; nor does another node's message about it.
+ *
  * @link: in the list of its phase
- * @name: its identity
+ * @name: its addresses and ports
  * @phase: &enum mv_flow_phase
  * @refusal: in MV_FLOW_REFUSED, counter of the reason
  * @began_at: arrival of its first SYN; time at which it left the queue when it
@@ -238,7 +244,12 @@
  * @told_at: time at which other nodes were last told its server, or at which
  *           its SYN was first sent
  * @held_until: time at which its SYN is sent when it is in MV_FLOW_HELD
- * @acknowledged: acknowledgement number of its last packet
+ * @syn_sequence: sequence number of its SYN
+ * @sequence: sequence number of its last packet
+ * @acknowledged: acknowledgement number of its last packet that has one
+ * @has_syn_sequence: @syn_sequence is known
+ * @has_sequence: @sequence is known
+ * @has_acknowledged: @acknowledged is known
  * @exchange: its current request, once it is open
  * @is_contested: it may have been offered to two servers: its first SYN did
  * not arrive here, or another node offered it as well
@@ -269,7 +280,12 @@
     mv_time_t syn_timeout;
     mv_time_t told_at;
     mv_time_t held_until;
+    uint32_t syn_sequence;
+    uint32_t sequence;
     uint32_t acknowledged;
+    bool has_syn_sequence;
+    bool has_sequence;
+    bool has_acknowledged;
     mv_exchange_t exchange;
     bool is_contested;
     bool has_opened_here;
@@ -793,6 +809,41 @@
 mv_flow_t *MvFlow_Add(mv_forwarder_t *forwarder, const mv_flow_name_t *name,
                       mv_time_t now, mv_flow_phase_t phase);
 
+/**
+ * MvFlow_IsOf() - Whether a packet belongs to the flow of the entry, as far as
+ * its numbers tell.
+ */
+bool MvFlow_IsOf(const mv_flow_t *flow, const mv_flow_packet_t *packet);
+
+/**
+ * MvFlow_HasOpenedElsewhere() - A packet shows that a flow which was refused
+ * here before it opened is open all the same: its reset was lost, and a
+ * retransmission of the SYN went through another node.
+ *
+ * A caller that answers this node's own offer may do so before the reset
+ * arrives.
+ */
+bool MvFlow_HasOpenedElsewhere(const mv_flow_t *flow,
+                               const mv_flow_packet_t *packet, mv_time_t now);
+
+/** MvFlow_IsTold() - Like MvFlow_IsOf() for what another node tells. */
+bool MvFlow_IsTold(const mv_flow_t *flow, const mv_flow_offer_t *told);
+
+/**
+ * MvFlow_IsQuiet() - No packet of the flow can still be under way from before
+ * a packet of another flow of its name: that one is the later flow.
+ */
+bool MvFlow_IsQuiet(const mv_flow_t *flow, mv_time_t now);
+
+/** MvFlow_NoteNumbers() - Note the numbers of a packet of the flow. */
+void MvFlow_NoteNumbers(mv_flow_t *flow, const mv_flow_packet_t *packet);
+
+/** MvFlow_NoteTold() - Note what another node tells of the flow. */
+void MvFlow_NoteTold(mv_flow_t *flow, const mv_flow_offer_t *told);
+
+/** MvFlow_Tell() - What to tell other nodes of the flow. */
+mv_flow_offer_t MvFlow_Tell(const mv_flow_t *flow);
+
 /**
  * MvFlow_SendOwnedSyn() - Send the stored SYN to the server of the flow's tag.
  *
--- a/packages/tags/src/offers.c
+++ b/packages/tags/src/offers.c
@@ -16,9 +16,18 @@
 #define MAX_TOLD_PER_SECOND 128
 /* Callers have given up a flow that has not opened this long after its SYN. */
 #define OFFER_LIFETIME (1500 * MV_MILLISECOND)
-/* Encoded offer, big-endian: caller and address (4 bytes each), their ports (2
- * each), tag (4). */
-#define OFFER_BYTES 16
+/* Encoded offer, big-endian: format and flags (1 byte), caller and address (4
+ * each), their ports (2 each), tag, sequence number, acknowledgement number (4
+ * each). */
+#define OFFER_BYTES 25
+
+/* First byte of an encoded offer: the format, and which numbers are set. */
+enum {
+    OFFER_FORMAT = 0x20,
+    OFFER_HAS_SEQUENCE = 1,
+    OFFER_HAS_ACKNOWLEDGED = 2,
+    OFFER_FLAGS = OFFER_HAS_SEQUENCE | OFFER_HAS_ACKNOWLEDGED,
+};
 
 static void
 put_number(uint8_t *to, uint32_t value, unsigned bytes)
@@ -45,12 +54,18 @@
 {
     for (size_t i = 0; i < count; i++) {
         const mv_flow_name_t *name = &offers[i].name;
-        uint8_t bytes[OFFER_BYTES];
-        put_number(bytes, name->caller, 4);
-        put_number(bytes + 4, name->address, 4);
-        put_number(bytes + 8, name->caller_port, 2);
-        put_number(bytes + 10, name->port, 2);
-        put_number(bytes + 12, offers[i].tag, 4);
+        uint8_t bytes[OFFER_BYTES] = {
+            (uint8_t)(OFFER_FORMAT |
+                      (offers[i].has_sequence ? OFFER_HAS_SEQUENCE : 0) |
+                      (offers[i].has_acknowledged ? OFFER_HAS_ACKNOWLEDGED
+                                                  : 0))};
+        put_number(bytes + 1, name->caller, 4);
+        put_number(bytes + 5, name->address, 4);
+        put_number(bytes + 9, name->caller_port, 2);
+        put_number(bytes + 11, name->port, 2);
+        put_number(bytes + 13, offers[i].tag, 4);
+        put_number(bytes + 17, offers[i].sequence, 4);
+        put_number(bytes + 21, offers[i].acknowledged, 4);
         if (!MvBuffer_Append(out, bytes, sizeof(bytes))) {
             return false;
         }
@@ -68,12 +83,19 @@
         return 0;
     }
     for (size_t i = 0; i < count; i++, from += OFFER_BYTES) {
+        if ((from[0] & ~OFFER_FLAGS) != OFFER_FORMAT) {
+            return 0;
+        }
         offers[i] = (mv_flow_offer_t){
-            .name = {.caller = get_number(from, 4),
-                     .address = get_number(from + 4, 4),
-                     .caller_port = (uint16_t)get_number(from + 8, 2),
-                     .port = (uint16_t)get_number(from + 10, 2)},
-            .tag = get_number(from + 12, 4)};
+            .name = {.caller = get_number(from + 1, 4),
+                     .address = get_number(from + 5, 4),
+                     .caller_port = (uint16_t)get_number(from + 9, 2),
+                     .port = (uint16_t)get_number(from + 11, 2)},
+            .tag = get_number(from + 13, 4),
+            .has_sequence = (from[0] & OFFER_HAS_SEQUENCE) != 0,
+            .sequence = get_number(from + 17, 4),
+            .has_acknowledged = (from[0] & OFFER_HAS_ACKNOWLEDGED) != 0,
+            .acknowledged = get_number(from + 21, 4)};
     }
     return count;
 }
@@ -90,8 +112,7 @@
         return false;
     }
     untold->told++;
-    untold->flows[untold->count++] =
-        (mv_flow_offer_t){.name = flow->name, .tag = flow->tag};
+    untold->flows[untold->count++] = MvFlow_Tell(flow);
     return true;
 }
 
@@ -139,8 +160,7 @@
         if (!flow->is_contested) {
             continue;
         }
-        openings[count++] =
-            (mv_flow_offer_t){.name = flow->name, .tag = flow->tag};
+        openings[count++] = MvFlow_Tell(flow);
         if (count == MV_MAX_OFFERS) {
             forwarder->ops->opened(forwarder->context, to, openings, count);
             count = 0;
@@ -184,17 +204,37 @@
     MvFlow_SendOwnedSyn(forwarder, flow, now);
 }
 
+/* Finds the entry of a flow that another node tells of.  The entry of another
+ * flow of its name makes room for it once that one is quiet.
+ * @is_other: set to whether the entry is of such a flow, and stays */
+static mv_flow_t *
+find_told(mv_forwarder_t *forwarder, const mv_flow_offer_t *told,
+          mv_time_t now, bool *is_other)
+{
+    mv_flow_t *flow = g_hash_table_lookup(forwarder->flows, &told->name);
+    *is_other = flow && !MvFlow_IsTold(flow, told);
+    if (*is_other && MvFlow_IsQuiet(flow, now)) {
+        MvFlow_Remove(forwarder, flow);
+        *is_other = false;
+        return NULL;
+    }
+    return flow;
+}
+
 void
 MvForwarder_ReceiveOffers(mv_forwarder_t *forwarder, mv_time_t now,
                           const mv_flow_offer_t *offers, size_t count)
 {
     for (size_t i = 0; forwarder->table && i < count; i++) {
-        mv_flow_t *flow =
-            g_hash_table_lookup(forwarder->flows, &offers[i].name);
+        bool is_other = false;
+        mv_flow_t *flow = find_told(forwarder, &offers[i], now, &is_other);
+        if (is_other) {
+            continue;
+        }
         if (!flow) {
             flow =
                 MvFlow_Add(forwarder, &offers[i].name, now, MV_FLOW_OFFERED);
-            flow->tag = offers[i].tag;
+            MvFlow_NoteTold(flow, &offers[i]);
         }
         else if (flow->phase == MV_FLOW_HELD ||
                  flow->phase == MV_FLOW_QUEUED) {
@@ -212,18 +252,19 @@
                             const mv_flow_offer_t *openings, size_t count)
 {
     for (size_t i = 0; forwarder->table && i < count; i++) {
-        mv_flow_t *flow =
-            g_hash_table_lookup(forwarder->flows, &openings[i].name);
+        bool is_other = false;
+        mv_flow_t *flow = find_told(forwarder, &openings[i], now, &is_other);
         if (!flow) {
             flow = MvFlow_Add(forwarder, &openings[i].name, now, MV_FLOW_OPEN);
         }
-        if (flow->has_opened_here || flow->phase == MV_FLOW_CLOSED) {
+        if (is_other || flow->has_opened_here ||
+            flow->phase == MV_FLOW_CLOSED) {
             continue;
         }
         MvCounters_Add(forwarder->counters, MV_COUNTER_OPENINGS_ADOPTED, 1);
         MvFlow_Release(flow);
         flow->is_contested = true;
-        flow->tag = openings[i].tag;
+        MvFlow_NoteTold(flow, &openings[i]);
         flow->last_seen_at = now;
         MvFlow_SetPhase(forwarder, flow, MV_FLOW_OPEN);
     }
--- a/packages/tags/test/ended_test.cc
+++ b/packages/tags/test/ended_test.cc
@@ -36,6 +36,7 @@
         packet.tag = tag;
         packet.has_data = has_data;
         packet.acknowledged = acknowledged;
+        packet.has_acknowledged = true;
         return receive(packet, port, kPort);
     }
 
--- a/packages/tags/test/evacuation_test.cc
+++ b/packages/tags/test/evacuation_test.cc
@@ -137,8 +137,7 @@
             ASSERT_EQ(w.open(1, c.to).kind, MV_FLOW_FORWARD) << c.what;
         }
         else if (c.kind == TOLD) {
-            const mv_flow_offer_t offer = {{0x64400007, 0xc6120001, 1, c.to},
-                                           tag};
+            const mv_flow_offer_t offer = told_flow(1, tag, c.to);
             MvForwarder_ReceiveOffers(w.forwarder, w.now, &offer, 1);
         }
         else if (c.kind == HELD) {
--- a/packages/tags/test/ownership_test.cc
+++ b/packages/tags/test/ownership_test.cc
@@ -402,6 +402,14 @@
 
     /* Callers */
 
+    /* The number from which the caller (@id 0) or a server counts its bytes.
+     */
+    static uint32_t
+    first_number(uint16_t port, uint64_t id)
+    {
+        return (port * 31u + (uint32_t)id) * 2654435761u;
+    }
+
     void
     open_flow()
     {
@@ -411,6 +419,7 @@
             after(kSynTimes[i], [this, port, i] {
                 mv_flow_packet_t packet = {};
                 packet.has_syn = true;
+                packet.sequence = first_number(port, 0);
                 packet.retransmission = i;
                 packet.since_first_syn = kSynTimes[i];
                 packet.until_next_syn = until_next_syn(i);
@@ -431,8 +440,14 @@
     send_packet(uint16_t port, bool has_data)
     {
         mv_flow_packet_t packet = {};
-        packet.tag = flows[port].tag;
+        const flow_t &flow = flows[port];
+        packet.tag = flow.tag;
         packet.has_data = has_data;
+        packet.sequence =
+            first_number(port, 0) + 1 + (uint32_t)flow.requests * 300;
+        packet.acknowledged = first_number(port, flow.server) + 1 +
+                              (uint32_t)flow.answers * 2000;
+        packet.has_acknowledged = true;
         transmit([=] { receive_at_node(port, packet); });
     }
 
--- a/packages/tags/test/tags_test.cc
+++ b/packages/tags/test/tags_test.cc
@@ -299,7 +299,7 @@
         uint32_t tag = MvServer_Tag(
             &(const mv_server_t &)other.server(3, "booking", "rabat"));
         other.now += 200 * MV_MILLISECOND;
-        const mv_flow_offer_t offer = {{0x64400007, 0xc6120001, 1, 443}, tag};
+        const mv_flow_offer_t offer = told_flow(1, tag);
         if (c.is_held) {
             /* A packet of another flow shows that the fabric moves flows. */
             other.send_next(500, tag);
@@ -332,7 +332,7 @@
         prepare(other);
         uint32_t tag = MvServer_Tag(
             &(const mv_server_t &)other.server(3, "booking", "rabat"));
-        const mv_flow_offer_t offer = {{0x64400007, 0xc6120001, 1, 443}, tag};
+        const mv_flow_offer_t offer = told_flow(1, tag);
         if (!c.is_told) {
             tag = other.open(1).tag;
         }
@@ -467,8 +467,7 @@
  * node that only heard of it tells them. */
 TEST_F(Tags, ANodeThatStartsIsToldAllContestedFlows)
 {
-    const mv_flow_offer_t opening = {{0x64400007, 0xc6120001, 1, 443},
-                                     world.serve(2)};
+    const mv_flow_offer_t opening = told_flow(1, world.serve(2));
     MvForwarder_ReceiveOpenings(world.forwarder, world.now, &opening, 1);
     for (uint16_t port = 1000; port < 1200; port++) {
         const mv_flow_verdict_t verdict = world.open(port, 443, 1);
@@ -495,7 +494,7 @@
 TEST_F(Tags, AnOfferOfAnOpenFlowIsContradicted)
 {
     const uint32_t tag = world.serve(1);
-    const mv_flow_offer_t offer = {{0x64400007, 0xc6120001, 1, 443}, tag + 1};
+    const mv_flow_offer_t offer = told_flow(1, tag + 1);
     MvForwarder_ReceiveOffers(world.forwarder, world.now, &offer, 1);
     world.advance(MV_MILLISECOND);
     ASSERT_EQ(world.openings.size(), 1u);
@@ -504,7 +503,7 @@
 
 TEST_F(Tags, AnOfferIsForgottenWhenTheCallerHasGivenUp)
 {
-    const mv_flow_offer_t offer = {{0x64400007, 0xc6120001, 1, 443}, 77};
+    const mv_flow_offer_t offer = told_flow(1, 77);
     MvForwarder_ReceiveOffers(world.forwarder, world.now, &offer, 1);
     EXPECT_EQ(MvForwarder_FlowCount(world.forwarder), 1u);
     world.advance(2 * MV_SECOND);
@@ -532,8 +531,12 @@
 
 TEST(FlowOffers, AreDecodedAsEncodedOrNotAtAll)
 {
-    const mv_flow_offer_t offer = {{0xff400007, 0xc6120001, 0xfedc, 0x8001},
-                                   0xfffefdfc};
+    mv_flow_offer_t offer = {};
+    offer.name = {0xff400007, 0xc6120001, 0xfedc, 0x8001};
+    offer.tag = 0xfffefdfc;
+    offer.has_sequence = true;
+    offer.sequence = 0xfbfaf9f8;
+    offer.acknowledged = 0xf7f6f5f4;
     mv_buffer_t bytes = {};
     mv_flow_offer_t decoded[MV_MAX_OFFERS];
     for (size_t i = 0; i <= MV_MAX_OFFERS; i++) {
@@ -560,6 +563,14 @@
     EXPECT_EQ(MvFlowOffers_Decode(data, size, decoded), 1u);
     EXPECT_EQ(memcmp(&decoded[0].name, &offer.name, sizeof(offer.name)), 0);
     EXPECT_EQ(decoded[0].tag, offer.tag);
+    EXPECT_EQ(decoded[0].has_sequence, offer.has_sequence);
+    EXPECT_EQ(decoded[0].sequence, offer.sequence);
+    EXPECT_EQ(decoded[0].has_acknowledged, offer.has_acknowledged);
+    EXPECT_EQ(decoded[0].acknowledged, offer.acknowledged);
+    /* A version before it told 16 bytes for each flow. */
+    EXPECT_EQ(MvFlowOffers_Decode(std::string(25 * 16, '\0').data(), 25 * 16,
+                                  decoded),
+              0u);
     MvBuffer_Clear(&bytes);
 }
 
--- a/packages/tags/test/tags_world.cc
+++ b/packages/tags/test/tags_world.cc
@@ -69,6 +69,15 @@
 
 } // namespace
 
+mv_flow_offer_t
+told_flow(uint16_t port, uint32_t tag, uint16_t to)
+{
+    mv_flow_offer_t told = {};
+    told.name = {kCaller, kAddress, port, to};
+    told.tag = tag;
+    return told;
+}
+
 mv_time_t
 until_next_syn(uint32_t retransmission)
 {
--- a/packages/tags/test/tags_world.h
+++ b/packages/tags/test/tags_world.h
@@ -21,6 +21,9 @@
     std::string bytes;
 };
 
+/* What another node tells of the flow from @port, without its numbers. */
+mv_flow_offer_t told_flow(uint16_t port, uint32_t tag, uint16_t to = 443);
+
 /* Time from a caller's SYN to its next one, or until it gives up. */
 mv_time_t until_next_syn(uint32_t retransmission);
 
