Late node: an end is decided only on proven knowledge

Cause: "in touch" says that something was heard lately, not what the table lacks. A node that had stood still kept it from before, so that a tag which it had not learned of passed for that of a server that has gone; and an entry that was gone in the middle of the missed changes counted as gone 13 s ago.

Change: the control thread publishes up to when the newest table is proven complete (MvFanout_ProvenAt(), none from before a suspension); the traffic thread ends flows only on proof that is at most 3 s old and, for an entry that has gone, from after the news. Unknown tags are judged for each flow, as a tag names an id that may be in use again; a flow that began within 3 s of the proof is not ended by an entry that has gone. Resets of open flows are always logged, those for unknown tags were never; counter flows_unknown_server.

--- a/packages/masticvaned/src/tags_cluster.c
+++ b/packages/masticvaned/src/tags_cluster.c
@@ -235,7 +235,6 @@
     MvTable_SetSource(table, MvReplica_Revision(control->replica),
                       pending_changed_at > 0 ? pending_changed_at
                                              : control->changed_at);
-    MvTable_SetContact(table, control->in_touch_since);
     control->changed_at = 0;
     __atomic_store_n(&control->daemon.next_table, table, __ATOMIC_RELEASE);
 }
--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -201,24 +201,24 @@
         MvLog_Write(control->daemon.log, MV_EVENT_NODE_RESUMED,
                     "paused_ms=%" PRId64, paused / MV_MILLISECOND);
         MvFanout_HandleResume(control->fanout);
+        control->resumed_at = now;
     }
     control->suspended_time = suspended_time;
 }
 
-/* Keeps the time since which this node knows what the store holds. */
+/* Publishes up to when the table that was published last is complete.  To be
+ * called after MvTagsCluster_PublishTable(), so that no table is credited with
+ * what only a later one shows. */
 static void
-track_knowledge(mv_tags_control_t *control, mv_time_t now, mv_time_t age)
+publish_knowledge(mv_tags_control_t *control, mv_time_t now)
 {
-    mv_time_t behind_since = MvFanout_BehindSince(control->fanout);
-    bool is_behind =
-        behind_since > 0 && now - behind_since > MV_CONTACT_TIMEOUT;
-    bool is_in_touch = age < MV_CONTACT_TIMEOUT && !is_behind &&
-                       MvReplica_Revision(control->replica) > 0;
-    if (is_in_touch == (control->in_touch_since != MV_NEVER)) {
-        return;
-    }
-    control->in_touch_since = is_in_touch ? MvClock_Boot() : MV_NEVER;
-    control->table_outdated = true;
+    mv_time_t proven_at = MvFanout_ProvenAt(control->fanout);
+    bool is_known = proven_at > 0 && proven_at > control->resumed_at;
+    /* The traffic thread's clock counts suspension, which nothing that was
+     * proven since can precede. */
+    __atomic_store_n(&control->daemon.complete_at,
+                     is_known ? MvClock_Boot() - (now - proven_at) : 0,
+                     __ATOMIC_RELEASE);
 }
 
 /* Publishes the time of the last contact, and reports outages of the store to
@@ -231,7 +231,6 @@
     mv_time_t age = MvFanout_Staleness(control->fanout, now);
     __atomic_store_n(&control->daemon.last_contact_at, now - age,
                      __ATOMIC_RELAXED);
-    track_knowledge(control, now, age);
     mv_time_t outage = MvFanout_TakeOutage(control->fanout, now);
     if (outage > 0 && MvDirectory_NoteStoreOutage(control->directory,
                                                   MvClock_Boot(), outage)) {
@@ -288,6 +287,7 @@
         track_store_contact(control, now);
         MvStore_Poll(control->store, 0);
         MvTagsCluster_PublishTable(control);
+        publish_knowledge(control, now);
         MvTagsCluster_SendReports(control);
         log_store_reachability(control, now);
         log_relists(control);
@@ -393,7 +393,6 @@
                    .log = log,
                    .fabric = MvPlatform_Fabric()},
         .stop_limit = settings->stop_limit,
-        .in_touch_since = MV_NEVER,
         .random = g_rand_new()};
     mv_tags_packets_t *packets = NULL;
     pthread_mutex_init(&control.daemon.dump_lock, NULL);
--- a/packages/masticvaned/src/tags_control.h
+++ b/packages/masticvaned/src/tags_control.h
@@ -31,8 +31,8 @@
  *                are removed again
  * @next_history_check: when the record of former services is checked again
  * @store_era: era of the newest item that was applied, when @has_era is set
- * @in_touch_since: since when this node has had contact without a gap, on the
- *                  clock that counts suspension; MV_NEVER while it has none
+ * @resumed_at: monotonic time at which the last suspension of the VM was
+ *              noticed, 0 for none
  * @suspended_time: CLOCK_BOOTTIME minus CLOCK_MONOTONIC, which grows while the
  *                  VM is paused; 0 before the first check
  */
@@ -71,7 +71,7 @@
     mv_time_t next_history_check;
     uint64_t store_era;
     bool has_era;
-    mv_time_t in_touch_since;
+    mv_time_t resumed_at;
     mv_time_t suspended_time;
 } mv_tags_control_t;
 
--- a/packages/masticvaned/src/tags_mode.h
+++ b/packages/masticvaned/src/tags_mode.h
@@ -33,6 +33,9 @@
  *               not in @settings
  * @last_contact_at: monotonic time of the last contact with the store or with
  *                   an up-to-date node, 0 for never
+ * @complete_at: time before which the store made no change that the newest
+ *               table lacks, on the clock that counts suspension; 0 when it is
+ *               not known
  * @last_packet_at: monotonic time of the last packet from a caller
  * @dump_requested: set by the control thread to get a new @dump from the
  *                  traffic thread, which clears it
@@ -52,6 +55,7 @@
     mv_report_t *reports_in;
     unsigned flow_sample;
     mv_time_t last_contact_at;
+    mv_time_t complete_at;
     mv_time_t last_packet_at;
     bool dump_requested;
     pthread_mutex_t dump_lock;
--- a/packages/masticvaned/src/tags_packets.c
+++ b/packages/masticvaned/src/tags_packets.c
@@ -251,9 +251,14 @@
     return MAX(count, 0);
 }
 
+/* Takes the newest table.  Its knowledge is read before: a later table may
+ * only know more. */
 static void
 adopt_table(mv_tags_packets_t *packets)
 {
+    mv_time_t complete_at =
+        __atomic_load_n(&packets->daemon->complete_at, __ATOMIC_ACQUIRE);
+    MvForwarder_SetCompleteAt(packets->forwarder, complete_at);
     mv_table_t *table = __atomic_exchange_n(&packets->daemon->next_table, NULL,
                                             __ATOMIC_ACQ_REL);
     if (!table) {
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -347,14 +347,6 @@
 void MvTable_SetSource(mv_table_t *table, uint64_t revision,
                        mv_time_t changed_at);
 
-/**
- * MvTable_SetContact() - Record since when the node has had contact.
- * @in_touch_since: time since which it has had contact with the store, or with
- *                  an up-to-date node, without a gap; MV_NEVER, as in a new
- *                  table, while it has none
- */
-void MvTable_SetContact(mv_table_t *table, mv_time_t in_touch_since);
-
 /** MvTable_ChangedAt() - @changed_at as given to MvTable_SetSource(). */
 mv_time_t MvTable_ChangedAt(const mv_table_t *table);
 
@@ -674,6 +666,16 @@
                                  const mv_flow_offer_t *openings,
                                  size_t count);
 
+/**
+ * MvForwarder_SetCompleteAt() - Record how much the current table knows.
+ * @complete_at: time before which the store made no change that the table
+ *               lacks, as this node's own clock proves it; 0 when not known
+ *
+ * To be called whenever it has changed, before a later table is given.
+ */
+void MvForwarder_SetCompleteAt(mv_forwarder_t *forwarder,
+                               mv_time_t complete_at);
+
 /**
  * MvForwarder_DueAt() - Latest time of the next call of MvForwarder_Timer()
  * that packets since the last call made necessary, or MV_NEVER.
--- a/packages/tags/src/ended.c
+++ b/packages/tags/src/ended.c
@@ -1,5 +1,5 @@
 /* Whether the server of an open flow has ended. */
-#include "ended.h"
+#include "forwarder_private.h"
 
 /* Time in which a server that lives is expected to show it after the store
  * says that another one has its address. */
@@ -15,13 +15,12 @@
  * once. */
 #define SILENCE_TIME (500 * MV_MILLISECOND)
 #define MIN_REPEATS 2
-/* A server that starts is known to a node in touch within this time
- * (docs/design/feed.md). */
-#define MAX_KNOWLEDGE_DELAY (3 * MV_SECOND)
-/* Maximum number of unknown tags: servers that ended at about the same time.
- */
-#define MAX_UNKNOWN_TAGS 1024
-#define UNKNOWN_TAG_LIFETIME (20 * MV_SECOND)
+/* Maximum number of flows with unknown tags: those that were open at servers
+ * which ended before this node started. */
+#define MAX_UNKNOWN_FLOWS 1024
+/* Callers send a packet again at least this often; after a longer pause it may
+ * be another flow with the same addresses and ports. */
+#define MAX_PAUSE (2 * MV_SECOND)
 
 void
 MvLiveness_NoteAnswer(mv_liveness_t *liveness, mv_time_t now)
@@ -56,70 +55,87 @@
            liveness->repeats >= MIN_REPEATS;
 }
 
-/* Unknown tags */
+/* Flows with unknown tags */
 
 /**
- * struct unknown_tag - Tag of packets that name no known server.
- * @first_at: arrival of the first packet
- * @last_at: arrival of the last one
+ * struct unknown_flow - A flow whose packets name no known server.
+ * @name: its addresses and ports
+ * @tag: the tag
+ * @first_at: arrival of its first packet
+ * @last_at: arrival of its last one
  */
-typedef struct unknown_tag {
+typedef struct unknown_flow {
+    mv_flow_name_t name;
+    uint32_t tag;
     mv_time_t first_at;
     mv_time_t last_at;
-} unknown_tag_t;
+} unknown_flow_t;
 
-struct mv_unknown_tags {
-    GHashTable *by_tag;
+struct mv_unknown_flows {
+    GHashTable *by_name;
 };
 
-mv_unknown_tags_t *
-MvUnknownTags_Create(void)
+mv_unknown_flows_t *
+MvUnknownFlows_Create(void)
 {
-    mv_unknown_tags_t *tags = g_new0(mv_unknown_tags_t, 1);
-    tags->by_tag = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-    return tags;
+    mv_unknown_flows_t *flows = g_new0(mv_unknown_flows_t, 1);
+    flows->by_name =
+        g_hash_table_new_full(MvFlowName_Hash, MvFlowName_Equal, NULL, g_free);
+    return flows;
 }
 
 void
-MvUnknownTags_Destroy(mv_unknown_tags_t *tags)
+MvUnknownFlows_Destroy(mv_unknown_flows_t *flows)
 {
-    if (!tags) {
+    if (!flows) {
         return;
     }
-    g_hash_table_unref(tags->by_tag);
-    g_free(tags);
+    g_hash_table_unref(flows->by_name);
+    g_free(flows);
+}
+
+/* Return: NULL when there are too many. */
+static unknown_flow_t *
+find_or_add(mv_unknown_flows_t *flows, const mv_flow_name_t *name)
+{
+    unknown_flow_t *flow = g_hash_table_lookup(flows->by_name, name);
+    if (flow || g_hash_table_size(flows->by_name) >= MAX_UNKNOWN_FLOWS) {
+        return flow;
+    }
+    flow = g_new0(unknown_flow_t, 1);
+    flow->name = *name;
+    g_hash_table_insert(flows->by_name, &flow->name, flow);
+    return flow;
 }
 
 bool
-MvUnknownTags_HasEnded(mv_unknown_tags_t *tags, mv_time_t now, uint32_t tag,
-                       mv_time_t in_touch_since)
+MvUnknownFlows_IsProven(mv_unknown_flows_t *flows, mv_time_t now,
+                        const mv_flow_name_t *name, uint32_t tag,
+                        mv_time_t complete_at)
 {
-    gpointer key = GUINT_TO_POINTER(tag);
-    unknown_tag_t *unknown = g_hash_table_lookup(tags->by_tag, key);
-    if (!unknown) {
-        if (g_hash_table_size(tags->by_tag) >= MAX_UNKNOWN_TAGS) {
-            return false;
-        }
-        unknown = g_new0(unknown_tag_t, 1);
-        unknown->first_at = now;
-        g_hash_table_insert(tags->by_tag, key, unknown);
+    unknown_flow_t *flow = find_or_add(flows, name);
+    if (!flow) {
+        return false;
+    }
+    if (flow->tag != tag || now - flow->last_at > MAX_PAUSE) {
+        flow->tag = tag;
+        flow->first_at = now;
     }
-    unknown->last_at = now;
-    mv_time_t known_since = MAX(unknown->first_at, in_touch_since);
-    return known_since != MV_NEVER && now - known_since >= MAX_KNOWLEDGE_DELAY;
+    flow->last_at = now;
+    return complete_at - flow->first_at >= MV_ANNOUNCEMENT_DELAY;
 }
 
 static gboolean
 is_old(gpointer key, gpointer value, gpointer context)
 {
-    const unknown_tag_t *unknown = value;
+    const unknown_flow_t *flow = value;
     const mv_time_t *now = context;
     (void)key;
-    return *now - unknown->last_at > UNKNOWN_TAG_LIFETIME;
+    return *now - flow->last_at > MAX_PAUSE;
 }
 
 void
-MvUnknownTags_Expire(mv_unknown_tags_t *tags, mv_time_t now)
+MvUnknownFlows_Expire(mv_unknown_flows_t *flows, mv_time_t now)
 {
-    g_hash_table_foreach_remove(tags->by_tag, is_old, &now);
+    g_hash_table_foreach_remove(flows->by_name, is_old, &now);
 }
--- a/packages/tags/src/ended.h
+++ b/packages/tags/src/ended.h
@@ -10,6 +10,11 @@
  * store alone, since entries lapse in its outages and a server that is cut off
  * from it goes on serving.  Both together are: the store shows that the server
  * has ended, and no packet of a caller shows that it lives.
+ *
+ * Invariant: an end is decided only on knowledge that is proven complete up to
+ * a moment after that from which it follows, and that is no older than a node
+ * in touch may be.  A node that stood still, or applies what it has missed
+ * change by change, does not know what the later ones say.
  */
 #ifndef MV_TAGS_ENDED_H
 #define MV_TAGS_ENDED_H
@@ -49,26 +54,34 @@
 bool MvLiveness_HasEnded(const mv_liveness_t *liveness, mv_time_t now,
                          mv_time_t ended_at, bool is_replaced);
 
-/** typedef mv_unknown_tags_t - Tags of packets that name no known server. */
-typedef struct mv_unknown_tags mv_unknown_tags_t;
+/** A server that has started, or whose entry lapsed, announces itself within
+ * this time: two heartbeats, one of which may be lost. */
+#define MV_ANNOUNCEMENT_DELAY (3 * MV_SECOND)
+
+/** typedef mv_unknown_flows_t - Flows whose packets name no known server. */
+typedef struct mv_unknown_flows mv_unknown_flows_t;
 
-/** MvUnknownTags_Create() - Create an empty set. */
-mv_unknown_tags_t *MvUnknownTags_Create(void);
+/** MvUnknownFlows_Create() - Create an empty set. */
+mv_unknown_flows_t *MvUnknownFlows_Create(void);
 
-/** MvUnknownTags_Destroy() - Free; NULL is ignored. */
-void MvUnknownTags_Destroy(mv_unknown_tags_t *tags);
+/** MvUnknownFlows_Destroy() - Free; NULL is ignored. */
+void MvUnknownFlows_Destroy(mv_unknown_flows_t *flows);
 
 /**
- * MvUnknownTags_HasEnded() - Note a packet whose tag names no known server.
- * @in_touch_since: as given to MvTable_SetContact()
+ * MvUnknownFlows_IsProven() - Note a packet whose tag names no known server.
+ * @name: the packet's flow
+ * @complete_at: as given to MvForwarder_SetCompleteAt()
  *
- * Return: whether the server has ended: it is not in the store, though this
- * node would know it by now.
+ * Return: whether the store is known to show no server with the tag, longer
+ * after the first packet of the flow than a server that starts takes to
+ * announce itself.  What is known of other flows with the tag says nothing: a
+ * server may have started again under its id since.
  */
-bool MvUnknownTags_HasEnded(mv_unknown_tags_t *tags, mv_time_t now,
-                            uint32_t tag, mv_time_t in_touch_since);
+bool MvUnknownFlows_IsProven(mv_unknown_flows_t *flows, mv_time_t now,
+                             const mv_flow_name_t *name, uint32_t tag,
+                             mv_time_t complete_at);
 
-/** MvUnknownTags_Expire() - Forget tags of which no packet came lately. */
-void MvUnknownTags_Expire(mv_unknown_tags_t *tags, mv_time_t now);
+/** MvUnknownFlows_Expire() - Forget flows of which no packet came lately. */
+void MvUnknownFlows_Expire(mv_unknown_flows_t *flows, mv_time_t now);
 
 #endif
--- a/packages/tags/src/ended_flows.c
+++ b/packages/tags/src/ended_flows.c
@@ -8,15 +8,44 @@
 
 /* Interval at which servers are checked. */
 #define CHECK_INTERVAL (100 * MV_MILLISECOND)
+/* A node in touch knows of each change within this time
+ * (docs/design/feed.md). */
+#define MAX_KNOWLEDGE_AGE (3 * MV_SECOND)
 
-bool
-MvServer_HasEnded(const mv_forwarder_t *forwarder, unsigned position,
-                  mv_time_t now)
+/* Whether this node knows the store as well as a node in touch does.  One that
+ * stood still, or is catching up, does not: what it lacks may say that a
+ * server has returned. */
+static bool
+is_informed(const mv_forwarder_t *forwarder, mv_time_t now)
+{
+    return forwarder->complete_at > 0 &&
+           now - forwarder->complete_at <= MAX_KNOWLEDGE_AGE;
+}
+
+static bool
+has_ended(const mv_forwarder_t *forwarder, unsigned position, mv_time_t now)
 {
     const mv_table_server_t *server = &forwarder->table->servers[position];
-    return MvLiveness_HasEnded(
-        &forwarder->health_by_position[position]->liveness, now,
-        server->ended_at, server->is_replaced);
+    /* An entry that has gone may be back in a later change; a later server at
+     * the address stays later. */
+    bool is_proven =
+        server->is_replaced || forwarder->complete_at >= server->learned_at;
+    return is_informed(forwarder, now) && is_proven &&
+           MvLiveness_HasEnded(
+               &forwarder->health_by_position[position]->liveness, now,
+               server->ended_at, server->is_replaced);
+}
+
+/* A server whose entry has gone may have started again under its id since, and
+ * not have announced that yet: it may have the flows that began lately. */
+bool
+MvFlow_HasLostServer(const mv_forwarder_t *forwarder, const mv_flow_t *flow,
+                     unsigned position, mv_time_t now)
+{
+    bool is_old =
+        forwarder->complete_at - flow->began_at >= MV_ANNOUNCEMENT_DELAY;
+    return (is_old || forwarder->table->servers[position].is_replaced) &&
+           has_ended(forwarder, position, now);
 }
 
 mv_flow_verdict_t
@@ -27,13 +56,14 @@
     flow->refusal = MV_COUNTER_FLOWS_SERVER_ENDED;
     flow->last_seen_at = now;
     MvFlow_SetPhase(forwarder, flow, MV_FLOW_REFUSED);
-    MvFlow_LogDecision(forwarder, flow, now, MV_EVENT_FLOW_REFUSED, false);
+    MvFlow_LogDecision(forwarder, flow, now, MV_EVENT_FLOW_REFUSED, true);
     return (mv_flow_verdict_t){.kind = MV_FLOW_RESET,
                                .reason = MV_COUNTER_FLOWS_SERVER_ENDED};
 }
 
 mv_flow_verdict_t
-MvFlow_HandleUnknownTag(mv_forwarder_t *forwarder, mv_time_t now, uint32_t tag)
+MvFlow_HandleUnknownTag(mv_forwarder_t *forwarder, mv_time_t now,
+                        const mv_flow_name_t *name, uint32_t tag)
 {
     mv_flow_verdict_t verdict = {.reason = MV_COUNTER_PACKETS_UNKNOWN_TAG};
     if (g_hash_table_contains(forwarder->table->unnamed_tags,
@@ -41,10 +71,12 @@
         verdict.reason = MV_COUNTER_PACKETS_FOREIGN_TAG;
         return verdict;
     }
-    if (tag > 0 && MvUnknownTags_HasEnded(forwarder->unknown_tags, now, tag,
-                                          forwarder->table->in_touch_since)) {
+    if (tag > 0 &&
+        MvUnknownFlows_IsProven(forwarder->unknown_flows, now, name, tag,
+                                forwarder->complete_at) &&
+        is_informed(forwarder, now)) {
         verdict.kind = MV_FLOW_RESET;
-        verdict.reason = MV_COUNTER_FLOWS_SERVER_ENDED;
+        verdict.reason = MV_COUNTER_FLOWS_UNKNOWN_SERVER;
     }
     return verdict;
 }
@@ -57,9 +89,9 @@
     bool has_new = false;
     for (unsigned i = 0; i < forwarder->table->server_count; i++) {
         mv_server_health_t *health = forwarder->health_by_position[i];
-        bool has_ended = MvServer_HasEnded(forwarder, i, now);
-        has_new |= has_ended && !health->has_ended;
-        health->has_ended = has_ended;
+        bool is_ended = has_ended(forwarder, i, now);
+        has_new |= is_ended && !health->has_ended;
+        health->has_ended = is_ended;
     }
     return has_new;
 }
@@ -83,9 +115,9 @@
     MV_LIST_FOREACH(item, &forwarder->open)
     {
         mv_flow_t *flow = MV_CONTAINER_OF(item, mv_flow_t, link);
-        const mv_server_health_t *health =
-            MvServerHealth_Find(forwarder, flow->tag);
-        if (health && health->has_ended) {
+        int position = MvTable_Server(forwarder->table, flow->tag);
+        if (position >= 0 &&
+            MvFlow_HasLostServer(forwarder, flow, (unsigned)position, now)) {
             reset_flow(forwarder, flow, now);
         }
     }
@@ -96,7 +128,7 @@
 {
     if (now >= forwarder->next_ended_check) {
         forwarder->next_ended_check = now + CHECK_INTERVAL;
-        MvUnknownTags_Expire(forwarder->unknown_tags, now);
+        MvUnknownFlows_Expire(forwarder->unknown_flows, now);
         if (update_ended_servers(forwarder, now)) {
             reset_flows(forwarder, now);
         }
--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -43,7 +43,7 @@
     forwarder->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     forwarder->profiles = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-    forwarder->unknown_tags = MvUnknownTags_Create();
+    forwarder->unknown_flows = MvUnknownFlows_Create();
     forwarder->due_at = MV_NEVER;
     forwarder->megabyte_price = MV_NEVER;
     MvList_Init(&forwarder->awaiting_answer);
@@ -67,7 +67,7 @@
     g_hash_table_unref(forwarder->data_centre_health);
     g_hash_table_unref(forwarder->services);
     g_hash_table_unref(forwarder->profiles);
-    MvUnknownTags_Destroy(forwarder->unknown_tags);
+    MvUnknownFlows_Destroy(forwarder->unknown_flows);
     g_rand_free(forwarder->random);
     MvTable_Destroy(forwarder->table);
     g_free(forwarder->health_by_position);
@@ -100,6 +100,12 @@
     return previous;
 }
 
+void
+MvForwarder_SetCompleteAt(mv_forwarder_t *forwarder, mv_time_t complete_at)
+{
+    forwarder->complete_at = complete_at;
+}
+
 void
 MvForwarder_SetLogSampling(mv_forwarder_t *forwarder, unsigned one_in)
 {
@@ -465,7 +471,7 @@
     uint32_t tag = is_open ? flow->tag : packet->tag;
     int position = MvTable_Server(forwarder->table, tag);
     if (position < 0) {
-        return MvFlow_HandleUnknownTag(forwarder, now, tag);
+        return MvFlow_HandleUnknownTag(forwarder, now, name, tag);
     }
     const mv_table_server_t *server = &forwarder->table->servers[position];
     if (!MvTable_Allows(route, server->service)) {
@@ -482,7 +488,7 @@
         flow = add_foreign_flow(forwarder, name, now, packet, tag);
     }
     if (flow->phase == MV_FLOW_OPEN &&
-        MvServer_HasEnded(forwarder, (unsigned)position, now)) {
+        MvFlow_HasLostServer(forwarder, flow, (unsigned)position, now)) {
         return MvFlow_End(forwarder, flow, now);
     }
     return MvFlow_ForwardTo(server);
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -327,13 +327,14 @@
  * @has_unreported: a failure has not been reported to the other nodes
  * @reported_at: time of the last report
  * @table: the current snapshot, NULL before the first one
+ * @complete_at: as given to MvForwarder_SetCompleteAt()
  * @server_health: &struct mv_server_health by tag
  * @data_centre_health: &struct mv_data_centre_health by hash of the name
  * @health_by_position: health records by position in @table
  * @flows: &struct mv_flow by name
  * @services: &struct mv_service_load by name of the service
  * @profiles: &struct mv_answer_profile by address and port
- * @unknown_tags: tags of packets that name no known server
+ * @unknown_flows: flows whose packets name no known server
  * @next_ended_check: when servers are next checked by ended_flows.c
  * @awaiting_answer: open flows whose request has no answer yet, oldest first
  * @offers: offers that the other nodes have not been told
@@ -360,13 +361,14 @@
     bool has_unreported;
     mv_time_t reported_at;
     mv_table_t *table;
+    mv_time_t complete_at;
     GHashTable *server_health;
     GHashTable *data_centre_health;
     mv_server_health_t **health_by_position;
     GHashTable *flows;
     GHashTable *services;
     GHashTable *profiles;
-    mv_unknown_tags_t *unknown_tags;
+    mv_unknown_flows_t *unknown_flows;
     mv_time_t next_ended_check;
     mv_untold_flows_t offers;
     mv_untold_flows_t openings;
@@ -529,9 +531,13 @@
  */
 bool MvService_IsEvacuated(const mv_forwarder_t *forwarder, unsigned service);
 
-/** MvServer_HasEnded() - The server at @position has ended, see ended.h. */
-bool MvServer_HasEnded(const mv_forwarder_t *forwarder, unsigned position,
-                       mv_time_t now);
+/**
+ * MvFlow_HasLostServer() - The server at @position, at which the flow is open,
+ * has ended, see ended.h.
+ */
+bool MvFlow_HasLostServer(const mv_forwarder_t *forwarder,
+                          const mv_flow_t *flow, unsigned position,
+                          mv_time_t now);
 
 /**
  * MvFlow_End() - End an open flow whose server has ended.
@@ -546,7 +552,9 @@
  * server.
  */
 mv_flow_verdict_t MvFlow_HandleUnknownTag(mv_forwarder_t *forwarder,
-                                          mv_time_t now, uint32_t tag);
+                                          mv_time_t now,
+                                          const mv_flow_name_t *name,
+                                          uint32_t tag);
 
 /**
  * MvEndedFlows_Run() - Reset the open flows of servers that have ended since
--- a/packages/tags/src/snapshot.c
+++ b/packages/tags/src/snapshot.c
@@ -101,6 +101,15 @@
     return known->is_announced ? MV_NEVER : known->grace_until;
 }
 
+static mv_time_t
+learned_at(const mv_known_server_t *known)
+{
+    if (known->replaced_at > 0) {
+        return known->replaced_at;
+    }
+    return known->is_announced ? MV_NEVER : known->withdrawn_at;
+}
+
 static void
 add_servers(builder_t *builder, mv_time_t now)
 {
@@ -132,6 +141,7 @@
                 known->is_announced ? MV_NEVER : known->grace_until,
             .warmup_until = known->warmup_until,
             .ended_at = ended_at(known),
+            .learned_at = learned_at(known),
             .is_replaced = known->replaced_at > 0,
         };
         index_tag(table, table->server_count++);
@@ -265,7 +275,6 @@
         .services = g_array_new(FALSE, TRUE, sizeof(mv_table_service_t)),
         .by_name = g_hash_table_new(g_str_hash, g_str_equal)};
     table->version = directory->routing->version;
-    table->in_touch_since = MV_NEVER;
     table->flow_idle = directory->routing->flow_idle;
     table->local_nodes = directory->local_nodes;
     table->by_address = g_hash_table_new(NULL, NULL);
--- a/packages/tags/src/table.c
+++ b/packages/tags/src/table.c
@@ -56,12 +56,6 @@
     table->changed_at = changed_at;
 }
 
-void
-MvTable_SetContact(mv_table_t *table, mv_time_t in_touch_since)
-{
-    table->in_touch_since = in_touch_since;
-}
-
 mv_time_t
 MvTable_ChangedAt(const mv_table_t *table)
 {
--- a/packages/tags/src/table.h
+++ b/packages/tags/src/table.h
@@ -23,6 +23,7 @@
  * @warmup_until: end of its warm-up, during which it is slow
  * @ended_at: time from which the store shows that it has ended, MV_NEVER while
  *            it does not
+ * @learned_at: when this node learned of that
  * @is_replaced: a later server has its address
  */
 typedef struct mv_table_server {
@@ -36,6 +37,7 @@
     mv_time_t usable_until;
     mv_time_t warmup_until;
     mv_time_t ended_at;
+    mv_time_t learned_at;
     bool is_replaced;
 } mv_table_server_t;
 
@@ -83,8 +85,6 @@
  * @revision: revision of the store; every change up to it is in the table
  * @changed_at: arrival of the oldest change that the traffic thread does not
  *              use yet, 0 for none
- * @in_touch_since: time since which this node has had contact with the store,
- *                  or with an up-to-date node; MV_NEVER while it has none
  * @flow_idle: idle time after which a flow entry may be dropped
  * @local_nodes: entry VMs of the own data centre, this one included
  * @server_count: entries in @servers
@@ -104,7 +104,6 @@
     uint64_t version;
     uint64_t revision;
     mv_time_t changed_at;
-    mv_time_t in_touch_since;
     mv_time_t flow_idle;
     unsigned local_nodes;
     unsigned server_count;
--- a/packages/tags/test/ended_test.cc
+++ b/packages/tags/test/ended_test.cc
@@ -207,6 +207,61 @@
     EXPECT_EQ(world.resets[0].acknowledged, 2001u);
 }
 
+/* Guards against the resets of a node that stood still, or that applies what
+ * it missed change by change: what it lacks may say that the server lives. */
+TEST(Ended, NothingIsDecidedOnOldOrIncompleteKnowledge)
+{
+    const struct {
+        const char *what;
+        bool is_replaced;        /* or its entry has gone */
+        mv_time_t complete_from; /* the news: first proof of knowledge */
+        mv_time_t proof_age;     /* how old each proof is */
+        mv_time_t began_before;  /* the news: when the flow began */
+        bool is_reset;
+    } cases[] = {
+        {"gone, proven", false, 0, 0, 4000, true},
+        {"gone, proven late", false, 0, 2000, 4000, true},
+        {"gone, not proven since", false, MV_NEVER, 0, 4000, false},
+        {"gone, proof too old", false, 0, 3100, 4000, false},
+        {"gone, the flow began when it may have come back", false, -3000, 2900,
+         0, false},
+        {"replaced, proven", true, 0, 0, 4000, true},
+        {"replaced, proof too old", true, 0, 3100, 4000, false},
+    };
+    for (const auto &c : cases) {
+        ended_world world;
+        std::vector<uint16_t> ports = world.open_two_at(2);
+        world.advance(c.began_before * MV_MILLISECOND);
+        world.is_informed = false;
+        if (c.is_replaced) {
+            world.replace(2, 50);
+        }
+        else {
+            MvDirectory_Withdraw(world.directory, world.now,
+                                 world.now - 2 * MV_SECOND, "server-2");
+            world.publish();
+        }
+        const mv_time_t news = world.now;
+        bool is_reset = false;
+        for (mv_time_t at = 0; at < 3 * MV_SECOND;
+             at += 200 * MV_MILLISECOND) {
+            mv_time_t proven_at = world.now - c.proof_age * MV_MILLISECOND;
+            bool is_proven =
+                c.complete_from != MV_NEVER &&
+                proven_at >= news + c.complete_from * MV_MILLISECOND;
+            MvForwarder_SetCompleteAt(world.forwarder,
+                                      is_proven || c.proof_age > 3000
+                                          ? proven_at
+                                          : news - MV_MILLISECOND);
+            is_reset |= world.request(ports[0]).kind == MV_FLOW_RESET;
+            world.advance(200 * MV_MILLISECOND);
+        }
+        world.advance(2 * MV_SECOND);
+        is_reset |= !world.resets.empty();
+        EXPECT_EQ(is_reset, c.is_reset) << c.what;
+    }
+}
+
 TEST(Ended, AServerWhoseAddressIsInUseAgainLosesItsFlowsAtOnce)
 {
     ended_world world;
@@ -420,24 +475,27 @@
 {
     struct {
         const char *what;
-        mv_time_t in_touch_after; /* the first packet; MV_NEVER: never */
+        mv_time_t informed_after; /* the first packet; MV_NEVER: never */
+        mv_time_t proof_age;      /* how old its proof of knowledge is */
         mv_time_t reset_after;    /* the first packet */
     } const cases[] = {
-        {"in touch", 0, 3 * MV_SECOND},
-        {"in touch later", 2 * MV_SECOND, 5 * MV_SECOND},
-        {"not in touch", MV_NEVER, MV_NEVER},
+        {"in touch", 0, 0, 3 * MV_SECOND},
+        {"in touch, proof comes late", 0, 1500 * MV_MILLISECOND,
+         4500 * MV_MILLISECOND},
+        {"in touch later", 4 * MV_SECOND, 0, 4 * MV_SECOND},
+        {"proof too old", 0, 3100 * MV_MILLISECOND, MV_NEVER},
+        {"not in touch", MV_NEVER, 0, MV_NEVER},
     };
     for (const auto &c : cases) {
         ended_world world;
         uint32_t tag = 77;
-        mv_time_t first = world.now;
+        world.is_informed = false;
+        MvForwarder_SetCompleteAt(world.forwarder, 0);
         for (mv_time_t at = 0; at < 8 * MV_SECOND;
              at += 100 * MV_MILLISECOND) {
-            if (c.in_touch_after != MV_NEVER && at >= c.in_touch_after) {
-                mv_table_t *table =
-                    MvDirectory_Table(world.directory, world.now);
-                MvTable_SetContact(table, first + c.in_touch_after);
-                MvTable_Destroy(MvForwarder_SwapTable(world.forwarder, table));
+            if (c.informed_after != MV_NEVER && at >= c.informed_after) {
+                MvForwarder_SetCompleteAt(world.forwarder,
+                                          world.now - c.proof_age);
             }
             mv_flow_verdict_t verdict = world.send(9, tag, true, 1);
             EXPECT_EQ(verdict.kind,
--- a/packages/tags/test/restart_test.cc
+++ b/packages/tags/test/restart_test.cc
@@ -22,22 +22,14 @@
         if (known) {
             announce(*known);
         }
-        show();
-    }
-
-    void
-    show()
-    {
-        mv_table_t *table = MvDirectory_Table(directory, now);
-        MvTable_SetContact(table, MV_SECOND);
-        MvTable_Destroy(MvForwarder_SwapTable(forwarder, table));
+        publish();
     }
 
     void
     learn(const mv_server_t &server)
     {
         announce(server);
-        show();
+        publish();
     }
 };
 
@@ -92,7 +84,7 @@
         node_t &node = c.opens_here ? opener : other;
         if (c.has_left) {
             node.withdraw(kId);
-            node.show();
+            node.publish();
             node.advance(MV_SECOND);
         }
         node.learn(next_start(c.later_by));
@@ -123,7 +115,7 @@
     next.id = kId + 1;
     node.advance(MV_SECOND);
     node.announce(next);
-    node.show();
+    node.publish();
     node.advance(500 * MV_MILLISECOND);
     ASSERT_EQ(node.resets.size(), 1u);
     EXPECT_EQ(node.resets[0].caller_port, 1);
@@ -137,7 +129,7 @@
     const mv_server_t first = first_start();
     node_t node(&first);
     node.announce(node.server(8, "booking", "casa"));
-    node.show();
+    node.publish();
     uint16_t port = 100;
     for (int i = 0; i < 40; i++) {
         uint32_t tag = node.serve(port++, kPort);
--- a/packages/tags/test/succession_test.cc
+++ b/packages/tags/test/succession_test.cc
@@ -28,6 +28,13 @@
     uint64_t revision;
 };
 
+/* A change of the store that a node has yet to learn. */
+struct update_t {
+    mv_time_t due_at;
+    mv_time_t made_at;
+    std::function<void(tags_world &)> apply;
+};
+
 struct open_flow_t {
     uint16_t port;
     uint32_t tag;
@@ -71,6 +78,7 @@
     {
         auto node = std::make_unique<tags_world>("casa", 7 + i);
         node->now = now;
+        node->is_informed = false;
         node->route(1, {{kPort, "booking"}});
         for (const auto &[key, entry] : store) {
             announce(*node, key, entry);
@@ -91,8 +99,8 @@
     {
         for (auto &updates : pending) {
             mv_time_t at = now + pick(kMaxDelayMs) * MV_MILLISECOND;
-            at = updates.empty() ? at : MAX(at, updates.back().first);
-            updates.push_back({at, apply});
+            at = updates.empty() ? at : MAX(at, updates.back().due_at);
+            updates.push_back({at, now, apply});
         }
     }
 
@@ -122,11 +130,15 @@
     {
         for (int i = 0; i < kNodes; i++) {
             auto &updates = pending[i];
-            while (!updates.empty() && updates.front().first <= now) {
-                updates.front().second(*nodes[i]);
+            while (!updates.empty() && updates.front().due_at <= now) {
+                updates.front().apply(*nodes[i]);
                 nodes[i]->publish();
                 updates.erase(updates.begin());
             }
+            /* It knows for certain only what it has. */
+            MvForwarder_SetCompleteAt(
+                nodes[i]->forwarder,
+                updates.empty() ? now : updates.front().made_at);
         }
     }
 
@@ -284,8 +296,7 @@
     GRand *random;
     mv_time_t now = MV_MINUTE;
     std::vector<std::unique_ptr<tags_world>> nodes;
-    std::vector<std::pair<mv_time_t, std::function<void(tags_world &)>>>
-        pending[kNodes];
+    std::vector<update_t> pending[kNodes];
     std::map<std::string, entry_t> store;
     std::map<std::string, mv_time_t> lapses;
     uint64_t revision = 0;
--- a/packages/tags/test/tags_world.cc
+++ b/packages/tags/test/tags_world.cc
@@ -165,6 +165,9 @@
 {
     mv_table_t *table = MvDirectory_Table(directory, now);
     MvTable_Destroy(MvForwarder_SwapTable(forwarder, table));
+    if (is_informed) {
+        MvForwarder_SetCompleteAt(forwarder, now);
+    }
 }
 
 mv_flow_verdict_t
@@ -214,6 +217,9 @@
     const mv_time_t step = MV_MILLISECOND;
     for (mv_time_t end = now + by; now < end;) {
         now += step;
+        if (is_informed) {
+            MvForwarder_SetCompleteAt(forwarder, now);
+        }
         MvForwarder_Timer(forwarder, now);
     }
 }
--- a/packages/tags/test/tags_world.h
+++ b/packages/tags/test/tags_world.h
@@ -59,6 +59,8 @@
     std::set<std::string> listed_services;
     /* Of the routes that route() makes from now on. */
     mv_time_t target_latency = 0;
+    /* The node is proven to know all changes at once, as long as it runs. */
+    bool is_informed = true;
     mv_counters_t counters = {};
     mv_directory_t *directory;
     mv_forwarder_t *forwarder;
