--- a/packages/masticvaned/src/settings.c
+++ b/packages/masticvaned/src/settings.c
@@ -1,5 +1,6 @@
 #include "settings.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #define MAX_PORT 65535
@@ -10,7 +11,8 @@
 #define MAX_VM_SIZE 1000000
 #define MAX_PRICE_MS 1000000
 #define NO_PRICE (-1)
-/* Below, nodes ask the store themselves although their sources are well. */
+/* The shortest time that is kept: below, nodes would ask the store themselves
+ * although their sources are well. */
 #define MIN_CHANGE_MS 3000
 #define MAX_CHANGE_MS 600000
 #define DEFAULT_CHANGE_MS 3000
@@ -235,6 +237,41 @@
     return size;
 }
 
+/* Reads a section whose keys are those of the platform.  Return: its entries
+ * as the text of a JSON object, to be freed with free(). */
+static char *
+read_section(mv_ini_t *ini, const char *section)
+{
+    json_t *object = json_object();
+    for (size_t i = 0; i < MvIni_Count(ini); i++) {
+        mv_ini_entry_t *entry = MvIni_At(ini, i);
+        if (!strcmp(entry->section, section)) {
+            entry->used = true;
+            json_object_set_new(object, entry->key, json_string(entry->value));
+        }
+    }
+    char *text = json_dumps(object, JSON_COMPACT);
+    json_decref(object);
+    return text;
+}
+
+/* Reads a number of milliseconds, which may have a fraction. */
+static mv_time_t
+read_change_limit(const reader_t *reader)
+{
+    const char *text =
+        MvIni_Text(reader->ini, "limits", "change_ms", "", reader->findings);
+    char *end = NULL;
+    double value = *text ? g_ascii_strtod(text, &end) : DEFAULT_CHANGE_MS;
+    if (*text && (*end || !(value > 0 && value <= MAX_CHANGE_MS))) {
+        add_finding(reader, "limits", "change_ms",
+                    "must be a number of milliseconds above 0, at most "
+                    "600000");
+        return DEFAULT_CHANGE_MS * MV_MILLISECOND;
+    }
+    return (mv_time_t)(MAX(value, MIN_CHANGE_MS) * (double)MV_MILLISECOND);
+}
+
 static void
 read_tags(const reader_t *reader, mv_settings_t *settings)
 {
@@ -247,6 +284,7 @@
               MV_NAME_MAX);
     settings->processor = read_size(reader, "vm", "processor_cores");
     settings->link_megabits = read_size(reader, "vm", "link_megabits");
+    settings->vm_limits = read_section(ini, "platform");
     settings->packet_port = read_listen(reader, "packets", settings);
     settings->health_port = read_listen(reader, "health", settings);
     settings->metrics_port = read_optional_listen(reader, "metrics", settings);
@@ -261,10 +299,7 @@
         read_seconds(reader, "limits", "stop_seconds", 6 * MV_SECOND);
     settings->flow_retention =
         read_seconds(reader, "limits", "flow_seconds", MV_MINUTE);
-    settings->change_limit =
-        MV_MILLISECOND * read_number(reader, "limits", "change_ms",
-                                     MIN_CHANGE_MS, MAX_CHANGE_MS,
-                                     DEFAULT_CHANGE_MS);
+    settings->change_limit = read_change_limit(reader);
     int64_t price_ms = read_number(reader, "placement", "remote_megabyte_ms",
                                    0, MAX_PRICE_MS, NO_PRICE);
     settings->megabyte_price =
@@ -331,6 +366,7 @@
     MvKeyring_Destroy(settings->keyring);
     g_free(settings->path);
     g_free(settings->bootstrap_peers);
+    free(settings->vm_limits);
     g_free(settings->store_addresses);
     g_free(settings->log_file);
     g_free(settings->dump_file);
--- a/packages/masticvaned/src/settings.h
+++ b/packages/masticvaned/src/settings.h
@@ -38,7 +38,8 @@
  * @forwarding: forwarding mode; with MV_FORWARDING_TAGS only @name, @self's
  *              address and control port, @data_centre, the ports for packets,
  *              health, metrics and replicas, @bootstrap_peers, @stop_limit,
- *              @processor, @link_megabits, @change_limit, @flow_retention,
+ *              @processor, @link_megabits, @vm_limits, @change_limit,
+ * @flow_retention,
  * @megabyte_price, the store and the log are read
  * @name: name of this entry VM
  * @path: the file that the settings were read from
@@ -50,6 +51,8 @@
  *                   fetches a replica while the store is unreachable at start
  * @processor: cores that this node may use, 0 when not known
  * @link_megabits: bandwidth of its link in Mbit/s, 0 when not known
+ * @vm_limits: limits of this VM as the platform states them, as a JSON object;
+ *             those that are set above go before
  * @change_limit: time within which a change of the store must be in force
  * @flow_retention: time for which a backend server is kept for its open flows
  *                  after its announcement was withdrawn
@@ -88,6 +91,7 @@
     char *bootstrap_peers;
     double processor;
     double link_megabits;
+    char *vm_limits;
     mv_time_t change_limit;
     mv_time_t flow_retention;
     mv_time_t megabyte_price;
--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -309,6 +309,27 @@
     }
 }
 
+/* Return: tier of this VM, which ranks with the largest where its size is not
+ * known. */
+static unsigned
+tier_of_vm(const mv_tags_control_t *control)
+{
+    const mv_settings_t *settings = control->daemon.settings;
+    double cores = 0;
+    double megabits = 0;
+    bool is_known =
+        settings->vm_limits &&
+        MvPlatform_DecodeLimits(settings->vm_limits, &cores, &megabits);
+    cores = settings->processor > 0 ? settings->processor : cores;
+    megabits =
+        settings->link_megabits > 0 ? settings->link_megabits : megabits;
+    unsigned tier = MvNode_TierOf(cores, megabits);
+    MvLog_Write(control->daemon.log, MV_EVENT_VM_SIZE,
+                "cores=%g link_megabits=%g tier=%u platform_tells=%d", cores,
+                megabits, tier, is_known);
+    return tier;
+}
+
 static bool
 create_components(mv_tags_control_t *control, GError **error)
 {
@@ -339,11 +360,9 @@
     mv_node_record_t self = {.port = settings->self.control_port};
     g_strlcpy(self.data_centre, settings->data_centre, MV_NAME_MAX);
     g_strlcpy(self.address, settings->self.address, sizeof(self.address));
-    unsigned tier =
-        MvNode_TierOf(settings->processor, settings->link_megabits);
     control->registration = MvRegistration_Create(
-        &self, tier, control->store, control->replica, control->random,
-        MvTagsCluster_RegistrationOps(), control);
+        &self, tier_of_vm(control), control->store, control->replica,
+        control->random, MvTagsCluster_RegistrationOps(), control);
     control->history_writer =
         MvRecordWriter_Create(MV_ROUTE_HISTORY_KEY, control->store,
                               control->replica, control->random);
