An order that was taken back ends when its time is over

Callers were refused for up to 5 s after a restored store (soak; KNOWN-RED 18): an order to evacuate that the store lacks holds for 5 s, and nothing made a new table when these were over. Likewise for servers that drain.

--- a/packages/masticvaned/src/tags_cluster.c
+++ b/packages/masticvaned/src/tags_cluster.c
@@ -218,7 +218,8 @@
 {
     MvTable_Destroy(__atomic_exchange_n(&control->daemon.replaced_table, NULL,
                                         __ATOMIC_ACQ_REL));
-    if (!control->table_outdated) {
+    bool is_due = MvClock_Boot() >= MvDirectory_DueAt(control->directory);
+    if (!control->table_outdated && !is_due) {
         return;
     }
     control->table_outdated = false;
--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -338,6 +338,13 @@
  */
 mv_table_t *MvDirectory_Table(mv_directory_t *directory, mv_time_t now);
 
+/**
+ * MvDirectory_DueAt() - Time from which the last snapshot is out of date
+ * although nothing is announced, or MV_NEVER: an order, or a draining, that
+ * holds for a while only ends then.
+ */
+mv_time_t MvDirectory_DueAt(const mv_directory_t *directory);
+
 /**
  * MvTable_SetSource() - Record which state of the store the snapshot holds.
  * @revision: revision of the store; every change up to it is in the snapshot
--- a/packages/tags/src/directory.c
+++ b/packages/tags/src/directory.c
@@ -71,6 +71,7 @@
     directory->history = MvRouteHistory_Create(settings->retention);
     directory->evacuated =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    directory->due_at = MV_NEVER;
     directory->local_nodes = 1;
     return directory;
 }
--- a/packages/tags/src/directory_private.h
+++ b/packages/tags/src/directory_private.h
@@ -83,6 +83,7 @@
  * @evacuated: evacuated data centres: &struct mv_evacuation by name
  * @restored_until: until then what a restored store lacks counts as not yet
  *                  written again
+ * @due_at: see MvDirectory_DueAt()
  * @local_nodes: entry VMs of the own data centre
  * @nodes: entry VMs of all data centres, 0 while it is not known
  */
@@ -96,6 +97,7 @@
     mv_route_history_t *history;
     GHashTable *evacuated;
     mv_time_t restored_until;
+    mv_time_t due_at;
     unsigned local_nodes;
     unsigned nodes;
 };
--- a/packages/tags/src/snapshot.c
+++ b/packages/tags/src/snapshot.c
@@ -260,6 +260,35 @@
                                 &now);
 }
 
+/* Return: the earliest time after @now at which what holds for a while ends.
+ */
+static mv_time_t
+find_due_at(const mv_directory_t *directory, mv_time_t now)
+{
+    mv_time_t due_at = MV_NEVER;
+    GHashTableIter iter;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iter, directory->evacuated);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        due_at = MIN(due_at, ((const mv_evacuation_t *)value)->ends_at);
+    }
+    MV_LIST_FOREACH(item, &directory->servers)
+    {
+        const mv_known_server_t *known =
+            MV_CONTAINER_OF(item, mv_known_server_t, link);
+        if (known->drains_until > now) {
+            due_at = MIN(due_at, known->drains_until);
+        }
+    }
+    return due_at;
+}
+
+mv_time_t
+MvDirectory_DueAt(const mv_directory_t *directory)
+{
+    return directory->due_at;
+}
+
 mv_table_t *
 MvDirectory_Table(mv_directory_t *directory, mv_time_t now)
 {
@@ -268,6 +297,7 @@
     MvDirectory_NoteNamed(directory);
     MvDirectory_NoteReplaced(directory, now);
     remove_ended_evacuations(directory, now);
+    directory->due_at = find_due_at(directory, now);
     mv_table_t *table = g_new0(mv_table_t, 1);
     builder_t builder = {
         .directory = directory,
--- a/packages/tags/test/evacuation_test.cc
+++ b/packages/tags/test/evacuation_test.cc
@@ -195,6 +195,7 @@
     world.announce(world.server(1, "booking", "casa"));
     world.publish();
     EXPECT_EQ(servers_of_new_flows(200), (std::set<uint64_t>{2}));
+    EXPECT_EQ(MvDirectory_DueAt(world.directory), world.now + 5 * MV_SECOND);
     /* One is written again, the other is not. */
     world.advance(2 * MV_SECOND);
     world.announce(leaving);
@@ -204,6 +205,27 @@
     EXPECT_EQ(MvDirectory_EvacuatedCount(world.directory), 0u);
 }
 
+/* Guards against callers that are refused after an order has ended, as nothing
+ * makes a new table then (soak, seed 255105). */
+TEST_F(Evacuation, WhatHoldsForAWhileEndsWithoutAnotherChange)
+{
+    mv_server_t leaving = world.server(1, "booking", "casa");
+    leaving.state = MV_SERVER_DRAINING;
+    world.announce(leaving);
+    evacuate("rabat");
+    EXPECT_EQ(MvDirectory_DueAt(world.directory), MV_NEVER);
+    MvDirectory_NoteStoreRestored(world.directory, world.now);
+    evacuate("rabat", false);
+    world.announce(world.server(1, "booking", "casa"));
+    world.publish();
+    while (world.now < MvDirectory_DueAt(world.directory)) {
+        world.advance(10 * MV_MILLISECOND);
+    }
+    world.publish();
+    EXPECT_EQ(servers_of_new_flows(300), (std::set<uint64_t>{1, 2, 3, 4}));
+    EXPECT_EQ(MvDirectory_DueAt(world.directory), MV_NEVER);
+}
+
 TEST_F(Evacuation, AnOrderThatIsWrittenAgainStays)
 {
     evacuate("rabat");
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -238,6 +238,8 @@
      "    return (is_old || forwarder->table->servers[position].is_replaced) &&", "    return (is_old || position >= 0) &&", "tags_test", "Ended.*:*Succession*"),
     ("an unknown tag is judged for each flow", TAGS + "ended.c",
      "    if (flow->tag != tag || now - flow->last_at > MAX_PAUSE) {", "    if (flow->first_at == 0) {", "tags_test", "Ended.*"),
+    ("what holds for a while ends without another change", TAGS + "snapshot.c",
+     "        due_at = MIN(due_at, ((const mv_evacuation_t *)value)->ends_at);", "        due_at = MAX(due_at, ((const mv_evacuation_t *)value)->ends_at);", "tags_test", "Evacuation.*"),
     ("a server's health record begins anew with its start", TAGS + "health.c",
      "    else if (health->started_at != server->server.started_at &&", "    else if (health->started_at < 0 &&", "tags_test", "Restart.*"),
     ("a key that cannot be read names no server", "platform/documents.c",
