--- a/packages/tags/include/masticvane/tags.h
+++ b/packages/tags/include/masticvane/tags.h
@@ -440,9 +440,14 @@
     mv_time_t expires_at;
 } mv_flow_verdict_t;
 
-/** Maximum length in bytes of a stored SYN; longer ones are truncated. */
+/** Length in bytes up to which a SYN is stored within its flow's entry; longer
+ * ones, which carry data, have memory of their own. */
 #define MV_SYN_MAX 64
 
+/** Maximum number of bytes of all longer SYNs that a node stores.  Those above
+ * are sent as they come, and neither held, queued nor sent again. */
+#define MV_LONG_SYN_BYTES (4u << 20)
+
 /** typedef mv_forwarder_t - Forwarding state of one traffic thread. */
 typedef struct mv_forwarder mv_forwarder_t;
 
--- a/packages/tags/src/flows.c
+++ b/packages/tags/src/flows.c
@@ -57,10 +57,61 @@
     return flow;
 }
 
+bool
+MvFlow_CanStoreSyn(const mv_forwarder_t *forwarder, size_t length)
+{
+    return length <= MV_SYN_MAX ||
+           (length <= UINT16_MAX &&
+            forwarder->long_syn_bytes + length <= MV_LONG_SYN_BYTES);
+}
+
+static void
+drop_syn(mv_forwarder_t *forwarder, mv_flow_t *flow)
+{
+    if (flow->long_syn) {
+        forwarder->long_syn_bytes -= flow->syn_length;
+        g_clear_pointer(&flow->long_syn, g_free);
+        flow->syn_length = 0;
+    }
+}
+
+void
+MvFlow_StoreSyn(mv_forwarder_t *forwarder, mv_flow_t *flow,
+                const uint8_t *bytes, size_t length)
+{
+    drop_syn(forwarder, flow);
+    flow->syn_length = 0;
+    if (!MvFlow_CanStoreSyn(forwarder, length)) {
+        MvCounters_Add(forwarder->counters, MV_COUNTER_SYNS_NOT_STORED, 1);
+        return;
+    }
+    flow->syn_length = (uint16_t)length;
+    if (length <= MV_SYN_MAX) {
+        memcpy(flow->syn, bytes, length);
+        return;
+    }
+    flow->long_syn = g_memdup2(bytes, length);
+    forwarder->long_syn_bytes += length;
+}
+
+const uint8_t *
+MvFlow_Syn(const mv_flow_t *flow)
+{
+    return flow->long_syn ? flow->long_syn : flow->syn;
+}
+
+void
+MvFlow_Free(gpointer flow)
+{
+    g_free(((mv_flow_t *)flow)->long_syn);
+    g_free(flow);
+}
+
 void
 MvFlow_Remove(mv_forwarder_t *forwarder, mv_flow_t *flow)
 {
     MvFlow_Release(flow);
+    drop_syn(forwarder, flow);
     MvList_Remove(&flow->exchange.link);
     MvList_Remove(&flow->link);
     g_hash_table_remove(forwarder->flows, &flow->name);
@@ -80,6 +131,9 @@
         [MV_FLOW_REFUSED] = &forwarder->closed,
     };
     flow->phase = phase;
+    if (phase >= MV_FLOW_OPEN) {
+        drop_syn(forwarder, flow);
+    }
     MvList_Remove(&flow->link);
     MvList_Append(lists[phase], &flow->link);
 }
--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -38,8 +38,8 @@
     forwarder->server_health = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     forwarder->data_centre_health =
         g_hash_table_new_full(NULL, NULL, NULL, g_free);
-    forwarder->flows =
-        g_hash_table_new_full(MvFlowName_Hash, MvFlowName_Equal, NULL, g_free);
+    forwarder->flows = g_hash_table_new_full(MvFlowName_Hash, MvFlowName_Equal,
+                                             NULL, MvFlow_Free);
     forwarder->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     forwarder->profiles = g_hash_table_new_full(NULL, NULL, NULL, g_free);
@@ -187,13 +187,6 @@
                : now - packet->waited - packet->since_first_syn;
 }
 
-static void
-store_syn(mv_flow_t *flow, const uint8_t *bytes, size_t length)
-{
-    flow->syn_length = (uint8_t)MIN(length, MV_SYN_MAX);
-    memcpy(flow->syn, bytes, flow->syn_length);
-}
-
 static mv_flow_t *
 add_syn(mv_forwarder_t *forwarder, const mv_flow_name_t *name, mv_time_t now,
         const mv_flow_packet_t *packet, const uint8_t *bytes, size_t length)
@@ -202,7 +195,7 @@
     flow->offer_until = offer_until(packet, now);
     flow->is_contested = packet->retransmission > 0;
     MvFlow_NoteNumbers(flow, packet);
-    store_syn(flow, bytes, length);
+    MvFlow_StoreSyn(forwarder, flow, bytes, length);
     MvCounters_Add(forwarder->counters, MV_COUNTER_FLOWS_NEW, 1);
     return flow;
 }
@@ -272,9 +265,8 @@
     if (flow->phase == MV_FLOW_OPEN && flow->syn_length == 0) {
         return now - flow->began_at < DOUBLED_SYN_TIME;
     }
-    return flow->phase == MV_FLOW_OPEN &&
-           flow->syn_length == MIN(length, MV_SYN_MAX) &&
-           memcmp(flow->syn, bytes, flow->syn_length) == 0;
+    return flow->phase == MV_FLOW_OPEN && flow->syn_length == length &&
+           memcmp(flow->syn, bytes, length) == 0;
 }
 
 /* Handles a SYN of another flow with the name of @flow.
@@ -312,7 +304,7 @@
     case MV_FLOW_OFFERED:
         MvCounters_Add(forwarder->counters, MV_COUNTER_OFFERS_ADOPTED, 1);
         MvFlow_NoteNumbers(flow, packet);
-        store_syn(flow, bytes, length);
+        MvFlow_StoreSyn(forwarder, flow, bytes, length);
         flow->began_at = now;
         MvFlow_SetPhase(forwarder, flow, MV_FLOW_SYN_SENT);
         *verdict = MvFlow_RepeatSyn(forwarder, flow, now, service);
@@ -353,12 +345,16 @@
                                  length, &verdict)) {
         return verdict;
     }
+    bool is_storable = MvFlow_CanStoreSyn(forwarder, length);
+    if (MvHeldSyns_MustHold(forwarder, now, packet) && !is_storable) {
+        return (mv_flow_verdict_t){.reason = MV_COUNTER_SYNS_NOT_STORED};
+    }
     if (MvHeldSyns_MustHold(forwarder, now, packet)) {
         return store_flow(forwarder, now, route, packet, name, bytes, length,
                           MV_FLOW_HELD);
     }
-    if (MvFlowQueue_MustWait(forwarder, now, route, service,
-                             first_syn_at(packet, now), 0)) {
+    if (is_storable && MvFlowQueue_MustWait(forwarder, now, route, service,
+                                            first_syn_at(packet, now), 0)) {
         return store_flow(forwarder, now, route, packet, name, bytes, length,
                           MV_FLOW_QUEUED);
     }
--- a/packages/tags/src/forwarder_private.h
+++ b/packages/tags/src/forwarder_private.h
@@ -254,8 +254,9 @@
  * @is_contested: it may have been offered to two servers: its first SYN did
  * not arrive here, or another node offered it as well
  * @has_opened_here: this node saw the packet with which it opened
- * @syn_length: bytes in @syn
- * @syn: the caller's SYN
+ * @syn_length: length of the caller's SYN, 0 while it is not stored
+ * @long_syn: the SYN if it is longer than @syn, else NULL
+ * @syn: the SYN
  */
 typedef struct mv_flow {
     mv_list_t link;
@@ -289,7 +290,8 @@
     mv_exchange_t exchange;
     bool is_contested;
     bool has_opened_here;
-    uint8_t syn_length;
+    uint16_t syn_length;
+    uint8_t *long_syn;
     uint8_t syn[MV_SYN_MAX];
 } mv_flow_t;
 
@@ -332,6 +334,7 @@
  * @data_centre_health: &struct mv_data_centre_health by hash of the name
  * @health_by_position: health records by position in @table
  * @flows: &struct mv_flow by name
+ * @long_syn_bytes: bytes in all @long_syn of @flows
  * @services: &struct mv_service_load by name of the service
  * @profiles: &struct mv_answer_profile by address and port
  * @unknown_flows: flows whose packets name no known server
@@ -366,6 +369,7 @@
     GHashTable *data_centre_health;
     mv_server_health_t **health_by_position;
     GHashTable *flows;
+    size_t long_syn_bytes;
     GHashTable *services;
     GHashTable *profiles;
     mv_unknown_flows_t *unknown_flows;
@@ -593,6 +597,22 @@
  */
 void MvFlow_SetPendingService(mv_flow_t *flow, mv_service_load_t *load);
 
+/** MvFlow_CanStoreSyn() - There is memory for a SYN of @length bytes. */
+bool MvFlow_CanStoreSyn(const mv_forwarder_t *forwarder, size_t length);
+
+/**
+ * MvFlow_StoreSyn() - Store the caller's SYN in place of an earlier one, byte
+ * for byte; does nothing else when there is no memory for it.
+ */
+void MvFlow_StoreSyn(mv_forwarder_t *forwarder, mv_flow_t *flow,
+                     const uint8_t *bytes, size_t length);
+
+/** MvFlow_Syn() - The stored SYN. */
+const uint8_t *MvFlow_Syn(const mv_flow_t *flow);
+
+/** MvFlow_Free() - Free an entry, for GHashTable. */
+void MvFlow_Free(gpointer flow);
+
 /** MvFlow_Remove() - Remove and free the entry. */
 void MvFlow_Remove(mv_forwarder_t *forwarder, mv_flow_t *flow);
 
--- a/packages/tags/src/syn_retries.c
+++ b/packages/tags/src/syn_retries.c
@@ -66,6 +66,14 @@
     return now <= flow->offer_until;
 }
 
+/* Whether this node may send the caller's SYN: a copy is the packet, byte for
+ * byte, or is not sent. */
+static bool
+may_send_syn(const mv_flow_t *flow, mv_time_t now)
+{
+    return has_latest_syn(flow, now) && flow->syn_length > 0;
+}
+
 static mv_flow_verdict_t
 send_again(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now,
            unsigned position)
@@ -81,7 +89,7 @@
 {
     flow->last_seen_at = now;
     verdict.expires_at = flow->offer_until;
-    forwarder->ops->send(forwarder->context, &verdict, flow->syn,
+    forwarder->ops->send(forwarder->context, &verdict, MvFlow_Syn(flow),
                          flow->syn_length);
 }
 
@@ -89,7 +97,7 @@
 MvFlow_SendOwnedSyn(mv_forwarder_t *forwarder, mv_flow_t *flow, mv_time_t now)
 {
     int position = MvTable_Server(forwarder->table, flow->tag);
-    if (has_latest_syn(flow, now) &&
+    if (may_send_syn(flow, now) &&
         takes_syns(forwarder, flow, position, now)) {
         mv_flow_verdict_t verdict =
             send_again(forwarder, flow, now, (unsigned)position);
@@ -129,8 +137,7 @@
 {
     const mv_table_route_t *route =
         MvTable_Route(forwarder->table, flow->name.address, flow->name.port);
-    if (!route || route->route.share_count == 0 ||
-        !has_latest_syn(flow, now)) {
+    if (!route || route->route.share_count == 0 || !may_send_syn(flow, now)) {
         return false;
     }
     unsigned service = MvFlow_ChooseService(route, &flow->name);
@@ -237,7 +244,7 @@
         MvFlow_Remove(forwarder, flow);
         return MV_NEVER;
     }
-    if (needs_successor(forwarder, flow) && has_latest_syn(flow, now)) {
+    if (needs_successor(forwarder, flow) && may_send_syn(flow, now)) {
         forget_offer(flow);
         if (MvFlow_SendQueuedSyn(forwarder, flow, now)) {
             return now + flow->syn_timeout;
@@ -254,7 +261,7 @@
         note_timeout(forwarder, flow, now);
     }
     int position = MvTable_Server(forwarder->table, flow->tag);
-    if (flow->syn_count > MAX_REPEATS || !has_latest_syn(flow, now) ||
+    if (flow->syn_count > MAX_REPEATS || !may_send_syn(flow, now) ||
         !takes_syns(forwarder, flow, position, now) ||
         !MvForwarder_IsFabricStable(forwarder, now)) {
         /* It may be open through another node, or it is not sent any more: it
