--- a/packages/tags/src/directory.c
+++ b/packages/tags/src/directory.c
@@ -103,7 +103,7 @@
     g_free(directory);
 }
 
-/* Return: the known known, or NULL.  It may be one whose announcement
+/* Return: the known server, or NULL.  It may be one whose announcement
  * vanished: such a server may be announced again. */
 static mv_known_server_t *
 find_server(const mv_directory_t *directory, const char *key,
--- a/packages/tags/src/forwarder.c
+++ b/packages/tags/src/forwarder.c
@@ -445,25 +445,37 @@
     }
 }
 
-static mv_flow_verdict_t
-continue_flow(mv_forwarder_t *forwarder, mv_time_t now,
-              const mv_table_route_t *route, const mv_flow_packet_t *packet,
-              const mv_flow_name_t *name)
+/* Finds the entry of the flow that a packet belongs to.  The entry of another
+ * flow of its name makes room for it once that one is quiet.
+ * @is_other: set to whether the entry is of such a flow, and stays */
+static mv_flow_t *
+find_flow_of(mv_forwarder_t *forwarder, const mv_flow_name_t *name,
+             mv_time_t now, const mv_flow_packet_t *packet, bool *is_other)
 {
     mv_flow_t *flow = g_hash_table_lookup(forwarder->flows, name);
-    bool is_other = flow && !MvFlow_IsOf(flow, packet);
-    if (flow && ((is_other && MvFlow_IsQuiet(flow, now)) ||
+    *is_other = flow && !MvFlow_IsOf(flow, packet);
+    if (flow && ((*is_other && MvFlow_IsQuiet(flow, now)) ||
                  MvFlow_HasOpenedElsewhere(flow, packet, now))) {
         MvFlow_Remove(forwarder, flow);
-        flow = NULL;
-        is_other = false;
+        *is_other = false;
+        return NULL;
     }
-    if (flow && !is_other && flow->phase == MV_FLOW_REFUSED) {
+    return flow;
+}
+
+static mv_flow_verdict_t
+continue_flow(mv_forwarder_t *forwarder, mv_time_t now,
+              const mv_table_route_t *route, const mv_flow_packet_t *packet,
+              const mv_flow_name_t *name)
+{
+    bool is_other = false;
+    mv_flow_t *flow = find_flow_of(forwarder, name, now, packet, &is_other);
+    bool is_own = flow && !is_other;
+    if (is_own && flow->phase == MV_FLOW_REFUSED) {
         return repeat_refusal(flow);
     }
-    bool is_open =
-        flow && !is_other &&
-        (flow->phase == MV_FLOW_OPEN || flow->phase == MV_FLOW_CLOSED);
+    bool is_open = is_own && (flow->phase == MV_FLOW_OPEN ||
+                              flow->phase == MV_FLOW_CLOSED);
     uint32_t tag = is_open ? flow->tag : packet->tag;
     int position = MvTable_Server(forwarder->table, tag);
     if (position < 0) {
@@ -477,7 +489,7 @@
         MvCounters_Add(forwarder->counters, MV_COUNTER_PACKETS_OTHER_FLOW, 1);
         return MvFlow_ForwardTo(server);
     }
-    if (flow) {
+    if (is_own) {
         update_flow(forwarder, flow, now, packet, (unsigned)position);
     }
     else {
