Late node: a pause between two clocks makes no proof later than it is

The time up to which the table is complete was taken from two readings of clocks with other work between them; a node that is slow, which this is for, would have credited itself with the pause. The clocks are read one after the other now, in the order that can only make the time earlier. Found by reading; no test draws a pause there. The soak, the settings and the standstill test pass.

--- a/packages/masticvaned/src/tags_control.c
+++ b/packages/masticvaned/src/tags_control.c
@@ -210,14 +210,16 @@
  * called after MvTagsCluster_PublishTable(), so that no table is credited with
  * what only a later one shows. */
 static void
-publish_knowledge(mv_tags_control_t *control, mv_time_t now)
+publish_knowledge(mv_tags_control_t *control)
 {
     mv_time_t proven_at = MvFanout_ProvenAt(control->fanout);
     bool is_known = proven_at > 0 && proven_at > control->resumed_at;
-    /* The traffic thread's clock counts suspension, which nothing that was
-     * proven since can precede. */
+    /* The traffic thread's clock counts suspension.  The clocks are read in
+     * this order, so that a pause between the two makes the time no later. */
+    mv_time_t boot = MvClock_Boot();
+    mv_time_t suspended_time = boot - g_get_monotonic_time();
     __atomic_store_n(&control->daemon.complete_at,
-                     is_known ? MvClock_Boot() - (now - proven_at) : 0,
+                     is_known ? proven_at + suspended_time : 0,
                      __ATOMIC_RELEASE);
 }
 
@@ -287,7 +289,7 @@
         track_store_contact(control, now);
         MvStore_Poll(control->store, 0);
         MvTagsCluster_PublishTable(control);
-        publish_knowledge(control, now);
+        publish_knowledge(control);
         MvTagsCluster_SendReports(control);
         log_store_reachability(control, now);
         log_relists(control);
