Tests of the late node and of orders that end: three planted faults survived

Planted faults that no test saw: a flow that began lately, an unknown tag judged by what was seen before, an order whose end nobody notes (hidden by a draining that ends at the same time). The rows that should have seen them could not fail: mended, and a test of unknown tags for each flow. No product code changes.

--- a/packages/tags/test/ended_test.cc
+++ b/packages/tags/test/ended_test.cc
@@ -217,14 +217,14 @@
         mv_time_t complete_from; /* the news: first proof of knowledge */
         mv_time_t proof_age;     /* how old each proof is */
         mv_time_t began_before;  /* the news: when the flow began */
-        bool is_reset;
+        bool is_reset;           /* within 2 s */
     } cases[] = {
         {"gone, proven", false, 0, 0, 4000, true},
-        {"gone, proven late", false, 0, 2000, 4000, true},
+        {"gone, proven late", false, 0, 1000, 4000, true},
         {"gone, not proven since", false, MV_NEVER, 0, 4000, false},
         {"gone, proof too old", false, 0, 3100, 4000, false},
-        {"gone, the flow began when it may have come back", false, -3000, 2900,
-         0, false},
+        {"gone, the flow began when it may have come back", false, 0, 0, 0,
+         false},
         {"replaced, proven", true, 0, 0, 4000, true},
         {"replaced, proof too old", true, 0, 3100, 4000, false},
     };
@@ -243,7 +243,7 @@
         }
         const mv_time_t news = world.now;
         bool is_reset = false;
-        for (mv_time_t at = 0; at < 3 * MV_SECOND;
+        for (mv_time_t at = 0; at < 2 * MV_SECOND;
              at += 200 * MV_MILLISECOND) {
             mv_time_t proven_at = world.now - c.proof_age * MV_MILLISECOND;
             bool is_proven =
@@ -256,7 +256,6 @@
             is_reset |= world.request(ports[0]).kind == MV_FLOW_RESET;
             world.advance(200 * MV_MILLISECOND);
         }
-        world.advance(2 * MV_SECOND);
         is_reset |= !world.resets.empty();
         EXPECT_EQ(is_reset, c.is_reset) << c.what;
     }
@@ -507,6 +506,39 @@
     }
 }
 
+/* Guards against a reset by what was seen of another flow: a server may have
+ * started again under its id since. */
+TEST(Ended, EachFlowWithAnUnknownTagIsJudgedFromItsOwnFirstPacket)
+{
+    const struct {
+        const char *what;
+        uint16_t port; /* of the later flow; the first one's is 9 */
+        uint32_t tag;  /* likewise 77 */
+        mv_time_t pause;
+    } cases[] = {
+        {"another flow", 10, 77, 100},
+        {"another tag", 9, 78, 100},
+        {"the port in use again", 9, 77, 2100},
+    };
+    for (const auto &c : cases) {
+        ended_world world;
+        for (int i = 0; i < 35; i++) {
+            world.send(9, 77, true, 1);
+            world.advance(100 * MV_MILLISECOND);
+        }
+        ASSERT_EQ(world.send(9, 77, true, 1).kind, MV_FLOW_RESET) << c.what;
+        world.advance(c.pause * MV_MILLISECOND);
+        for (int i = 0; i < 29; i++) {
+            EXPECT_EQ(world.send(c.port, c.tag, true, 1).kind, MV_FLOW_DROP)
+                << c.what << " " << i;
+            world.advance(100 * MV_MILLISECOND);
+        }
+        world.advance(200 * MV_MILLISECOND);
+        EXPECT_EQ(world.send(c.port, c.tag, true, 1).kind, MV_FLOW_RESET)
+            << c.what;
+    }
+}
+
 namespace {
 
 const mv_time_t kWork = 40 * MV_MILLISECOND;
--- a/packages/tags/test/evacuation_test.cc
+++ b/packages/tags/test/evacuation_test.cc
@@ -209,21 +209,28 @@
  * makes a new table then (soak, seed 255105). */
 TEST_F(Evacuation, WhatHoldsForAWhileEndsWithoutAnotherChange)
 {
-    mv_server_t leaving = world.server(1, "booking", "casa");
-    leaving.state = MV_SERVER_DRAINING;
-    world.announce(leaving);
-    evacuate("rabat");
-    EXPECT_EQ(MvDirectory_DueAt(world.directory), MV_NEVER);
-    MvDirectory_NoteStoreRestored(world.directory, world.now);
-    evacuate("rabat", false);
-    world.announce(world.server(1, "booking", "casa"));
-    world.publish();
-    while (world.now < MvDirectory_DueAt(world.directory)) {
-        world.advance(10 * MV_MILLISECOND);
+    uint16_t port = 300;
+    for (bool is_order : {true, false}) {
+        mv_server_t leaving = world.server(1, "booking", "casa");
+        leaving.state = is_order ? MV_SERVER_READY : MV_SERVER_DRAINING;
+        world.announce(leaving);
+        if (is_order) {
+            evacuate("rabat");
+        }
+        world.publish();
+        EXPECT_EQ(MvDirectory_DueAt(world.directory), MV_NEVER);
+        MvDirectory_NoteStoreRestored(world.directory, world.now);
+        evacuate("rabat", false);
+        world.announce(world.server(1, "booking", "casa"));
+        world.publish();
+        ASSERT_EQ(MvDirectory_DueAt(world.directory),
+                  world.now + 5 * MV_SECOND);
+        world.advance(5 * MV_SECOND);
+        world.publish();
+        EXPECT_EQ(servers_of_new_flows(port).count(is_order ? 3 : 1), 1u);
+        EXPECT_EQ(MvDirectory_DueAt(world.directory), MV_NEVER);
+        port += 100;
     }
-    world.publish();
-    EXPECT_EQ(servers_of_new_flows(300), (std::set<uint64_t>{1, 2, 3, 4}));
-    EXPECT_EQ(MvDirectory_DueAt(world.directory), MV_NEVER);
 }
 
 TEST_F(Evacuation, AnOrderThatIsWrittenAgainStays)
